--- /dev/null
+++ b/common/mailbox/mailbox_test.go
@@ -0,0 +1,27 @@
+package mailbox
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a mailbox that grows past its bound or blocks a sender that must not wait.
+func TestTrySendStopsAtCapacity(t *testing.T) {
+	b := New[int](2)
+	assert.Assert(t, b.TrySend(1))
+	assert.Assert(t, b.TrySend(2))
+	assert.Assert(t, !b.TrySend(3))
+	assert.Equal(t, <-b.Receive(), 1)
+	assert.Assert(t, b.TrySend(3))
+}
+
+// Guards against a caller that waits for ever on a task that has ended.
+func TestCallEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	b := New[chan<- int](1)
+	cancel()
+	_, err := Call(ctx, b, func(reply chan<- int) chan<- int { return reply })
+	assert.ErrorIs(t, err, context.Canceled)
+}
--- /dev/null
+++ b/common/message/load_report.go
@@ -0,0 +1,28 @@
+package message
+
+import "time"
+
+// LoadReport is what an endpoint says about itself. It lags behind by Age.
+type LoadReport struct {
+	Endpoint string
+	// Incarnation changes when the endpoint's process restarts.
+	Incarnation string
+	// Age is how old the figures were when the report was received.
+	Age     time.Duration
+	Running int
+	Waiting int
+	// CompletedTotal counts the generations finished in this incarnation.
+	CompletedTotal int64
+	// PreemptionsTotal counts the preemptions in this incarnation.
+	PreemptionsTotal int64
+	BlocksUsed       int64
+	BlocksTotal      int64
+	// BlockTokens is the number of tokens in one memory block.
+	BlockTokens int64
+	// StepTime is the duration of the last decode step.
+	StepTime time.Duration
+	// Leaving is set when the endpoint is shutting down.
+	Leaving bool
+	// Models lists the loaded models.
+	Models []string
+}
--- /dev/null
+++ b/common/settings/tls.go
@@ -0,0 +1,10 @@
+package settings
+
+// TLS holds the files for each listener and each kind of outgoing connection. An empty entry means plain text.
+type TLS struct {
+	Callers   TLSFiles `yaml:"callers"`
+	Operators TLSFiles `yaml:"operators"`
+	Peers     TLSFiles `yaml:"peers"`
+	Endpoints TLSFiles `yaml:"endpoints"`
+	Platform  TLSFiles `yaml:"platform"`
+}
--- /dev/null
+++ b/common/verdict/reason.go
@@ -0,0 +1,29 @@
+package verdict
+
+// Reason is a stable, machine-readable cause of a refusal or failure.
+type Reason string
+
+// Reasons that callers see in error bodies and operators see in metrics.
+const (
+	ReasonInvalid         Reason = "invalid_request"
+	ReasonUnauthorized    Reason = "unauthorized"
+	ReasonUnknownModel    Reason = "unknown_model"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonTooLarge        Reason = "request_too_large"
+	ReasonBusy            Reason = "busy"
+	ReasonQueueTimeout    Reason = "queue_timeout"
+	ReasonNoEndpoint      Reason = "no_endpoint"
+	ReasonNoOwner         Reason = "no_cell_owner"
+	ReasonLimit           Reason = "workspace_limit"
+	ReasonStopping        Reason = "stopping"
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonClaimConflict   Reason = "idempotency_key_reused"
+	ReasonClaimInProgress Reason = "idempotency_key_in_use"
+	ReasonClaimExpired    Reason = "idempotency_key_expired"
+	ReasonClaimRefused    Reason = "claim_unavailable"
+	ReasonKeyRequired     Reason = "idempotency_key_required"
+	ReasonEndpointFailed  Reason = "endpoint_failed"
+	ReasonIncomplete      Reason = "incomplete_answer"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonUnavailable     Reason = "unavailable"
+)
