Serve a streaming request and an operator call end to end

Cause: every later part grows on one path through the real tasks and messages. Measured: go test ./... passes; azuredyked dev answers a stream of 24 parts from a fake endpoint and takes a data centre out with an audit record.

--- /dev/null
+++ b/cmd/azuredyked/main.go
@@ -0,0 +1,19 @@
+// Command azuredyked is the daemon of azuredyke.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newRootCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "azuredyked:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/common/latest/latest_test.go
@@ -0,0 +1,17 @@
+package latest
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a reader that sleeps through a change published between its read and its wait.
+func TestWatchSeesEveryPublish(t *testing.T) {
+	v := New(1)
+	value, changed := v.Watch()
+	assert.Equal(t, value, 1)
+	v.Publish(2)
+	<-changed
+	assert.Equal(t, v.Load(), 2)
+}
--- a/common/message/grant_report.go
+++ b/common/message/grant_report.go
@@ -14,6 +14,8 @@
 	FirstToken time.Duration
 	// Elapsed is the time since the start.
 	Elapsed time.Duration
+	// Sent is set once a byte of the request may have reached the endpoint.
+	Sent bool
 	// Leaving is set when the endpoint said in its refusal that it is leaving.
 	Leaving bool
 	// StaleFence is set when the endpoint refused the fencing token as too old.
--- /dev/null
+++ b/decision/admission/endpoint_view.go
@@ -0,0 +1,12 @@
+package admission
+
+import "azuredyke.dev/azuredyke/common/message"
+
+// EndpointView shows one endpoint to operators.
+type EndpointView struct {
+	Endpoint message.Endpoint
+	State    State
+	Limit    int
+	InFlight int
+	Load     message.LoadReport
+}
--- /dev/null
+++ b/decision/config/not_found_error.go
@@ -0,0 +1,9 @@
+package config
+
+// NotFoundError says that an object does not exist.
+type NotFoundError struct {
+	Ref Ref
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return e.Ref.String() + " does not exist" }
--- /dev/null
+++ b/decision/config/placement_rule.go
@@ -0,0 +1,8 @@
+package config
+
+// PlacementRule restricts where work may run. An empty Service or Workspace matches all.
+type PlacementRule struct {
+	Service     string
+	Workspace   string
+	DataCentres []string
+}
--- /dev/null
+++ b/decision/config/validate.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// namePattern is what names may look like; they are parts of keys and URLs.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Bounds of limits.
+const (
+	maxPriority    = 9
+	maxCells       = 1024
+	maxConcurrency = 100_000
+)
+
+// Validate returns everything that is wrong with a configuration as a whole.
+func Validate(s *Snapshot) []Problem {
+	v := &validator{snapshot: s}
+	for _, kind := range Kinds {
+		for _, o := range s.List(kind) {
+			v.object(o)
+		}
+	}
+	return v.problems
+}
+
+// validator collects problems.
+type validator struct {
+	snapshot *Snapshot
+	problems []Problem
+}
+
+func (v *validator) add(ref Ref, field, format string, args ...any) {
+	v.problems = append(v.problems, Problem{Ref: ref, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) warn(ref Ref, field, format string, args ...any) {
+	v.problems = append(v.problems,
+		Problem{Ref: ref, Field: field, Message: fmt.Sprintf(format, args...), Warning: true})
+}
+
+func (v *validator) object(o *Object) {
+	if !namePattern.MatchString(o.Name) {
+		v.add(o.Ref, "name", "%q must be lower-case letters, digits, '.', '_' and '-', at most 63", o.Name)
+	}
+	switch {
+	case o.Kind == KindService && o.Service != nil:
+		v.service(o.Ref, o.Service)
+	case o.Kind == KindWorkspace && o.Workspace != nil:
+		v.workspace(o.Ref, o.Workspace)
+	case o.Kind == KindPlacementRule && o.PlacementRule != nil:
+		v.placementRule(o.Ref, o.PlacementRule)
+	case o.Kind == KindDataCentre && o.DataCentre != nil, o.Kind == KindModel && o.Model != nil:
+	default:
+		v.add(o.Ref, "spec", "does not match the kind")
+	}
+}
+
+func (v *validator) service(ref Ref, s *Service) {
+	if s.Type != ServiceModel && s.Type != ServicePlain {
+		v.add(ref, "type", "must be model or plain")
+	}
+	if s.ColdLimit < 1 || s.ColdLimit > maxConcurrency {
+		v.add(ref, "cold_limit", "must be from 1 to %d", maxConcurrency)
+	}
+	if s.MaxConcurrency < s.ColdLimit || s.MaxConcurrency > maxConcurrency {
+		v.add(ref, "max_concurrency", "must be from cold_limit to %d", maxConcurrency)
+	}
+	if s.Cells < 1 || s.Cells > maxCells {
+		v.add(ref, "cells", "must be from 1 to %d", maxCells)
+	}
+	if s.QueueTimeout <= 0 {
+		v.add(ref, "queue_timeout_ms", "must be above 0")
+	}
+	for _, model := range s.Models {
+		if v.snapshot.Get(Ref{KindModel, model}) == nil {
+			v.add(ref, "models", "model %q does not exist", model)
+		}
+	}
+	for _, rule := range s.PathRules {
+		if !strings.HasPrefix(rule.PathPrefix, "/") {
+			v.add(ref, "path_rules", "path prefix %q must start with /", rule.PathPrefix)
+		}
+	}
+	if len(v.snapshot.List(KindDataCentre)) > 0 && len(v.snapshot.DataCentresFor(ref.Name, "")) == 0 {
+		v.warn(ref, "", "has no data centre left to run in")
+	}
+}
+
+func (v *validator) workspace(ref Ref, w *Workspace) {
+	for _, hash := range w.KeyHashes {
+		if sum, err := hex.DecodeString(hash); err != nil || len(sum) != 32 {
+			v.add(ref, "key_hashes", "is not a SHA-256 in hexadecimal")
+			continue
+		}
+		if owner, _ := v.snapshot.WorkspaceOfKey(hash); owner != ref.Name {
+			v.add(ref, "key_hashes", "a key is also used by workspace %q", owner)
+		}
+	}
+	if w.Priority < 0 || w.Priority > maxPriority {
+		v.add(ref, "priority", "must be from 0 to %d", maxPriority)
+	}
+	if w.RequestsPerSecond < 0 || w.TokensPerSecond < 0 || w.MaxConcurrency < 0 || w.Weight < 0 {
+		v.add(ref, "limits", "must not be negative")
+	}
+}
+
+func (v *validator) placementRule(ref Ref, r *PlacementRule) {
+	if r.Service != "" && v.snapshot.Service(r.Service) == nil {
+		v.add(ref, "service", "service %q does not exist", r.Service)
+	}
+	if r.Workspace != "" && v.snapshot.Workspace(r.Workspace) == nil {
+		v.add(ref, "workspace", "workspace %q does not exist", r.Workspace)
+	}
+	for _, name := range r.DataCentres {
+		if v.snapshot.DataCentre(name) == nil {
+			v.add(ref, "data_centres", "data centre %q does not exist", name)
+		}
+	}
+	if len(r.DataCentres) == 0 {
+		v.warn(ref, "data_centres", "leaves the work it matches nowhere to run")
+	}
+}
--- /dev/null
+++ b/decision/ownership/resource.go
@@ -0,0 +1,15 @@
+package ownership
+
+import "fmt"
+
+// ClaimShards is the number of claim shards.
+const ClaimShards = 16
+
+// CellName returns the name of a cell of a service in a data centre. It includes the number of cells, so that a cell
+// never changes its endpoints because of that number.
+func CellName(service, dataCentre string, index, cells int) string {
+	return fmt.Sprintf("cells/%s/%s/%d-of-%d", service, dataCentre, index, cells)
+}
+
+// ClaimShardName returns the name of a claim shard.
+func ClaimShardName(shard int) string { return fmt.Sprintf("claims/%02d", shard) }
--- /dev/null
+++ b/service/dispatcher/dispatcher.go
@@ -0,0 +1,161 @@
+package dispatcher
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/settings"
+	"azuredyke.dev/azuredyke/decision/admission"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/decision/ownership"
+)
+
+// Dispatcher is the task that runs a Cell for each cell that the node owns, and gives it its endpoints.
+type Dispatcher struct {
+	log      *zap.Logger
+	settings settings.Dispatch
+	loader   Loader
+	config   *latest.Value[*config.Snapshot]
+	hosts    *latest.Value[[]message.Host]
+	holdings *latest.Value[ownership.Holdings]
+	cells    *latest.Value[map[string]*Cell]
+
+	running map[string]runningCell
+	tasks   sync.WaitGroup
+}
+
+// runningCell is a started cell.
+type runningCell struct {
+	cell  *Cell
+	fence uint64
+	stop  context.CancelFunc
+}
+
+// New returns a Dispatcher without cells.
+func New(log *zap.Logger, s settings.Dispatch, loader Loader, current *latest.Value[*config.Snapshot],
+	hosts *latest.Value[[]message.Host], holdings *latest.Value[ownership.Holdings],
+) *Dispatcher {
+	return &Dispatcher{
+		log: log, settings: s, loader: loader, config: current, hosts: hosts, holdings: holdings,
+		cells: latest.New(map[string]*Cell{}), running: map[string]runningCell{},
+	}
+}
+
+// Cells holds the running cells by name.
+func (d *Dispatcher) Cells() *latest.Value[map[string]*Cell] { return d.cells }
+
+// Run starts and stops cells until ctx ends, and returns when all of them have ended.
+func (d *Dispatcher) Run(ctx context.Context) {
+	defer d.tasks.Wait()
+	for {
+		snapshot, configChanged := d.config.Watch()
+		hosts, hostsChanged := d.hosts.Watch()
+		holdings, holdingsChanged := d.holdings.Watch()
+		d.reconcile(ctx, snapshot, hosts, holdings)
+		select {
+		case <-ctx.Done():
+			return
+		case <-configChanged:
+		case <-hostsChanged:
+		case <-holdingsChanged:
+		}
+	}
+}
+
+// reconcile makes the running cells match what the node owns.
+func (d *Dispatcher) reconcile(ctx context.Context, s *config.Snapshot, hosts []message.Host, h ownership.Holdings) {
+	for name, r := range d.running {
+		if hold, ok := h.ByResource[name]; !ok || hold.Fence != r.fence {
+			r.stop()
+			delete(d.running, name)
+			d.log.Info("cell stopped", zap.String("cell", name))
+		}
+	}
+	for _, o := range s.List(config.KindService) {
+		for _, dc := range s.List(config.KindDataCentre) {
+			for i := range o.Service.Cells {
+				name := ownership.CellName(o.Name, dc.Name, i, o.Service.Cells)
+				if hold, ok := h.ByResource[name]; ok {
+					d.updateCell(ctx, name, hold, cellMembers(hosts, o, dc.Name, i))
+				}
+			}
+		}
+	}
+	d.publish()
+}
+
+// updateCell starts a cell if needed and tells it its endpoints.
+func (d *Dispatcher) updateCell(ctx context.Context, name string, hold ownership.Hold, m endpointsMessage) {
+	r, ok := d.running[name]
+	if !ok {
+		cellCtx, stop := context.WithCancel(ctx)
+		r = runningCell{
+			cell: newCell(d.log, name, hold.Fence, d.loader, d.settings.LoadInterval), fence: hold.Fence, stop: stop,
+		}
+		d.running[name] = r
+		d.tasks.Go(func() { r.cell.run(cellCtx) })
+		d.log.Info("cell started", zap.String("cell", name), zap.Uint64("fence", hold.Fence))
+	}
+	m.params.StartWithin = d.settings.StartWithin
+	m.params.MaxQueue = d.settings.MaxQueuePerCell
+	_ = r.cell.messages.Send(ctx, m)
+}
+
+// publish makes the running cells known to readers.
+func (d *Dispatcher) publish() {
+	cells := make(map[string]*Cell, len(d.running))
+	for name, r := range d.running {
+		cells[name] = r.cell
+	}
+	if !maps.Equal(cells, d.cells.Load()) {
+		d.cells.Publish(cells)
+	}
+}
+
+// cellMembers returns the endpoints of one cell, by a hash of their ids.
+func cellMembers(hosts []message.Host, service *config.Object, dataCentre string, index int) endpointsMessage {
+	m := endpointsMessage{
+		params: admission.Params{
+			ColdLimit: service.Service.ColdLimit, MaxConcurrency: service.Service.MaxConcurrency,
+		},
+		leaving: map[string]bool{},
+	}
+	for _, h := range hosts {
+		if h.Node || h.Service != service.Name || h.DataCentre != dataCentre {
+			continue
+		}
+		if int(xxh3.HashString(h.ID)%uint64(service.Service.Cells)) != index {
+			continue
+		}
+		m.endpoints = append(m.endpoints, message.Endpoint{
+			ID: h.ID, Address: h.Address, Service: h.Service, DataCentre: h.DataCentre,
+		})
+		if h.Leaving {
+			m.leaving[h.ID] = true
+		}
+	}
+	return m
+}
+
+// viewTimeout bounds the wait for one cell's state.
+const viewTimeout = time.Second
+
+// Views returns the state of the running cells.
+func (d *Dispatcher) Views(ctx context.Context) []admission.View {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	var views []admission.View
+	for _, c := range d.cells.Load() {
+		if v, err := c.View(ctx); err == nil {
+			views = append(views, v)
+		}
+	}
+	return views
+}
--- /dev/null
+++ b/service/dispatcher/loader.go
@@ -0,0 +1,12 @@
+package dispatcher
+
+import (
+	"context"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// Loader reads the load report of an endpoint.
+type Loader interface {
+	Load(ctx context.Context, e message.Endpoint) (message.LoadReport, error)
+}
--- /dev/null
+++ b/service/gateway/answer_writer.go
@@ -0,0 +1,18 @@
+package gateway
+
+import "azuredyke.dev/azuredyke/common/verdict"
+
+// answerWriter passes a generation on to the caller.
+type answerWriter interface {
+	// part takes the next part. An error means that the caller is gone.
+	part(number int, data []byte) error
+	// end is called once the answer is whole.
+	end() error
+	// fail ends an answer that started but cannot be completed; it reports false when nothing was written yet, so that
+	// the error can be sent as a whole answer.
+	fail(err *verdict.Error) bool
+	// started reports whether anything was written to the caller.
+	started() bool
+	// restart forgets the parts of an attempt; it is only called while nothing was written.
+	restart()
+}
--- /dev/null
+++ b/service/gateway/attempt.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/stream"
+	"azuredyke.dev/azuredyke/transport/engine"
+)
+
+const (
+	// maxResumes bounds the resumes of one generation without a new part in between.
+	maxResumes = 4
+	// resumeDelay is the wait before the second and later resumes; it doubles each time.
+	resumeDelay = 100 * time.Millisecond
+	// cancelTimeout bounds the cancellation of a generation whose caller hung up.
+	cancelTimeout = time.Second
+	// reportTimeout bounds the delivery of the end of a grant.
+	reportTimeout = 2 * time.Second
+	// progressInterval is the shortest time between two reports of progress.
+	progressInterval = 250 * time.Millisecond
+)
+
+// attempt is one generation of a session.
+type attempt struct {
+	session *session
+	grant   message.Grant
+	asked   time.Time
+	number  int
+
+	assembler *stream.Assembler
+	started   time.Time
+	first     time.Duration
+	reported  time.Time
+	resumes   int
+	// mayPlaceAgain is set when another attempt cannot give the caller two generations and is allowed.
+	mayPlaceAgain bool
+}
+
+func newAttempt(s *session, g message.Grant, asked time.Time, number int) *attempt {
+	return &attempt{session: s, grant: g, asked: asked, number: number}
+}
+
+// run sends the request and relays its answer, resuming the generation when its connection breaks or stalls.
+func (a *attempt) run(caller, detached context.Context) *verdict.Error {
+	ctx, cancel := context.WithCancel(detached)
+	defer cancel()
+	a.started = time.Now()
+	a.reported = a.started
+	a.assembler = stream.NewAssembler(a.started, 0)
+	a.report(detached, message.GrantStarted, nil)
+	running := a.session.server.client.Open(ctx, a.session.startOf(a.grant, a.number, a.asked))
+	for {
+		failure, err := a.relay(caller, detached, running)
+		running.Close()
+		switch {
+		case err != nil:
+			return err
+		case failure == nil:
+			a.report(detached, message.GrantCompleted, nil)
+			return nil
+		}
+		if !a.mayResume(failure) {
+			return a.fail(detached, failure)
+		}
+		if !a.waitToResume(caller) {
+			return a.hangUp(detached)
+		}
+		running = a.session.server.client.Resume(
+			ctx, a.grant.Endpoint.Address, a.session.generationName(a.number), a.assembler.Next())
+	}
+}
+
+// relay passes parts on until the answer is whole (both results nil), the connection fails (a failure) or the caller is
+// gone (an error).
+func (a *attempt) relay(caller, detached context.Context, running *engine.Stream) (*engine.Failure, *verdict.Error) {
+	opened := time.Now()
+	timer := time.NewTimer(time.Until(a.deadline(opened)))
+	defer timer.Stop()
+	for {
+		select {
+		case <-caller.Done():
+			return nil, a.hangUp(detached)
+		case <-timer.C:
+			if wait := time.Until(a.deadline(opened)); wait > 0 {
+				timer.Reset(wait)
+				continue
+			}
+			a.report(detached, message.GrantStalled, nil)
+			a.session.server.metrics.stall.Record(time.Since(opened))
+			return &engine.Failure{Sent: true, Err: errStalled}, nil
+		case e, ok := <-running.Events():
+			if !ok {
+				return &engine.Failure{Sent: true, Err: errClosed}, nil
+			}
+			failure, done := a.take(detached, e)
+			if done || failure != nil {
+				return failure, nil
+			}
+			if a.resumes < 0 {
+				return nil, a.hangUp(detached)
+			}
+		}
+	}
+}
+
+var (
+	errStalled    = errors.New("no token arrived in time")
+	errClosed     = errors.New("the connection to the endpoint ended")
+	errGap        = errors.New("a part of the generation is missing")
+	errIncomplete = errors.New("the generation ended without its end reason")
+)
+
+// deadline returns when the running connection counts as stalled.
+func (a *attempt) deadline(opened time.Time) time.Time {
+	options := a.session.server.options
+	if a.assembler.Next() == 0 {
+		return opened.Add(options.FirstTokenTimeout)
+	}
+	stalled := a.assembler.StallDeadline(options.StallAfter)
+	if earliest := opened.Add(options.StallAfter); stalled.Before(earliest) {
+		return earliest
+	}
+	return stalled
+}
+
+// take handles one event. Its second result is set when the answer is whole.
+func (a *attempt) take(ctx context.Context, e engine.Event) (*engine.Failure, bool) {
+	switch e.Kind {
+	case engine.EventPart:
+		return a.takePart(ctx, e), false
+	case engine.EventEnd:
+		a.assembler.End()
+		if !a.assembler.Whole() {
+			return &engine.Failure{Sent: true, Status: http.StatusOK, Err: errIncomplete}, false
+		}
+		if err := a.session.writer.end(); err != nil {
+			a.session.server.log.Debug("caller gone before the end", zap.Error(err))
+		}
+		return nil, true
+	default:
+		return e.Failure, false
+	}
+}
+
+func (a *attempt) takePart(ctx context.Context, e engine.Event) *engine.Failure {
+	now := time.Now()
+	m := a.session.server.metrics
+	last := a.assembler.Last()
+	switch a.assembler.Accept(now, e.Number) {
+	case stream.Duplicate:
+		m.duplicates.Inc(1)
+		return nil
+	case stream.Gap:
+		return &engine.Failure{Sent: true, Status: http.StatusOK, Err: errGap}
+	}
+	a.resumes = 0
+	if e.Number == 0 {
+		a.first = now.Sub(a.started)
+		m.firstToken.RecordDuration(a.first)
+	} else {
+		m.interval.RecordDuration(now.Sub(last))
+	}
+	m.parts.Inc(1)
+	if e.Finished {
+		a.assembler.Finish()
+	}
+	if err := a.session.writer.part(e.Number, e.Data); err != nil {
+		a.resumes = -1
+		return nil
+	}
+	if e.Number == 0 || now.Sub(a.reported) >= progressInterval {
+		a.reported = now
+		a.report(ctx, message.GrantProgress, nil)
+	}
+	return nil
+}
+
+// mayResume reports whether the same generation may go on over a new connection.
+func (a *attempt) mayResume(f *engine.Failure) bool {
+	answered := f.Status != 0 && f.Status != http.StatusOK
+	if f.NotRun() && a.resumes == 0 && a.assembler.Next() == 0 {
+		return false
+	}
+	return !answered && a.resumes < maxResumes
+}
+
+// waitToResume waits before a resume; it reports false when the caller hung up.
+func (a *attempt) waitToResume(caller context.Context) bool {
+	a.session.server.metrics.resumes.Inc(1)
+	a.resumes++
+	if a.resumes == 1 {
+		return caller.Err() == nil
+	}
+	select {
+	case <-caller.Done():
+		return false
+	case <-time.After(resumeDelay << (a.resumes - 2)):
+		return true
+	}
+}
+
+// fail ends the attempt and says whether it may have run.
+func (a *attempt) fail(ctx context.Context, f *engine.Failure) *verdict.Error {
+	delivered := a.session.writer.started()
+	switch {
+	case f.NotRun() && a.assembler.Next() == 0 && a.resumes == 0:
+		a.mayPlaceAgain = true
+		event := message.GrantRefused
+		if !f.Sent {
+			event = message.GrantUnused
+			if !errors.Is(f, engine.ErrTooLate) {
+				event = message.GrantFailed
+			}
+		}
+		a.report(ctx, event, f)
+		return verdict.New(verdict.NotRun, verdict.ReasonEndpointFailed, "the endpoint did not take the request: %w", f).
+			WithRetryAfter(retryElsewhere)
+	case f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError && a.assembler.Next() == 0 && a.resumes == 0:
+		a.report(ctx, message.GrantCompleted, f)
+		return verdict.New(verdict.Ran, verdict.ReasonInvalid, "the endpoint answered %d: %s", f.Status, f.Body)
+	}
+	a.cancel(ctx, f)
+	a.mayPlaceAgain = !delivered
+	if delivered {
+		return verdict.New(verdict.Ran, verdict.ReasonIncomplete, "the answer is incomplete: %w", f)
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonEndpointFailed, "the endpoint failed: %w", f)
+}
+
+// hangUp ends the attempt of a caller who is gone.
+func (a *attempt) hangUp(ctx context.Context) *verdict.Error {
+	a.cancel(ctx, nil)
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "the caller hung up")
+}
+
+// cancel stops the generation at its endpoint and ends the grant. Without the endpoint's confirmation the grant counts as
+// failed, so that the cell goes on charging it until a load report shows that it is gone.
+func (a *attempt) cancel(ctx context.Context, f *engine.Failure) {
+	cancelCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	err := a.session.server.client.Cancel(cancelCtx, a.grant.Endpoint.Address, a.session.generationName(a.number))
+	if err != nil {
+		a.report(ctx, message.GrantFailed, f)
+		return
+	}
+	a.report(ctx, message.GrantCancelled, f)
+}
+
+// report tells the owner of the cell what happened to the grant.
+func (a *attempt) report(ctx context.Context, event message.GrantEvent, f *engine.Failure) {
+	r := message.GrantReport{
+		Cell: a.grant.Cell, Fence: a.grant.Fence, Number: a.grant.Number, Event: event, Tokens: a.assembler.Next(),
+		FirstToken: a.first, Elapsed: time.Since(a.started), Sent: true,
+	}
+	if f != nil {
+		r.Sent = f.Sent || a.resumes > 0
+		r.Leaving = f.Refused == engine.RefusedLeaving
+		r.StaleFence = f.Refused == engine.RefusedStaleFence
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := a.session.server.placer.Report(ctx, r); err != nil {
+		a.session.server.log.Warn("grant report not delivered", zap.String("cell", r.Cell), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/service/gateway/authenticate.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"azuredyke.dev/azuredyke/common/verdict"
+)
+
+// authenticate returns the workspace of the request's bearer key.
+func (s *Server) authenticate(r *http.Request) (string, *verdict.Error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", verdict.New(verdict.NotRun, verdict.ReasonUnauthorized,
+			"the header Authorization must carry a workspace key").WithField("Authorization")
+	}
+	sum := sha256.Sum256([]byte(key))
+	workspace, ok := s.config.Load().WorkspaceOfKey(hex.EncodeToString(sum[:]))
+	if !ok {
+		return "", verdict.New(verdict.NotRun, verdict.ReasonUnauthorized,
+			"the workspace key is not known").WithField("Authorization")
+	}
+	return workspace, nil
+}
--- /dev/null
+++ b/service/gateway/claimed_call.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/transport/engine"
+)
+
+// maxStoredBody bounds the answer body that is kept with a claim.
+const maxStoredBody = 4 << 10
+
+// claimed records the request before it is sent, and its outcome afterwards.
+func (c *plainCall) claimed(caller, detached context.Context) (engine.Answer, *verdict.Error) {
+	key := claimKey(c.workspaceName, c.serviceName, c.key)
+	claimCtx, cancel := context.WithTimeout(caller, c.server.options.ClaimTimeout)
+	defer cancel()
+	reply, err := c.server.claimer.Claim(claimCtx, message.ClaimRequest{
+		Key: key, Attempt: c.id, Fingerprint: c.fingerprint(),
+	})
+	if err != nil || reply.Status == message.ClaimUnavailable {
+		// Nothing was sent, so the claim may be given back in case it was recorded after all.
+		c.settle(detached, message.ClaimSettle{Key: key, Attempt: c.id, Released: true})
+		return engine.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonClaimRefused,
+			"the request could not be recorded, so it was not sent").WithRetryAfter(max(reply.RetryAfter, retryElsewhere))
+	}
+	switch reply.Status {
+	case message.ClaimGranted:
+		return c.sendClaimed(caller, detached, key)
+	case message.ClaimFinished:
+		return storedAnswer(reply.Outcome)
+	case message.ClaimMismatch:
+		return engine.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonClaimConflict,
+			"the key was used for another request").WithField(headerIdempotencyKey)
+	default:
+		return engine.Answer{}, verdict.New(verdict.MayHaveRun, verdict.ReasonClaimInProgress,
+			"a request with this key is running or its outcome is not known").WithField(headerIdempotencyKey)
+	}
+}
+
+// sendClaimed sends a request whose claim is durable.
+func (c *plainCall) sendClaimed(caller, detached context.Context, key message.ClaimKey) (engine.Answer, *verdict.Error) {
+	answer, err := c.attempts(caller, detached)
+	switch {
+	case err == nil:
+		c.settle(detached, message.ClaimSettle{Key: key, Attempt: c.id, Outcome: outcomeOf(answer)})
+		return answer, nil
+	case err.Verdict == verdict.NotRun:
+		c.settle(detached, message.ClaimSettle{Key: key, Attempt: c.id, Released: true})
+	}
+	return engine.Answer{}, err
+}
+
+// settle ends a claim; a claim that is not settled stays "may have run", which is safe.
+func (c *plainCall) settle(ctx context.Context, s message.ClaimSettle) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := c.server.claimer.Settle(ctx, s); err != nil {
+		c.server.log.Warn("claim not settled", zap.String("request", c.id), zap.Error(err))
+	}
+}
+
+// fingerprint tells apart requests that use the same key.
+func (c *plainCall) fingerprint() uint64 {
+	h := xxh3.New()
+	for _, part := range []string{c.method, c.path, c.query} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.body)
+	return h.Sum64()
+}
+
+// claimKey returns the key of a claim. The parts are separated by a byte that none of them contains.
+func claimKey(workspace, service, key string) message.ClaimKey {
+	sum := sha256.Sum256([]byte(workspace + "\x00" + service + "\x00" + key))
+	return message.ClaimKey(sum[:len(message.ClaimKey{})])
+}
+
+func outcomeOf(a engine.Answer) *message.ClaimOutcome {
+	o := &message.ClaimOutcome{Status: a.Status, ContentType: a.Header.Get("Content-Type")}
+	if len(a.Body) > maxStoredBody {
+		o.BodyDropped = true
+		return o
+	}
+	o.Body = a.Body
+	return o
+}
+
+// headerBodyDropped is set on a stored answer whose body was too long to be kept.
+const headerBodyDropped = "Azuredyke-Body-Dropped"
+
+func storedAnswer(o *message.ClaimOutcome) (engine.Answer, *verdict.Error) {
+	h := http.Header{"Content-Type": {o.ContentType}, "Azuredyke-Stored": {"true"}}
+	if o.BodyDropped {
+		h.Set(headerBodyDropped, "true")
+	}
+	return engine.Answer{Status: o.Status, Header: h, Body: o.Body}, nil
+}
--- /dev/null
+++ b/service/gateway/error_body.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"azuredyke.dev/azuredyke/common/verdict"
+)
+
+// retryElsewhere is the advice to callers whose request another node can serve at once.
+const retryElsewhere = time.Second
+
+// errorBody is OpenAI's error body with the verdict added.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+// errorFields is the content of errorBody.
+type errorFields struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	Verdict string  `json:"verdict"`
+}
+
+// statuses maps reasons to HTTP statuses; other reasons are 503 when the request did not run and 502 otherwise.
+var statuses = map[verdict.Reason]int{
+	verdict.ReasonInvalid:         http.StatusBadRequest,
+	verdict.ReasonUnauthorized:    http.StatusUnauthorized,
+	verdict.ReasonUnknownModel:    http.StatusNotFound,
+	verdict.ReasonUnknownService:  http.StatusNotFound,
+	verdict.ReasonTooLarge:        http.StatusRequestEntityTooLarge,
+	verdict.ReasonLimit:           http.StatusTooManyRequests,
+	verdict.ReasonQuarantined:     http.StatusUnprocessableEntity,
+	verdict.ReasonClaimConflict:   http.StatusUnprocessableEntity,
+	verdict.ReasonClaimInProgress: http.StatusConflict,
+	verdict.ReasonClaimExpired:    http.StatusUnprocessableEntity,
+	verdict.ReasonKeyRequired:     http.StatusBadRequest,
+}
+
+func statusOf(err *verdict.Error) int {
+	if status, ok := statuses[err.Reason]; ok {
+		return status
+	}
+	if err.Verdict == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+func bodyOf(err *verdict.Error) errorBody {
+	kind := "server_error"
+	if statusOf(err) < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	body := errorBody{Error: errorFields{
+		Message: err.Error(), Type: kind, Code: string(err.Reason), Verdict: err.Verdict.String(),
+	}}
+	if err.Field != "" {
+		body.Error.Param = &err.Field
+	}
+	return body
+}
+
+// writeError writes a whole error answer.
+func writeError(w http.ResponseWriter, err *verdict.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(verdict.Header, err.Verdict.String())
+	// OpenAI's client libraries retry on their own; a request that may have run must not be sent again by them.
+	h.Set("X-Should-Retry", strconv.FormatBool(err.Verdict == verdict.NotRun && err.RetryAfter > 0))
+	if err.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(statusOf(err))
+	_ = json.NewEncoder(w).Encode(bodyOf(err))
+}
--- /dev/null
+++ b/service/gateway/metrics.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"azuredyke.dev/azuredyke/common/verdict"
+)
+
+// metrics are the figures of the caller side. Times are in seconds.
+type metrics struct {
+	scope      tally.Scope
+	firstToken tally.Histogram
+	interval   tally.Histogram
+	stall      tally.Timer
+	parts      tally.Counter
+	duplicates tally.Counter
+	resumes    tally.Counter
+	retries    tally.Counter
+	completed  tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	s := scope.SubScope("gateway")
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+	return &metrics{
+		scope:      s,
+		firstToken: s.Histogram("first_token", buckets),
+		interval:   s.Histogram("token_interval", buckets),
+		stall:      s.Timer("stall_time"),
+		parts:      s.Counter("parts_delivered"),
+		duplicates: s.Counter("parts_duplicate"),
+		resumes:    s.Counter("stream_resumes"),
+		retries:    s.Counter("retries"),
+		completed:  s.Counter("completed"),
+	}
+}
+
+// refused counts a request that ended with an error.
+func (m *metrics) refused(err *verdict.Error) {
+	m.scope.Tagged(map[string]string{
+		"reason": string(err.Reason), "verdict": err.Verdict.String(),
+	}).Counter("errors").Inc(1)
+}
--- /dev/null
+++ b/service/gateway/plain.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/transport/engine"
+)
+
+// headerIdempotencyKey names a request that may not be repeated.
+const headerIdempotencyKey = "Idempotency-Key"
+
+// hopHeaders belong to one connection and are not passed on; neither are the caller's credentials.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Authorization", "Content-Length",
+}
+
+// servePlain serves a request to a plain service.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, body []byte, workspace string) *verdict.Error {
+	name := mux.Vars(r)["service"]
+	snapshot := s.config.Load()
+	service := snapshot.Service(name)
+	if service == nil || service.Type != config.ServicePlain {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnknownService, "there is no plain service %q", name).
+			WithField("service")
+	}
+	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
+	if path == "" {
+		path = "/"
+	}
+	call := &plainCall{
+		server: s, id: newRequestID(), workspaceName: workspace, serviceName: name, service: service,
+		workspace: orDefault(snapshot.Workspace(workspace)), method: r.Method, path: path, query: r.URL.RawQuery,
+		header: passedHeaders(r.Header), body: body, repeatable: service.Repeatable(r.Method, path),
+		key: r.Header.Get(headerIdempotencyKey),
+	}
+	answer, verr := call.run(r.Context(), background(r))
+	if verr != nil {
+		return verr
+	}
+	writeAnswer(w, answer)
+	return nil
+}
+
+// passedHeaders returns the headers that the endpoint receives.
+func passedHeaders(h http.Header) http.Header {
+	passed := h.Clone()
+	for _, name := range hopHeaders {
+		passed.Del(name)
+	}
+	return passed
+}
+
+// writeAnswer writes the answer of a plain service.
+func writeAnswer(w http.ResponseWriter, a engine.Answer) {
+	for name, values := range a.Header {
+		w.Header()[name] = values
+	}
+	for _, name := range hopHeaders {
+		w.Header().Del(name)
+	}
+	w.Header().Set(verdict.Header, verdict.Ran.String())
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// failureOf returns the Failure in the chain of err.
+func failureOf(err error) *engine.Failure {
+	var f *engine.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &engine.Failure{Sent: true, Err: err}
+}
+
+// endGrant reports the end of a grant of a plain call.
+func (s *Server) endGrant(ctx context.Context, g message.Grant, event message.GrantEvent, elapsed time.Duration, f *engine.Failure) {
+	r := message.GrantReport{Cell: g.Cell, Fence: g.Fence, Number: g.Number, Event: event, Elapsed: elapsed, Sent: true}
+	if f != nil {
+		r.Sent = f.Sent
+		r.Leaving = f.Refused == engine.RefusedLeaving
+		r.StaleFence = f.Refused == engine.RefusedStaleFence
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_ = s.placer.Report(ctx, r)
+}
--- /dev/null
+++ b/service/gateway/server.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/transport/engine"
+)
+
+// Server serves callers.
+type Server struct {
+	log     *zap.Logger
+	options Options
+	config  *latest.Value[*config.Snapshot]
+	placer  Placer
+	claimer Claimer
+	client  *engine.Client
+	metrics *metrics
+
+	stopping atomic.Bool
+	open     atomic.Int64
+}
+
+// NewServer returns a Server.
+func NewServer(log *zap.Logger, options Options, current *latest.Value[*config.Snapshot],
+	placer Placer, claimer Claimer, client *engine.Client, scope tally.Scope,
+) *Server {
+	return &Server{
+		log: log, options: options, config: current, placer: placer, claimer: claimer, client: client,
+		metrics: newMetrics(scope),
+	}
+}
+
+// Handler returns the HTTP handler for callers.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", s.guard(s.serveGeneration)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", s.guard(s.serveGeneration)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", s.guard(s.serveModels)).Methods(http.MethodGet)
+	r.PathPrefix("/services/{service}").HandlerFunc(s.guard(s.servePlain))
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "no such path: %s", r.URL.Path).WithField("path"))
+	})
+	return r
+}
+
+// Open returns the number of caller requests that are running.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Stop makes the server refuse new requests. Running requests go on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// handler serves one authenticated request of a workspace. A returned error is written by guard; nil means that the
+// answer was written.
+type handler func(w http.ResponseWriter, r *http.Request, body []byte, workspace string) *verdict.Error
+
+// guard refuses requests that cannot be served, and writes the error of the handler.
+func (s *Server) guard(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.open.Add(1)
+		defer s.open.Add(-1)
+		err := s.admit(w, r, h)
+		if err == nil {
+			return
+		}
+		s.metrics.refused(err)
+		s.log.Debug("request ended with an error", zap.String("path", r.URL.Path),
+			zap.Stringer("verdict", err.Verdict), zap.String("reason", string(err.Reason)), zap.Error(err))
+		writeError(w, err)
+	}
+}
+
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, h handler) *verdict.Error {
+	if s.stopping.Load() {
+		return verdict.New(verdict.NotRun, verdict.ReasonStopping, "this node is stopping").WithRetryAfter(retryElsewhere)
+	}
+	if s.open.Load() > int64(s.options.Limits.OpenRequests) {
+		return verdict.New(verdict.NotRun, verdict.ReasonBusy, "too many open requests").WithRetryAfter(retryElsewhere)
+	}
+	workspace, err := s.authenticate(r)
+	if err != nil {
+		return err
+	}
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	return h(w, r, body, workspace)
+}
+
+// background returns the context for work that must go on after the caller has hung up.
+func background(r *http.Request) context.Context { return context.WithoutCancel(r.Context()) }
+
+// Stopping reports whether the server refuses new requests.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
--- /dev/null
+++ b/service/node/fleet.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+
+	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
+)
+
+// fleet shows the state of the node to operators.
+type fleet struct {
+	node *Node
+}
+
+// Nodes implements operator.Fleet.
+func (f *fleet) Nodes(context.Context) ([]*operatorv1.Node, error) {
+	n := f.node
+	self := &operatorv1.Node{
+		Id: n.settings.Node.ID, Address: n.settings.Listen.PeersAdvertised, DataCentre: n.settings.Node.DataCentre,
+		State: "alive", ConfigRevision: n.keeper.Current().Load().Revision(),
+	}
+	for resource := range n.ownership.Current().Load().ByResource {
+		self.Holdings = append(self.Holdings, resource)
+	}
+	return []*operatorv1.Node{self}, nil
+}
+
+// Endpoints implements operator.Fleet.
+func (f *fleet) Endpoints(ctx context.Context, service string) ([]*operatorv1.Endpoint, error) {
+	var out []*operatorv1.Endpoint
+	for _, v := range f.node.dispatch.Views(ctx) {
+		for _, e := range v.Endpoints {
+			if service != "" && e.Endpoint.Service != service {
+				continue
+			}
+			out = append(out, &operatorv1.Endpoint{
+				Id: e.Endpoint.ID, Address: e.Endpoint.Address, Service: e.Endpoint.Service,
+				DataCentre: e.Endpoint.DataCentre, State: e.State.String(), Limit: int32(e.Limit),
+				InFlight: int32(e.InFlight), MemoryBlocksUsed: e.Load.BlocksUsed,
+				MemoryBlocksTotal: e.Load.BlocksTotal, Preemptions: e.Load.PreemptionsTotal, Cell: v.Cell,
+			})
+		}
+	}
+	return out, nil
+}
+
+// Cells implements operator.Fleet.
+func (f *fleet) Cells(ctx context.Context) ([]*operatorv1.Cell, error) {
+	var out []*operatorv1.Cell
+	for _, v := range f.node.dispatch.Views(ctx) {
+		c := &operatorv1.Cell{
+			Id: v.Cell, Owner: f.node.settings.Node.ID, Fence: v.Fence, Endpoints: int32(len(v.Endpoints)),
+			QueuedByWorkspace: map[string]int32{},
+		}
+		for workspace, n := range v.Queued {
+			c.Queued += int32(n)
+			c.QueuedByWorkspace[workspace] = int32(n)
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/service/operator/convert_error.go
@@ -0,0 +1,50 @@
+package operator
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+
+	"azuredyke.dev/azuredyke/decision/config"
+	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
+	"azuredyke.dev/azuredyke/platform"
+)
+
+// errorToConnect translates an error of a change or a read to an RPC code: ABORTED for conflicts (with a
+// ConflictDetail), NOT_FOUND, INVALID_ARGUMENT, UNAVAILABLE when nothing was changed, and UNKNOWN when the outcome of a
+// change is not known and the same operation id must be sent again.
+func errorToConnect(err error) error {
+	var (
+		conflict *config.ConflictError
+		invalid  *config.InvalidError
+		notFound *config.NotFoundError
+	)
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return conflictToConnect(conflict)
+	case errors.As(err, &invalid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.As(err, &notFound):
+		return connect.NewError(connect.CodeNotFound, err)
+	case platform.ErrUnknownOutcome.Has(err):
+		return connect.NewError(connect.CodeUnknown, err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+}
+
+func conflictToConnect(conflict *config.ConflictError) error {
+	out := connect.NewError(connect.CodeAborted, conflict)
+	detail, err := connect.NewErrorDetail(&operatorv1.ConflictDetail{
+		Stored: ObjectToProto(conflict.Stored), Proposed: ObjectToProto(conflict.Proposed),
+	})
+	if err == nil {
+		out.AddDetail(detail)
+	}
+	return out
+}
--- /dev/null
+++ b/service/operator/server.go
@@ -0,0 +1,45 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/settings"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
+	"azuredyke.dev/azuredyke/service/configuration"
+)
+
+// maxMessageBytes bounds each RPC message.
+const maxMessageBytes = 1 << 20
+
+// Changer makes changes and reads the audit trail.
+type Changer interface {
+	Change(ctx context.Context, change config.Change) (configuration.Accepted, error)
+	Audit(ctx context.Context) ([]configuration.AuditRecord, error)
+}
+
+// Server implements the operator API.
+type Server struct {
+	log     *zap.Logger
+	changer Changer
+	current *latest.Value[*config.Snapshot]
+	fleet   Fleet
+}
+
+// NewServer returns a server that makes changes through changer and reads the configuration in force from current.
+func NewServer(log *zap.Logger, changer Changer, current *latest.Value[*config.Snapshot], fleet Fleet) *Server {
+	return &Server{log: log, changer: changer, current: current, fleet: fleet}
+}
+
+// Handler returns the HTTP handler of the API, which admits the given tokens.
+func (s *Server) Handler(tokens []settings.OperatorToken) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(s,
+		connect.WithInterceptors(newAuthenticator(tokens)), connect.WithReadMaxBytes(maxMessageBytes)))
+	return mux
+}
--- /dev/null
+++ b/transport/engine/answer.go
@@ -0,0 +1,10 @@
+package engine
+
+import "net/http"
+
+// Answer is the whole answer of a plain service.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
--- /dev/null
+++ b/transport/engine/sse_event.go
@@ -0,0 +1,7 @@
+package engine
+
+// sseEvent is one server-sent event.
+type sseEvent struct {
+	id   string
+	data []byte
+}
