Wait for a cell's owner instead of refusing at once

Cause: a request that arrived between readiness and the first acquisition of a cell was refused with no_cell_owner; seen once with go test -race ./service/development. Change: the router waits for an owner until the request's own deadline. Measured: go test -race ./service/development passes.

--- a/service/router/router.go
+++ b/service/router/router.go
@@ -33,14 +33,20 @@
 	if len(candidates) == 0 {
 		return refused(verdict.ReasonNoEndpoint, "no data centre is open for this work"), nil
 	}
-	cells := r.cells.Load()
-	for _, i := range rand.Perm(len(candidates)) {
-		if cell, ok := cells[candidates[i]]; ok {
-			req.Cell = candidates[i]
-			return cell.Place(ctx, req)
+	for {
+		cells, changed := r.cells.Watch()
+		for _, i := range rand.Perm(len(candidates)) {
+			if cell, ok := cells[candidates[i]]; ok {
+				req.Cell = candidates[i]
+				return cell.Place(ctx, req)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return refused(verdict.ReasonNoOwner, "no cell of this service has an owner"), nil
 		}
 	}
-	return refused(verdict.ReasonNoOwner, "no cell of this service has an owner"), nil
 }
 
 // Report tells the owner of a cell what happened to a grant.
