Add limits, retry budgets and quarantine to the gateway, with tests of its verdicts

Cause: requests were retried without a budget, limits were not enforced, and a crashing request could take one endpoint after another. Change: tasks for limits, retries and quarantine; the stall timer follows the deadline; tests drive the gateway against endpoints that break, stall, refuse and crash.

--- a/common/verdict/reason.go
+++ b/common/verdict/reason.go
@@ -6,6 +6,7 @@
 // Reasons that callers see in error bodies and operators see in metrics.
 const (
 	ReasonInvalid         Reason = "invalid_request"
+	ReasonUnknownPath     Reason = "unknown_path"
 	ReasonUnauthorized    Reason = "unauthorized"
 	ReasonUnknownModel    Reason = "unknown_model"
 	ReasonUnknownService  Reason = "unknown_service"
--- /dev/null
+++ b/decision/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit decides whether a workspace may start one more request. It has no I/O and no clock.
+package limit
--- /dev/null
+++ b/decision/limit/workspace_test.go
@@ -0,0 +1,47 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a workspace that gets more requests or concurrency than its limits.
+func TestStartKeepsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rates := Rates{
+			RequestsPerSecond: float64(rapid.IntRange(1, 20).Draw(t, "rate")),
+			MaxConcurrency:    rapid.IntRange(1, 5).Draw(t, "concurrency"),
+		}
+		start := time.Unix(0, 0)
+		now := start
+		w := NewWorkspace(now, rates)
+		admitted := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if w.Running() > 0 && rapid.Bool().Draw(t, "end") {
+				w.End(now, 0)
+			}
+			if w.Start(now, 1).Admitted {
+				admitted++
+			}
+			assert.Assert(t, w.Running() <= rates.MaxConcurrency)
+		}
+		allowed := burst(rates.RequestsPerSecond) + rates.RequestsPerSecond*now.Sub(start).Seconds()
+		assert.Assert(t, float64(admitted) <= allowed+1)
+	})
+}
+
+// Guards against long outputs being free: their tokens are only known at the end and must delay later requests.
+func TestOutputTokensAreChargedAfterwards(t *testing.T) {
+	now := time.Unix(0, 0)
+	w := NewWorkspace(now, Rates{TokensPerSecond: 100})
+	assert.Assert(t, w.Start(now, 10).Admitted)
+	w.End(now, 1000)
+	refused := w.Start(now, 10)
+	assert.Assert(t, !refused.Admitted)
+	assert.Equal(t, refused.Limit, "tokens_per_second")
+	assert.Assert(t, w.Start(now.Add(refused.RetryAfter), 10).Admitted)
+}
--- /dev/null
+++ b/decision/quarantine/standing.go
@@ -0,0 +1,15 @@
+package quarantine
+
+// Standing says how a request may run.
+type Standing uint8
+
+const (
+	// Clear requests run as usual.
+	Clear Standing = iota
+	// Suspect requests run alone on their endpoint.
+	Suspect
+	// Busy suspects are running already and must wait for the outcome.
+	Busy
+	// Quarantined requests are refused.
+	Quarantined
+)
--- /dev/null
+++ b/decision/quarantine/table_test.go
@@ -0,0 +1,53 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against one request taking down endpoint after endpoint while its caller sends it again.
+func TestRequestIsRefusedAfterTwoCrashes(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewTable()
+	assert.Equal(t, table.Standing(now, 1), Clear)
+	table.Crashed(now, 1, "e1/a")
+	assert.Equal(t, table.Standing(now, 1), Suspect)
+	assert.Equal(t, table.Standing(now, 1), Busy, "a suspect must not run twice at once")
+	table.Crashed(now, 1, "e2/a")
+	assert.Equal(t, table.Standing(now, 1), Quarantined)
+	assert.Equal(t, table.Standing(now.Add(quarantineTime), 1), Clear)
+}
+
+// Guards against neighbours in the batch of a crashing request being refused.
+func TestInnocentNeighbourIsClearedByRunningAlone(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewTable()
+	table.Crashed(now, 1, "e1/a")
+	table.Crashed(now, 2, "e1/a")
+	assert.Equal(t, table.Standing(now, 2), Suspect)
+	table.Finished(now, 2, true)
+	assert.Equal(t, table.Standing(now, 2), Clear)
+	assert.Equal(t, table.Standing(now, 1), Suspect)
+}
+
+// Guards against another node running a request that already crashed two endpoints.
+func TestMergeCarriesMarksBetweenNodes(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := NewTable(), NewTable()
+	old := a.Crashed(now, 1, "e1/a")
+	b.Merge(now, a.Crashed(now, 1, "e2/a"))
+	assert.Equal(t, b.Standing(now, 1), Quarantined)
+	b.Merge(now, old)
+	assert.Equal(t, b.Standing(now, 1), Quarantined, "an older mark must not weaken a newer one")
+}
+
+// Guards against one crash being counted twice because two nodes saw it.
+func TestMergeCountsEachCrashOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := NewTable(), NewTable()
+	a.Crashed(now, 1, "e1/a")
+	a.Merge(now, b.Crashed(now, 1, "e1/a"))
+	assert.Equal(t, a.Standing(now, 1), Suspect)
+}
--- a/service/gateway/answer_writer.go
+++ b/service/gateway/answer_writer.go
@@ -4,7 +4,7 @@
 
 // answerWriter passes a generation on to the caller.
 type answerWriter interface {
-	// part takes the next part. An error means that the caller is gone.
+	// part takes the next part. The error is errCallerGone, or says why the part cannot be used.
 	part(number int, data []byte) error
 	// end is called once the answer is whole.
 	end() error
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -55,56 +55,57 @@
 	a.reported = a.started
 	a.assembler = stream.NewAssembler(a.started, 0)
 	a.report(detached, message.GrantStarted, nil)
-	running := a.session.server.client.Open(ctx, a.session.startOf(a.grant, a.number, a.asked))
+	running := a.session.server.Client.Open(ctx, a.session.startOf(a.grant, a.number, a.asked))
 	for {
-		failure, err := a.relay(caller, detached, running)
+		e := a.relay(caller, detached, running)
 		running.Close()
 		switch {
-		case err != nil:
-			return err
-		case failure == nil:
+		case e.whole:
 			a.report(detached, message.GrantCompleted, nil)
 			return nil
-		}
-		if !a.mayResume(failure) {
-			return a.fail(detached, failure)
-		}
-		if !a.waitToResume(caller) {
+		case e.callerGone:
+			return a.hangUp(detached)
+		case !a.mayResume(e.failure):
+			return a.fail(detached, e.failure)
+		case !a.waitToResume(caller):
 			return a.hangUp(detached)
 		}
-		running = a.session.server.client.Resume(
+		running = a.session.server.Client.Resume(
 			ctx, a.grant.Endpoint.Address, a.session.generationName(a.number), a.assembler.Next())
 	}
 }
 
-// relay passes parts on until the answer is whole (both results nil), the connection fails (a failure) or the caller is
-// gone (an error).
-func (a *attempt) relay(caller, detached context.Context, running *engine.Stream) (*engine.Failure, *verdict.Error) {
+// relay passes parts on until the connection ends in one way or another.
+func (a *attempt) relay(caller, detached context.Context, running *engine.Stream) ending {
 	opened := time.Now()
-	timer := time.NewTimer(time.Until(a.deadline(opened)))
+	armed := a.deadline(opened)
+	timer := time.NewTimer(time.Until(armed))
 	defer timer.Stop()
 	for {
 		select {
 		case <-caller.Done():
-			return nil, a.hangUp(detached)
+			return ending{callerGone: true}
 		case <-timer.C:
-			if wait := time.Until(a.deadline(opened)); wait > 0 {
+			armed = a.deadline(opened)
+			if wait := time.Until(armed); wait > 0 {
 				timer.Reset(wait)
 				continue
 			}
 			a.report(detached, message.GrantStalled, nil)
-			a.session.server.metrics.stall.Record(time.Since(opened))
-			return &engine.Failure{Sent: true, Err: errStalled}, nil
-		case e, ok := <-running.Events():
+			a.session.server.metrics.stall.Record(time.Since(a.assembler.Last()))
+			return ending{failure: &engine.Failure{Sent: true, Err: errStalled}}
+		case event, ok := <-running.Events():
 			if !ok {
-				return &engine.Failure{Sent: true, Err: errClosed}, nil
+				return ending{failure: &engine.Failure{Sent: true, Err: errClosed}}
 			}
-			failure, done := a.take(detached, e)
-			if done || failure != nil {
-				return failure, nil
+			if e := a.take(detached, event); e != nil {
+				return *e
 			}
-			if a.resumes < 0 {
-				return nil, a.hangUp(detached)
+			// The first part ends the long wait for it; later parts mostly move the deadline back, which the timer finds out
+			// when it fires.
+			if next := a.deadline(opened); next.Before(armed) {
+				armed = next
+				timer.Reset(time.Until(armed))
 			}
 		}
 	}
@@ -115,6 +116,7 @@
 	errClosed     = errors.New("the connection to the endpoint ended")
 	errGap        = errors.New("a part of the generation is missing")
 	errIncomplete = errors.New("the generation ended without its end reason")
+	errCallerGone = errors.New("the caller hung up")
 )
 
 // deadline returns when the running connection counts as stalled.
@@ -130,26 +132,31 @@
 	return stalled
 }
 
-// take handles one event. Its second result is set when the answer is whole.
-func (a *attempt) take(ctx context.Context, e engine.Event) (*engine.Failure, bool) {
+// take handles one event; nil means that the stream goes on.
+func (a *attempt) take(ctx context.Context, e engine.Event) *ending {
 	switch e.Kind {
 	case engine.EventPart:
-		return a.takePart(ctx, e), false
+		return a.takePart(ctx, e)
 	case engine.EventEnd:
-		a.assembler.End()
-		if !a.assembler.Whole() {
-			return &engine.Failure{Sent: true, Status: http.StatusOK, Err: errIncomplete}, false
-		}
-		if err := a.session.writer.end(); err != nil {
-			a.session.server.log.Debug("caller gone before the end", zap.Error(err))
-		}
-		return nil, true
+		return a.takeEnd()
 	default:
-		return e.Failure, false
+		return &ending{failure: e.Failure}
+	}
+}
+
+// takeEnd passes the terminal mark on, but only after the part that carries the end reason.
+func (a *attempt) takeEnd() *ending {
+	a.assembler.End()
+	if !a.assembler.Whole() {
+		return &ending{failure: &engine.Failure{Sent: true, Status: http.StatusOK, Err: errIncomplete}}
 	}
+	if err := a.session.writer.end(); err != nil {
+		a.session.server.log.Debug("caller hung up before the terminal mark", zap.Error(err))
+	}
+	return &ending{whole: true}
 }
 
-func (a *attempt) takePart(ctx context.Context, e engine.Event) *engine.Failure {
+func (a *attempt) takePart(ctx context.Context, e engine.Event) *ending {
 	now := time.Now()
 	m := a.session.server.metrics
 	last := a.assembler.Last()
@@ -158,7 +165,7 @@
 		m.duplicates.Inc(1)
 		return nil
 	case stream.Gap:
-		return &engine.Failure{Sent: true, Status: http.StatusOK, Err: errGap}
+		return &ending{failure: &engine.Failure{Sent: true, Status: http.StatusOK, Err: errGap}}
 	}
 	a.resumes = 0
 	if e.Number == 0 {
@@ -172,8 +179,10 @@
 		a.assembler.Finish()
 	}
 	if err := a.session.writer.part(e.Number, e.Data); err != nil {
-		a.resumes = -1
-		return nil
+		if errors.Is(err, errCallerGone) {
+			return &ending{callerGone: true}
+		}
+		return &ending{failure: &engine.Failure{Sent: true, Status: http.StatusOK, Err: err}}
 	}
 	if e.Number == 0 || now.Sub(a.reported) >= progressInterval {
 		a.reported = now
@@ -227,6 +236,9 @@
 		return verdict.New(verdict.Ran, verdict.ReasonInvalid, "the endpoint answered %d: %s", f.Status, f.Body)
 	}
 	a.cancel(ctx, f)
+	if endpointGone(f) {
+		a.session.crashed(ctx, a.grant)
+	}
 	a.mayPlaceAgain = !delivered
 	if delivered {
 		return verdict.New(verdict.Ran, verdict.ReasonIncomplete, "the answer is incomplete: %w", f)
@@ -234,6 +246,15 @@
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonEndpointFailed, "the endpoint failed: %w", f)
 }
 
+// endpointGone reports whether a generation was lost because its endpoint died: it does not accept connections any more, or
+// it has restarted and does not know the generation.
+func endpointGone(f *engine.Failure) bool {
+	if errors.Is(f, errStalled) || errors.Is(f, errGap) || errors.Is(f, errIncomplete) {
+		return false
+	}
+	return f.Status == 0 || f.Status == http.StatusNotFound
+}
+
 // hangUp ends the attempt of a caller who is gone.
 func (a *attempt) hangUp(ctx context.Context) *verdict.Error {
 	a.cancel(ctx, nil)
@@ -245,7 +266,7 @@
 func (a *attempt) cancel(ctx context.Context, f *engine.Failure) {
 	cancelCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	err := a.session.server.client.Cancel(cancelCtx, a.grant.Endpoint.Address, a.session.generationName(a.number))
+	err := a.session.server.Client.Cancel(cancelCtx, a.grant.Endpoint.Address, a.session.generationName(a.number))
 	if err != nil {
 		a.report(ctx, message.GrantFailed, f)
 		return
@@ -266,7 +287,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := a.session.server.placer.Report(ctx, r); err != nil {
+	if err := a.session.server.Placer.Report(ctx, r); err != nil {
 		a.session.server.log.Warn("grant report not delivered", zap.String("cell", r.Cell), zap.Error(err))
 	}
 }
--- a/service/gateway/authenticate.go
+++ b/service/gateway/authenticate.go
@@ -17,7 +17,7 @@
 			"the header Authorization must carry a workspace key").WithField("Authorization")
 	}
 	sum := sha256.Sum256([]byte(key))
-	workspace, ok := s.config.Load().WorkspaceOfKey(hex.EncodeToString(sum[:]))
+	workspace, ok := s.Config.Load().WorkspaceOfKey(hex.EncodeToString(sum[:]))
 	if !ok {
 		return "", verdict.New(verdict.NotRun, verdict.ReasonUnauthorized,
 			"the workspace key is not known").WithField("Authorization")
--- a/service/gateway/claimed_call.go
+++ b/service/gateway/claimed_call.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"net/http"
 
-	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/message"
@@ -21,8 +20,8 @@
 	key := claimKey(c.workspaceName, c.serviceName, c.key)
 	claimCtx, cancel := context.WithTimeout(caller, c.server.options.ClaimTimeout)
 	defer cancel()
-	reply, err := c.server.claimer.Claim(claimCtx, message.ClaimRequest{
-		Key: key, Attempt: c.id, Fingerprint: c.fingerprint(),
+	reply, err := c.server.Claimer.Claim(claimCtx, message.ClaimRequest{
+		Key: key, Attempt: c.id, Fingerprint: c.requestHash,
 	})
 	if err != nil || reply.Status == message.ClaimUnavailable {
 		// Nothing was sent, so the claim may be given back in case it was recorded after all.
@@ -61,22 +60,11 @@
 func (c *plainCall) settle(ctx context.Context, s message.ClaimSettle) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := c.server.claimer.Settle(ctx, s); err != nil {
+	if err := c.server.Claimer.Settle(ctx, s); err != nil {
 		c.server.log.Warn("claim not settled", zap.String("request", c.id), zap.Error(err))
 	}
 }
 
-// fingerprint tells apart requests that use the same key.
-func (c *plainCall) fingerprint() uint64 {
-	h := xxh3.New()
-	for _, part := range []string{c.method, c.path, c.query} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(c.body)
-	return h.Sum64()
-}
-
 // claimKey returns the key of a claim. The parts are separated by a byte that none of them contains.
 func claimKey(workspace, service, key string) message.ClaimKey {
 	sum := sha256.Sum256([]byte(workspace + "\x00" + service + "\x00" + key))
--- /dev/null
+++ b/service/gateway/dependencies.go
@@ -0,0 +1,18 @@
+package gateway
+
+import (
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/transport/engine"
+)
+
+// Dependencies are the parts of the node that a Server uses.
+type Dependencies struct {
+	Config     *latest.Value[*config.Snapshot]
+	Placer     Placer
+	Claimer    Claimer
+	Limiter    Limiter
+	Retries    RetryBudget
+	Quarantine Quarantine
+	Client     *engine.Client
+}
--- a/service/gateway/generation.go
+++ b/service/gateway/generation.go
@@ -8,6 +8,7 @@
 
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/decision/quarantine"
 )
 
 // serveGeneration serves a completion request of a model.
@@ -16,23 +17,18 @@
 	if err != nil {
 		return err
 	}
-	snapshot := s.config.Load()
+	snapshot := s.Config.Load()
 	serviceName, ok := snapshot.ServiceOfModel(request.model)
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownModel, "no service offers the model %q", request.model).
 			WithField("model")
 	}
-	id := newRequestID()
-	var writer answerWriter
+	session := &session{work: s.newWork(snapshot, workspace, serviceName), path: r.URL.Path, request: request}
+	session.fingerprint = quarantine.Fingerprint(fingerprintOf(request.body, workspace, r.URL.Path))
 	if request.stream {
-		writer = newStreamWriter(w, id, request.includeUsage)
+		session.writer = newStreamWriter(w, session.id, request.includeUsage)
 	} else {
-		writer = newWholeWriter(w, strings.HasSuffix(r.URL.Path, "/chat/completions"))
-	}
-	session := &session{
-		server: s, id: id, workspaceName: workspace, serviceName: serviceName, path: r.URL.Path,
-		workspace: orDefault(snapshot.Workspace(workspace)), service: snapshot.Service(serviceName),
-		request: request, writer: writer, verdict: verdict.NotRun,
+		session.writer = newWholeWriter(w, strings.HasSuffix(r.URL.Path, "/chat/completions"))
 	}
 	return session.run(r.Context(), background(r))
 }
--- a/service/gateway/generation_request.go
+++ b/service/gateway/generation_request.go
@@ -17,6 +17,8 @@
 	// includeUsage is set when the caller asked for the usage part of a stream.
 	includeUsage bool
 	promptTokens int
+	// prefixHashes are the hashes of the growing prefixes of the prompt, for prefix affinity.
+	prefixHashes []uint64
 	// body is what the endpoint receives: the caller's body, always as a stream.
 	body []byte
 }
@@ -31,6 +33,7 @@
 	if verr := g.readFields(fields); verr != nil {
 		return generationRequest{}, verr
 	}
+	g.prefixHashes = prefixHashes(fields["messages"], fields["prompt"])
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	var err error
--- a/service/gateway/models.go
+++ b/service/gateway/models.go
@@ -24,7 +24,7 @@
 
 // serveModels lists the models that some service offers.
 func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request, _ []byte, _ string) *verdict.Error {
-	snapshot := s.config.Load()
+	snapshot := s.Config.Load()
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, o := range snapshot.List(config.KindModel) {
 		if _, ok := snapshot.ServiceOfModel(o.Name); ok {
--- a/service/gateway/place.go
+++ b/service/gateway/place.go
@@ -25,7 +25,7 @@
 		r.Weight = defaultWeight
 	}
 	asked := time.Now()
-	reply, err := s.placer.Place(ctx, r)
+	reply, err := s.Placer.Place(ctx, r)
 	switch {
 	case errors.Is(err, context.Canceled):
 		return message.Grant{}, asked, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the caller hung up")
--- a/service/gateway/plain.go
+++ b/service/gateway/plain.go
@@ -12,6 +12,7 @@
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/decision/quarantine"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
 
@@ -27,7 +28,7 @@
 // servePlain serves a request to a plain service.
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, body []byte, workspace string) *verdict.Error {
 	name := mux.Vars(r)["service"]
-	snapshot := s.config.Load()
+	snapshot := s.Config.Load()
 	service := snapshot.Service(name)
 	if service == nil || service.Type != config.ServicePlain {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownService, "there is no plain service %q", name).
@@ -38,11 +39,12 @@
 		path = "/"
 	}
 	call := &plainCall{
-		server: s, id: newRequestID(), workspaceName: workspace, serviceName: name, service: service,
-		workspace: orDefault(snapshot.Workspace(workspace)), method: r.Method, path: path, query: r.URL.RawQuery,
+		work: s.newWork(snapshot, workspace, name), method: r.Method, path: path, query: r.URL.RawQuery,
 		header: passedHeaders(r.Header), body: body, repeatable: service.Repeatable(r.Method, path),
 		key: r.Header.Get(headerIdempotencyKey),
 	}
+	call.requestHash = fingerprintOf(body, workspace, name, r.Method, path, r.URL.RawQuery)
+	call.fingerprint = quarantine.Fingerprint(call.requestHash)
 	answer, verr := call.run(r.Context(), background(r))
 	if verr != nil {
 		return verr
@@ -93,5 +95,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_ = s.placer.Report(ctx, r)
+	_ = s.Placer.Report(ctx, r)
 }
--- a/service/gateway/plain_call.go
+++ b/service/gateway/plain_call.go
@@ -9,33 +9,29 @@
 
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
-	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
 
 // plainCall is one request to a plain service. It runs in the goroutine of the caller's request.
 type plainCall struct {
-	server        *Server
-	id            string
-	workspaceName string
-	serviceName   string
-	workspace     *config.Workspace
-	service       *config.Service
-	method        string
-	path          string
-	query         string
-	header        http.Header
-	body          []byte
-	repeatable    bool
-	key           string
-
-	verdict verdict.Verdict
-	exclude []string
+	work
+	method     string
+	path       string
+	query      string
+	header     http.Header
+	body       []byte
+	repeatable bool
+	key        string
+	// requestHash tells apart requests that use the same key.
+	requestHash uint64
 }
 
 // run returns the answer of the service, claiming the request first if it may not be repeated.
 func (c *plainCall) run(caller, detached context.Context) (engine.Answer, *verdict.Error) {
-	c.verdict = verdict.NotRun
+	if err := c.start(caller, 0); err != nil {
+		return engine.Answer{}, err
+	}
+	defer c.end(detached, 0)
 	if c.repeatable {
 		return c.attempts(caller, detached)
 	}
@@ -53,41 +49,23 @@
 // not run.
 func (c *plainCall) attempts(caller, detached context.Context) (engine.Answer, *verdict.Error) {
 	for attempt := 1; ; attempt++ {
-		grant, asked, err := c.place(caller, attempt)
+		grant, asked, err := c.placeNext(caller, message.PlaceRequest{Attempt: attempt})
 		if err != nil {
 			return engine.Answer{}, c.final(err)
 		}
 		answer, err := c.send(caller, detached, grant, asked, attempt)
 		if err == nil {
-			c.server.metrics.completed.Inc(1)
+			c.settleSuspect(detached, true)
+			c.succeeded()
 			return answer, nil
 		}
-		if err.Verdict != verdict.NotRun {
-			c.verdict = err.Verdict
-		}
+		c.settleSuspect(detached, false)
+		c.raise(err.Verdict)
 		again := err.Verdict == verdict.NotRun || c.repeatable
-		if !again || attempt == maxAttempts || caller.Err() != nil {
+		if !again || !c.mayRetry(caller, attempt, grant.Endpoint.ID) {
 			return engine.Answer{}, c.final(err)
 		}
-		c.exclude = append(c.exclude, grant.Endpoint.ID)
-		c.server.metrics.retries.Inc(1)
-	}
-}
-
-// final returns an error with the verdict over all attempts.
-func (c *plainCall) final(err *verdict.Error) *verdict.Error {
-	out := *err
-	if out.Verdict == verdict.NotRun {
-		out.Verdict = c.verdict
 	}
-	return &out
-}
-
-func (c *plainCall) place(ctx context.Context, attempt int) (message.Grant, time.Time, *verdict.Error) {
-	return c.server.place(ctx, message.PlaceRequest{
-		RequestID: c.id, Attempt: attempt, Workspace: c.workspaceName, Service: c.serviceName,
-		Priority: c.workspace.Priority, Weight: c.workspace.Weight, MaxWait: c.service.QueueTimeout, Exclude: c.exclude,
-	})
 }
 
 // send makes one attempt on a granted endpoint.
@@ -100,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, plainTimeout)
 	defer cancel()
 	started := time.Now()
-	answer, err := c.server.client.Call(ctx, engine.Start{
+	answer, err := c.server.Client.Call(ctx, engine.Start{
 		Address: g.Endpoint.Address, Method: c.method, Path: pathWithQuery(c.path, c.query), Body: c.body,
 		Header: c.header, RequestID: fmt.Sprintf("%s-%d", c.id, attempt), Fence: g.Fence,
 		Priority: c.workspace.Priority, Latest: asked.Add(g.StartWithin),
@@ -123,6 +101,10 @@
 		return engine.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonEndpointFailed,
 			"the endpoint did not take the request: %w", f).WithRetryAfter(retryElsewhere)
 	}
+	if ctx.Err() == nil {
+		// The connection broke without an answer while the request ran: the endpoint may have crashed.
+		c.crashed(detached, g)
+	}
 	return engine.Answer{}, verdict.New(verdict.MayHaveRun, verdict.ReasonEndpointFailed, "the endpoint failed: %w", f)
 }
 
--- a/service/gateway/server.go
+++ b/service/gateway/server.go
@@ -9,20 +9,14 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/verdict"
-	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/transport/engine"
 )
 
 // Server serves callers.
 type Server struct {
+	Dependencies
 	log     *zap.Logger
 	options Options
-	config  *latest.Value[*config.Snapshot]
-	placer  Placer
-	claimer Claimer
-	client  *engine.Client
 	metrics *metrics
 
 	stopping atomic.Bool
@@ -30,13 +24,8 @@
 }
 
 // NewServer returns a Server.
-func NewServer(log *zap.Logger, options Options, current *latest.Value[*config.Snapshot],
-	placer Placer, claimer Claimer, client *engine.Client, scope tally.Scope,
-) *Server {
-	return &Server{
-		log: log, options: options, config: current, placer: placer, claimer: claimer, client: client,
-		metrics: newMetrics(scope),
-	}
+func NewServer(log *zap.Logger, options Options, d Dependencies, scope tally.Scope) *Server {
+	return &Server{Dependencies: d, log: log, options: options, metrics: newMetrics(scope)}
 }
 
 // Handler returns the HTTP handler for callers.
@@ -47,7 +36,7 @@
 	r.HandleFunc("/v1/models", s.guard(s.serveModels)).Methods(http.MethodGet)
 	r.PathPrefix("/services/{service}").HandlerFunc(s.guard(s.servePlain))
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "no such path: %s", r.URL.Path).WithField("path"))
+		writeError(w, verdict.New(verdict.NotRun, verdict.ReasonUnknownPath, "no such path: %s", r.URL.Path).WithField("path"))
 	})
 	return r
 }
--- a/service/gateway/session.go
+++ b/service/gateway/session.go
@@ -3,88 +3,67 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
-	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
 
-// maxAttempts bounds the placements of one request.
-const maxAttempts = 3
-
-// session is the task of one completion request.
+// session is the task of one completion request. It runs in the goroutine of the caller's request.
 type session struct {
-	server        *Server
-	id            string
-	workspaceName string
-	serviceName   string
-	path          string
-	workspace     *config.Workspace
-	service       *config.Service
-	request       generationRequest
-	writer        answerWriter
-
-	// verdict is the strongest thing that an attempt did so far.
-	verdict verdict.Verdict
-	// exclude lists the endpoints that attempts failed on.
-	exclude []string
+	work
+	path    string
+	request generationRequest
+	writer  answerWriter
+	// delivered counts the parts of the last attempt.
+	delivered int
 }
 
 // run serves the request. The caller context ends when the caller hangs up; the detached one does not.
 func (s *session) run(caller, detached context.Context) *verdict.Error {
+	if err := s.start(caller, s.request.promptTokens); err != nil {
+		return err
+	}
+	defer func() { s.end(detached, s.delivered) }()
 	for attempt := 1; ; attempt++ {
-		grant, asked, err := s.place(caller, attempt)
+		grant, asked, err := s.placeNext(caller, message.PlaceRequest{
+			Attempt: attempt, Model: s.request.model, PromptTokens: s.request.promptTokens,
+			MaxTokens: s.request.maxTokens, PrefixHashes: s.request.prefixHashes,
+		})
 		if err != nil {
-			return s.end(err)
+			return s.fail(err)
 		}
 		a := newAttempt(s, grant, asked, attempt)
 		err = a.run(caller, detached)
+		s.delivered = a.assembler.Next()
 		if err == nil {
-			s.server.metrics.completed.Inc(1)
+			s.settleSuspect(detached, true)
+			s.succeeded()
 			return nil
 		}
+		s.settleSuspect(detached, false)
 		s.raise(err.Verdict)
-		if attempt == maxAttempts || !a.mayPlaceAgain || caller.Err() != nil {
-			return s.end(err)
+		if !a.mayPlaceAgain || !s.mayRetry(caller, attempt, grant.Endpoint.ID) {
+			return s.fail(err)
 		}
-		s.exclude = append(s.exclude, grant.Endpoint.ID)
 		s.writer.restart()
-		s.server.metrics.retries.Inc(1)
 		s.server.log.Info("request placed again", zap.String("request", s.id),
 			zap.String("endpoint", grant.Endpoint.ID), zap.Error(err))
 	}
 }
 
-// place asks for a grant for the next attempt.
-func (s *session) place(ctx context.Context, attempt int) (message.Grant, time.Time, *verdict.Error) {
-	return s.server.place(ctx, message.PlaceRequest{
-		RequestID: s.id, Attempt: attempt, Workspace: s.workspaceName, Service: s.serviceName, Model: s.request.model,
-		Priority: s.workspace.Priority, Weight: s.workspace.Weight, PromptTokens: s.request.promptTokens,
-		MaxTokens: s.request.maxTokens, MaxWait: s.service.QueueTimeout, Exclude: s.exclude,
-	})
-}
-
-// raise keeps the strongest verdict of all attempts.
-func (s *session) raise(v verdict.Verdict) {
-	if s.verdict == verdict.NotRun || v == verdict.Ran {
-		s.verdict = v
-	}
-}
-
-// end returns the error for the caller, or nil when it was written into the stream.
-func (s *session) end(err *verdict.Error) *verdict.Error {
-	s.raise(err.Verdict)
-	final := *err
-	final.Verdict = s.verdict
-	if s.writer.fail(&final) {
-		s.server.metrics.refused(&final)
+// fail ends the answer with an error; nil means that the error was written into the stream.
+func (s *session) fail(err *verdict.Error) *verdict.Error {
+	final := s.final(err)
+	if s.writer.fail(final) {
+		s.server.metrics.refused(final)
 		return nil
 	}
-	return &final
+	return final
 }
 
 // generationName names the generation of one attempt at its endpoint.
@@ -93,8 +72,8 @@
 // startOf describes the request of one attempt.
 func (s *session) startOf(g message.Grant, attempt int, asked time.Time) engine.Start {
 	return engine.Start{
-		Address: g.Endpoint.Address, Method: "POST", Path: s.path, Body: s.request.body,
-		Header:    map[string][]string{"Content-Type": {"application/json"}},
+		Address: g.Endpoint.Address, Method: http.MethodPost, Path: s.path, Body: s.request.body,
+		Header:    http.Header{"Content-Type": {"application/json"}},
 		RequestID: s.generationName(attempt), Fence: g.Fence, Priority: s.workspace.Priority,
 		Latest: asked.Add(g.StartWithin),
 	}
--- /dev/null
+++ b/service/gateway/site_test.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap/zaptest"
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/settings"
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/service/limits"
+	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/retries"
+	"azuredyke.dev/azuredyke/transport/engine"
+)
+
+// site is a gateway in front of scripted endpoints.
+type site struct {
+	url         string
+	server      *Server
+	placer      *listPlacer
+	claimer     *memoryClaimer
+	startWithin time.Duration
+}
+
+// listPlacer grants the endpoints in order, skipping those that a request excludes.
+type listPlacer struct {
+	addresses   []string
+	startWithin time.Duration
+	delay       time.Duration
+	reports     chan message.GrantReport
+	placed      atomic.Int64
+}
+
+func (p *listPlacer) Place(_ context.Context, r message.PlaceRequest) (message.PlaceReply, error) {
+	time.Sleep(p.delay)
+	for _, a := range p.addresses {
+		if !strings.Contains(strings.Join(r.Exclude, " "), a) {
+			n := p.placed.Add(1)
+			return message.PlaceReply{Grant: &message.Grant{
+				Number: uint64(n), Endpoint: message.Endpoint{ID: a, Address: a}, StartWithin: p.startWithin,
+			}}, nil
+		}
+	}
+	return message.PlaceReply{Refusal: &message.Refusal{Reason: verdict.ReasonNoEndpoint, Detail: "none left"}}, nil
+}
+
+func (p *listPlacer) Report(_ context.Context, r message.GrantReport) error {
+	p.reports <- r
+	return nil
+}
+
+// ended returns the reports that closed grants so far.
+func (p *listPlacer) ended() []message.GrantReport {
+	var ended []message.GrantReport
+	for {
+		select {
+		case r := <-p.reports:
+			if r.Event.Ends() {
+				ended = append(ended, r)
+			}
+		default:
+			return ended
+		}
+	}
+}
+
+// memoryClaimer keeps claims in a channel-guarded map, as one durable shard would.
+type memoryClaimer struct {
+	claims chan map[message.ClaimKey]*memoryClaim
+	down   atomic.Bool
+}
+
+type memoryClaim struct {
+	request message.ClaimRequest
+	outcome *message.ClaimOutcome
+}
+
+func newMemoryClaimer() *memoryClaimer {
+	c := &memoryClaimer{claims: make(chan map[message.ClaimKey]*memoryClaim, 1)}
+	c.claims <- map[message.ClaimKey]*memoryClaim{}
+	return c
+}
+
+func (c *memoryClaimer) Claim(_ context.Context, r message.ClaimRequest) (message.ClaimReply, error) {
+	if c.down.Load() {
+		return message.ClaimReply{Status: message.ClaimUnavailable}, nil
+	}
+	claims := <-c.claims
+	defer func() { c.claims <- claims }()
+	known := claims[r.Key]
+	switch {
+	case known == nil:
+		claims[r.Key] = &memoryClaim{request: r}
+		return message.ClaimReply{Status: message.ClaimGranted}, nil
+	case known.request.Fingerprint != r.Fingerprint:
+		return message.ClaimReply{Status: message.ClaimMismatch}, nil
+	case known.outcome != nil:
+		return message.ClaimReply{Status: message.ClaimFinished, Outcome: known.outcome}, nil
+	default:
+		return message.ClaimReply{Status: message.ClaimHeld}, nil
+	}
+}
+
+func (c *memoryClaimer) Settle(_ context.Context, s message.ClaimSettle) error {
+	claims := <-c.claims
+	defer func() { c.claims <- claims }()
+	known := claims[s.Key]
+	if known == nil || known.request.Attempt != s.Attempt {
+		return nil
+	}
+	if s.Released {
+		delete(claims, s.Key)
+		return nil
+	}
+	known.outcome = s.Outcome
+	return nil
+}
+
+// newSite starts a gateway in front of the endpoints, with the model service "notes" and the plain service "orders".
+func newSite(t *testing.T, endpoints ...*scriptedEndpoint) *site {
+	t.Helper()
+	s := &site{placer: &listPlacer{startWithin: time.Minute, reports: make(chan message.GrantReport, 10_000)}, claimer: newMemoryClaimer()}
+	for _, e := range endpoints {
+		s.placer.addresses = append(s.placer.addresses, e.address)
+	}
+	current := latest.New(testConfig())
+	limiter := limits.NewKeeper(current, latest.New(1))
+	budget := retries.NewKeeper()
+	keeper := quarantine.NewKeeper(zaptest.NewLogger(t), quarantine.Alone{})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, run := range []func(context.Context){limiter.Run, budget.Run, keeper.Run} {
+		go run(ctx)
+	}
+	client := engine.NewClient(time.Second, nil)
+	t.Cleanup(client.Close)
+	s.server = NewServer(zaptest.NewLogger(t), Options{
+		Limits:     settings.Limits{BodyBytes: 64 << 10, BodyTimeout: time.Minute, OpenRequests: 1000},
+		StallAfter: 100 * time.Millisecond, FirstTokenTimeout: time.Minute, ClaimTimeout: time.Second,
+	}, Dependencies{
+		Config: current, Placer: s.placer, Claimer: s.claimer, Limiter: limiter, Retries: budget, Quarantine: keeper,
+		Client: client,
+	}, tally.NoopScope)
+	server := httptest.NewServer(s.server.Handler())
+	t.Cleanup(server.Close)
+	s.url = server.URL
+	return s
+}
+
+func testConfig() *config.Snapshot {
+	sum := sha256.Sum256([]byte("key"))
+	return config.NewSnapshot(1, []*config.Object{
+		{Ref: config.Ref{Kind: config.KindModel, Name: "notes"}, Model: &config.Model{}},
+		{Ref: config.Ref{Kind: config.KindService, Name: "notes"}, Service: &config.Service{
+			Type: config.ServiceModel, Models: []string{"notes"}, QueueTimeout: time.Minute,
+		}},
+		{Ref: config.Ref{Kind: config.KindService, Name: "orders"}, Service: &config.Service{
+			Type: config.ServicePlain, QueueTimeout: time.Minute,
+		}},
+		{Ref: config.Ref{Kind: config.KindWorkspace, Name: "w"}, Workspace: &config.Workspace{
+			KeyHashes: []string{hex.EncodeToString(sum[:])},
+		}},
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	verdict string
+	header  http.Header
+	body    string
+	// broken is set when the answer's body could not be read to its end.
+	broken bool
+}
+
+// do sends a request and reads the whole answer.
+func (s *site) do(t *testing.T, method, path, body string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, s.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer key")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode, verdict: resp.Header.Get(verdict.Header), header: resp.Header, body: string(data),
+		broken: err != nil,
+	}
+}
+
+const (
+	streamBody = `{"model":"notes","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	wholeBody  = `{"model":"notes","messages":[{"role":"user","content":"hi"}]}`
+	chatPath   = "/v1/chat/completions"
+)
+
+// wholeText is the text of a whole scripted generation.
+const wholeText = "<0><1><2><3><4><5><6><7><8><9>"
+
+// streamText joins the texts of a streamed answer.
+func streamText(body string) string {
+	var text strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		if _, rest, ok := strings.Cut(line, `"content":"`); ok {
+			part, _, _ := strings.Cut(rest, `"`)
+			text.WriteString(part)
+		}
+	}
+	return text.String()
+}
--- a/service/gateway/stream_writer.go
+++ b/service/gateway/stream_writer.go
@@ -69,7 +69,10 @@
 func (s *streamWriter) write(format string, args ...any) error {
 	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := fmt.Fprintf(s.w, format, args...); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errCallerGone, err)
 	}
-	return s.control.Flush()
+	if err := s.control.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	return nil
 }
--- /dev/null
+++ b/service/limits/keeper.go
@@ -0,0 +1,106 @@
+// Package limits keeps the workspaces within their limits on this node.
+//
+// Each node enforces an equal share of a workspace's limits, by the number of nodes that it sees alive. The shares cost no
+// messages. While nodes disagree on that number, the sum of their shares can exceed a limit by the ratio of the real number
+// of nodes to the smallest number that a node sees.
+package limits
+
+import (
+	"context"
+	"time"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/decision/limit"
+)
+
+// capacity bounds the waiting messages; senders wait beyond it.
+const capacity = 1024
+
+// Keeper is the task that owns the use of each workspace on this node.
+type Keeper struct {
+	messages   mailbox.Mailbox[keeperMessage]
+	config     *latest.Value[*config.Snapshot]
+	nodes      *latest.Value[int]
+	workspaces map[string]*limit.Workspace
+}
+
+// NewKeeper returns a Keeper; nodes holds the number of nodes that are alive.
+func NewKeeper(current *latest.Value[*config.Snapshot], nodes *latest.Value[int]) *Keeper {
+	return &Keeper{
+		messages: mailbox.New[keeperMessage](capacity), config: current, nodes: nodes,
+		workspaces: map[string]*limit.Workspace{},
+	}
+}
+
+// Start admits or refuses a request. An admitted request must be ended with End.
+func (k *Keeper) Start(ctx context.Context, workspace string, promptTokens int) (limit.Decision, error) {
+	return mailbox.Call(ctx, k.messages, func(reply chan<- limit.Decision) keeperMessage {
+		return startMessage{workspace: workspace, promptTokens: promptTokens, reply: reply}
+	})
+}
+
+// End records the end of an admitted request.
+func (k *Keeper) End(ctx context.Context, workspace string, outputTokens int) error {
+	return k.messages.Send(ctx, endMessage{workspace: workspace, outputTokens: outputTokens})
+}
+
+// Run serves messages until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for {
+		snapshot, configChanged := k.config.Watch()
+		nodes, nodesChanged := k.nodes.Watch()
+		k.refresh(snapshot, nodes)
+		if !k.serve(ctx, configChanged, nodesChanged) {
+			return
+		}
+	}
+}
+
+// serve handles messages until the configuration or the number of nodes changes; it reports false when ctx has ended.
+func (k *Keeper) serve(ctx context.Context, configChanged, nodesChanged <-chan struct{}) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case m := <-k.messages.Receive():
+			m.apply(k)
+		case <-configChanged:
+			return true
+		case <-nodesChanged:
+			return true
+		}
+	}
+}
+
+// refresh applies the limits in force and forgets workspaces that were deleted and run nothing.
+func (k *Keeper) refresh(s *config.Snapshot, nodes int) {
+	now := time.Now()
+	for name, w := range k.workspaces {
+		if s.Workspace(name) == nil && w.Running() == 0 {
+			delete(k.workspaces, name)
+			continue
+		}
+		w.SetRates(now, ratesOf(s.Workspace(name)).Share(nodes))
+	}
+}
+
+func (k *Keeper) workspace(name string) *limit.Workspace {
+	w, ok := k.workspaces[name]
+	if !ok {
+		w = limit.NewWorkspace(time.Now(), ratesOf(k.config.Load().Workspace(name)).Share(k.nodes.Load()))
+		k.workspaces[name] = w
+	}
+	return w
+}
+
+// ratesOf returns the limits of a workspace; a deleted one has none left to enforce.
+func ratesOf(w *config.Workspace) limit.Rates {
+	if w == nil {
+		return limit.Rates{}
+	}
+	return limit.Rates{
+		RequestsPerSecond: w.RequestsPerSecond, TokensPerSecond: w.TokensPerSecond, MaxConcurrency: w.MaxConcurrency,
+	}
+}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/metrics"
 	"azuredyke.dev/azuredyke/common/settings"
@@ -18,8 +19,11 @@
 	"azuredyke.dev/azuredyke/service/dispatcher"
 	"azuredyke.dev/azuredyke/service/gateway"
 	"azuredyke.dev/azuredyke/service/hosts"
+	"azuredyke.dev/azuredyke/service/limits"
 	"azuredyke.dev/azuredyke/service/operator"
 	"azuredyke.dev/azuredyke/service/ownership"
+	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/retries"
 	"azuredyke.dev/azuredyke/service/router"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
@@ -29,19 +33,22 @@
 
 // Node is one assembled node.
 type Node struct {
-	log       *zap.Logger
-	settings  settings.Settings
-	metrics   *metrics.Registry
-	client    *engine.Client
-	keeper    *configuration.Keeper
-	watcher   *configuration.Watcher
-	changer   *configuration.Changer
-	hosts     *hosts.Poller
-	ownership *ownership.Keeper
-	dispatch  *dispatcher.Dispatcher
-	gateway   *gateway.Server
-	operator  *operator.Server
-	listeners listeners
+	log        *zap.Logger
+	settings   settings.Settings
+	metrics    *metrics.Registry
+	client     *engine.Client
+	keeper     *configuration.Keeper
+	watcher    *configuration.Watcher
+	changer    *configuration.Changer
+	hosts      *hosts.Poller
+	ownership  *ownership.Keeper
+	dispatch   *dispatcher.Dispatcher
+	limits     *limits.Keeper
+	retries    *retries.Keeper
+	quarantine *quarantine.Keeper
+	gateway    *gateway.Server
+	operator   *operator.Server
+	listeners  listeners
 }
 
 // New assembles a node and opens its listeners, so that its addresses are known.
@@ -62,10 +69,16 @@
 	n.dispatch = dispatcher.New(logging.For(log, logging.Dispatcher), s.Dispatch, n.client, n.keeper.Current(),
 		n.hosts.Current(), n.ownership.Current())
 	route := router.New(logging.For(log, logging.Router), n.keeper.Current(), n.dispatch.Cells())
+	n.limits = limits.NewKeeper(n.keeper.Current(), latest.New(1))
+	n.retries = retries.NewKeeper()
+	n.quarantine = quarantine.NewKeeper(logging.For(log, logging.Gateway), quarantine.Alone{})
 	n.gateway = gateway.NewServer(logging.For(log, logging.Gateway), gateway.Options{
 		Limits: s.Limits, StallAfter: s.Dispatch.StallAfter, FirstTokenTimeout: s.Dispatch.SuspectAfter,
 		ClaimTimeout: s.Claims.Timeout,
-	}, n.keeper.Current(), route, claims.Unavailable{}, n.client, n.metrics.Scope)
+	}, gateway.Dependencies{
+		Config: n.keeper.Current(), Placer: route, Claimer: claims.Unavailable{}, Limiter: n.limits, Retries: n.retries,
+		Quarantine: n.quarantine, Client: n.client,
+	}, n.metrics.Scope)
 	n.operator = operator.NewServer(logging.For(log, logging.Operator), n.changer, n.keeper.Current(), &fleet{node: n})
 	return n, nil
 }
@@ -80,6 +93,7 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
 		n.keeper.Run, n.watcher.Run, n.changer.Run, n.hosts.Run, n.ownership.Run, n.dispatch.Run,
+		n.limits.Run, n.retries.Run, n.quarantine.Run,
 	} {
 		running.Go(func() { run(tasks) })
 	}
--- /dev/null
+++ b/service/quarantine/messages.go
@@ -0,0 +1,59 @@
+package quarantine
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/quarantine"
+)
+
+// keeperMessage is a message to the task of a Keeper.
+type keeperMessage interface {
+	apply(now time.Time, t *quarantine.Table)
+}
+
+// markMessage asks what is known about a request.
+type markMessage struct {
+	fingerprint quarantine.Fingerprint
+	reply       chan<- quarantine.Mark
+}
+
+func (m markMessage) apply(now time.Time, t *quarantine.Table) { m.reply <- t.Mark(now, m.fingerprint) }
+
+// reserveMessage asks for the standing of a request and reserves a suspect's run.
+type reserveMessage struct {
+	mark  quarantine.Mark
+	reply chan<- quarantine.Standing
+}
+
+func (m reserveMessage) apply(now time.Time, t *quarantine.Table) {
+	t.Merge(now, m.mark)
+	m.reply <- t.Standing(now, m.mark.Fingerprint)
+}
+
+// crashMessage records a crash.
+type crashMessage struct {
+	fingerprint quarantine.Fingerprint
+	id          quarantine.CrashID
+	reply       chan<- quarantine.Mark
+}
+
+func (m crashMessage) apply(now time.Time, t *quarantine.Table) {
+	m.reply <- t.Crashed(now, m.fingerprint, m.id)
+}
+
+// finishMessage records the end of a suspect's run.
+type finishMessage struct {
+	fingerprint quarantine.Fingerprint
+	completed   bool
+}
+
+func (m finishMessage) apply(now time.Time, t *quarantine.Table) {
+	t.Finished(now, m.fingerprint, m.completed)
+}
+
+// mergeMessage takes over a mark.
+type mergeMessage struct {
+	mark quarantine.Mark
+}
+
+func (m mergeMessage) apply(now time.Time, t *quarantine.Table) { t.Merge(now, m.mark) }
--- /dev/null
+++ b/service/retries/key.go
@@ -0,0 +1,7 @@
+package retries
+
+// Key names one budget.
+type Key struct {
+	Service   string
+	Workspace string
+}
