Emulate a model engine with batching, block memory and cold starts

The stand-in sent a fixed number of tokens and knew neither resume, cancel nor load. It is now a task that owns a continuous batch over block memory with a prefix cache, and serves the whole endpoint protocol.

--- /dev/null
+++ b/fake/engine/ending.go
@@ -0,0 +1,11 @@
+package engine
+
+// ending says how a generation ended.
+type ending uint8
+
+const (
+	running ending = iota
+	completed
+	cancelled
+	crashed
+)
--- /dev/null
+++ b/fake/engine/length_class.go
@@ -0,0 +1,40 @@
+package engine
+
+import (
+	"math"
+	"math/rand/v2"
+	"strings"
+)
+
+// LengthClass is a log-normal distribution of answer lengths in tokens, which has the heavy tail of real traffic.
+type LengthClass struct {
+	// Marker selects the class by a text in the prompt; empty matches every prompt.
+	Marker string
+	// Median is the median length (64).
+	Median float64
+	// Sigma is the standard deviation of the logarithm of the length (1.2).
+	Sigma float64
+	// Max bounds the length (16384).
+	Max int
+}
+
+// lengthOf draws the length of an answer. The draw depends on the seed and the prompt only, so that every engine with the
+// same seed gives the same request the same length, under any placement.
+func lengthOf(o Options, p prompt) int {
+	if o.Tokens > 0 {
+		return o.Tokens
+	}
+	class := LengthClass{}
+	for _, c := range o.Lengths {
+		if strings.Contains(p.text, c.Marker) {
+			class = c
+			break
+		}
+	}
+	setDefault(&class.Median, 64)
+	setDefault(&class.Sigma, 1.2)
+	setDefault(&class.Max, 16384)
+	r := rand.New(rand.NewPCG(o.Seed, p.hash))
+	drawn := class.Median * math.Exp(class.Sigma*r.NormFloat64())
+	return int(min(max(drawn, 1), float64(class.Max)))
+}
--- a/fake/engine/server.go
+++ b/fake/engine/server.go
@@ -1,64 +1,118 @@
-// Package engine is a stand-in for a model engine.
 package engine
 
 import (
-	"encoding/json"
-	"fmt"
+	"context"
 	"net/http"
 	"time"
 
-	"azuredyke.dev/azuredyke/transport/engine"
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/mailbox"
 )
 
-// Options configures a Server.
-type Options struct {
-	Model string
-	// Tokens is the length of each answer.
-	Tokens int
-	// StepTime is the time between two tokens.
-	StepTime time.Duration
-}
+// mailboxCapacity bounds the messages that wait for the task; senders block beyond it.
+const mailboxCapacity = 1024
 
-// Server answers completion requests with a stream.
+// Server is one engine. It answers once Run is started.
 type Server struct {
 	options Options
+	inbox   mailbox.Mailbox[message]
+	mux     *http.ServeMux
+	// outside is the condition that every connection sees.
+	outside *latest.Value[condition]
+	// life ends when Run has ended.
+	life    context.Context
+	endLife context.CancelFunc
 }
 
-// NewServer returns a Server.
-func NewServer(o Options) *Server { return &Server{options: o} }
+// message is a message to the task; handle is executed by the task's goroutine.
+type message interface {
+	handle(t *task)
+}
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case r.URL.Path == "/load":
-		_ = json.NewEncoder(w).Encode(engine.LoadBody{Incarnation: "1", Models: []string{s.options.Model}})
-	case r.Method == http.MethodPost:
-		s.generate(w, r)
-	case r.Method == http.MethodDelete:
-		w.WriteHeader(http.StatusNoContent)
-	default:
-		http.NotFound(w, r)
+// condition is what every connection of the engine is subject to.
+type condition struct {
+	// down is set while the engine restarts: its connections are closed.
+	down bool
+	// incarnation is the number of the running process, from 1.
+	incarnation int
+	// stalledUntil is the end of the present stall.
+	stalledUntil time.Time
+}
+
+// NewServer returns an engine.
+func NewServer(o Options) *Server {
+	s := &Server{
+		options: o.withDefaults(), inbox: mailbox.New[message](mailboxCapacity), mux: http.NewServeMux(),
+		outside: latest.New(condition{incarnation: 1}),
 	}
+	s.life, s.endLife = context.WithCancel(context.Background())
+	s.mux.HandleFunc("POST /v1/chat/completions", s.serveGenerate)
+	s.mux.HandleFunc("POST /v1/completions", s.serveGenerate)
+	s.mux.HandleFunc("GET /v1/generations/{id}/stream", s.serveResume)
+	s.mux.HandleFunc("DELETE /v1/generations/{id}", s.serveCancel)
+	s.mux.HandleFunc("GET /load", s.serveLoad)
+	s.mux.HandleFunc("GET /cache-events", s.serveCacheEvents)
+	s.mux.HandleFunc("POST /orders", s.serveOrder)
+	return s
 }
 
-func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	ticker := time.NewTicker(s.options.StepTime)
-	defer ticker.Stop()
-	for n := range s.options.Tokens {
+// Run owns the state of the engine until ctx ends. It may be called once.
+func (s *Server) Run(ctx context.Context) {
+	defer s.endLife()
+	t := newTask(s.options, s.outside)
+	defer t.closeAll()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(t.advance(time.Now()))
 		select {
-		case <-r.Context().Done():
+		case <-ctx.Done():
+			return
+		case m := <-s.inbox.Receive():
+			m.handle(t)
+		case <-timer.C:
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.life, cancel)()
+	r = r.WithContext(ctx)
+	s.pass(r, s.outside.Load().incarnation)
+	s.mux.ServeHTTP(w, r)
+}
+
+// pass waits for the end of a stall. It closes the connection when the engine is down, is another process than the one
+// that the request reached, or has ended.
+func (s *Server) pass(r *http.Request, incarnation int) {
+	for {
+		c, changed := s.outside.Watch()
+		if c.down || c.incarnation != incarnation || r.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		wait := time.Until(c.stalledUntil)
+		if wait <= 0 {
 			return
-		case <-ticker.C:
 		}
-		finish := "null"
-		if n == s.options.Tokens-1 {
-			finish = `"stop"`
+		timer := time.NewTimer(wait)
+		select {
+		case <-r.Context().Done():
+		case <-changed:
+		case <-timer.C:
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":%q,"+
-			"\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word%d \"},\"finish_reason\":%s}]}\n\n",
-			n, r.Header.Get(engine.HeaderRequestID), s.options.Model, n, finish)
-		_ = http.NewResponseController(w).Flush()
+		timer.Stop()
+	}
+}
+
+// ask sends the message that build makes for a reply channel and waits for the reply. It closes the connection when there
+// is none.
+func ask[R any](s *Server, r *http.Request, build func(chan<- R) message) R {
+	reply, err := mailbox.Call(r.Context(), s.inbox, build)
+	if err != nil {
+		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprintf(w, "data: [DONE]\n\n")
+	return reply
 }
