Serve the etcd v3 API over the in-memory store

Tests of real processes need a key-value service with limits, outages and lost answers.

go test -race ./fake/kvserver ./platform/memory passes.

--- /dev/null
+++ b/fake/kvserver/admit_message.go
@@ -0,0 +1,87 @@
+package kvserver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"azuredyke.dev/azuredyke/common/mailbox"
+)
+
+// admitMessage asks whether a call may be served.
+type admitMessage struct {
+	kind  CallKind
+	write bool
+	reply chan<- admission
+}
+
+// admission is the answer to admitMessage.
+type admission struct {
+	outage    Outage
+	exhausted bool
+	// wait is the time until the call is served.
+	wait time.Duration
+}
+
+func (m admitMessage) handle(t *task) {
+	if t.outage != OutageNone {
+		t.counters.RefusedByOutage++
+		m.reply <- admission{outage: t.outage}
+		return
+	}
+	now := time.Now()
+	limiter := t.reads
+	if m.write {
+		limiter = t.writes
+	}
+	reservation := limiter.ReserveN(now, 1)
+	if wait := reservation.DelayFrom(now); !reservation.OK() || wait > t.options.MaxWait {
+		reservation.CancelAt(now)
+		t.counters.Refused++
+		m.reply <- admission{exhausted: true}
+		return
+	}
+	t.counters.add(m.kind, m.write, now)
+	m.reply <- admission{wait: reservation.DelayFrom(now) + t.delay}
+}
+
+// admit waits until a call may be served, or returns the error for its caller.
+func (s *Server) admit(ctx context.Context, kind CallKind, write bool) error {
+	a, err := mailbox.Call(ctx, s.inbox, func(reply chan<- admission) message {
+		return admitMessage{kind: kind, write: write, reply: reply}
+	})
+	switch {
+	case err != nil:
+		return errUnavailable
+	case a.outage == OutageRefuse:
+		return errUnavailable
+	case a.outage == OutageHang:
+		<-ctx.Done()
+		return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	case a.exhausted:
+		return errTooManyRequests
+	case a.wait <= 0:
+		return nil
+	}
+	timer := time.NewTimer(a.wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
+
+// lose does what a loss says; it returns at once when the answer is not lost.
+func lose(ctx context.Context, l Loss) {
+	switch l {
+	case LossSilence:
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	case LossReset:
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/fake/kvserver/txn_message.go
@@ -0,0 +1,110 @@
+package kvserver
+
+import (
+	"azuredyke.dev/azuredyke/gen/etcdserverpb"
+	"azuredyke.dev/azuredyke/platform"
+)
+
+// txnMessage applies a transaction that was checked.
+type txnMessage struct {
+	txn   *etcdserverpb.TxnRequest
+	reply chan<- txnReply
+}
+
+// txnReply is the answer to txnMessage.
+type txnReply struct {
+	response *etcdserverpb.TxnResponse
+	err      error
+	loss     Loss
+}
+
+func (m txnMessage) handle(t *task) {
+	response, err := t.apply(m.txn)
+	reply := txnReply{response: response, err: err}
+	if err == nil && writes(m.txn) {
+		reply.loss = t.takeLoss()
+	}
+	m.reply <- reply
+}
+
+// apply evaluates the comparisons and runs one of the two lists. All writes of the list take one revision.
+func (t *task) apply(txn *etcdserverpb.TxnRequest) (*etcdserverpb.TxnResponse, error) {
+	response := &etcdserverpb.TxnResponse{Succeeded: true}
+	for _, c := range txn.GetCompare() {
+		response.Succeeded = response.Succeeded && t.holds(c)
+	}
+	ops := txn.GetSuccess()
+	if !response.Succeeded {
+		ops = txn.GetFailure()
+	}
+	response.Responses = make([]*etcdserverpb.ResponseOp, len(ops))
+	var changes []platform.Write
+	for i, op := range ops {
+		switch {
+		case op.GetRequestPut() != nil:
+			put := op.GetRequestPut()
+			changes = append(changes, platform.Write{
+				Key: string(put.GetKey()), Value: put.GetValue(), Lease: platform.LeaseID(put.GetLease()),
+			})
+		case op.GetRequestDeleteRange() != nil:
+			for _, e := range t.scan(op.GetRequestDeleteRange().GetKey(), op.GetRequestDeleteRange().GetRangeEnd()) {
+				changes = append(changes, platform.Write{Key: e.Key, Delete: true})
+			}
+		}
+		// A range sees the writes before it only.
+		if len(changes) == 0 || op.GetRequestRange() == nil {
+			response.Responses[i] = t.respond(op)
+		}
+	}
+	_, batch, err := t.store.Commit(platform.Txn{Writes: changes})
+	if err != nil {
+		return nil, errLeaseNotFound
+	}
+	t.publish(batch)
+	for i, op := range ops {
+		if response.Responses[i] == nil {
+			response.Responses[i] = t.respond(op)
+		}
+		setHeader(response.Responses[i], t.header())
+	}
+	response.Header = t.header()
+	return response, nil
+}
+
+// respond returns the answer to one operation in the present state.
+func (t *task) respond(op *etcdserverpb.RequestOp) *etcdserverpb.ResponseOp {
+	switch {
+	case op.GetRequestRange() != nil:
+		return &etcdserverpb.ResponseOp{Response: &etcdserverpb.ResponseOp_ResponseRange{
+			ResponseRange: t.rangeOf(op.GetRequestRange()),
+		}}
+	case op.GetRequestPut() != nil:
+		response := &etcdserverpb.PutResponse{}
+		if old := t.scan(op.GetRequestPut().GetKey(), nil); op.GetRequestPut().GetPrevKv() && len(old) > 0 {
+			response.PrevKv = t.keyValue(old[0])
+		}
+		return &etcdserverpb.ResponseOp{Response: &etcdserverpb.ResponseOp_ResponsePut{ResponsePut: response}}
+	default:
+		request := op.GetRequestDeleteRange()
+		old := t.scan(request.GetKey(), request.GetRangeEnd())
+		response := &etcdserverpb.DeleteRangeResponse{Deleted: int64(len(old))}
+		if request.GetPrevKv() {
+			for _, e := range old {
+				response.PrevKvs = append(response.PrevKvs, t.keyValue(e))
+			}
+		}
+		return &etcdserverpb.ResponseOp{Response: &etcdserverpb.ResponseOp_ResponseDeleteRange{ResponseDeleteRange: response}}
+	}
+}
+
+// setHeader gives an answer the revision of the whole transaction.
+func setHeader(op *etcdserverpb.ResponseOp, header *etcdserverpb.ResponseHeader) {
+	switch {
+	case op.GetResponseRange() != nil:
+		op.GetResponseRange().Header = header
+	case op.GetResponsePut() != nil:
+		op.GetResponsePut().Header = header
+	default:
+		op.GetResponseDeleteRange().Header = header
+	}
+}
--- /dev/null
+++ b/fake/kvserver/watcher.go
@@ -0,0 +1,58 @@
+package kvserver
+
+import (
+	"azuredyke.dev/azuredyke/gen/etcdserverpb"
+	"azuredyke.dev/azuredyke/gen/mvccpb"
+	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/platform/memory"
+)
+
+// watchCapacity is the number of responses that a stream may fall behind.
+const watchCapacity = 4096
+
+// watchStream is one call of Watch.
+type watchStream struct {
+	out chan *etcdserverpb.WatchResponse
+	// end ends the call with an error; it may be called more than once.
+	end func()
+	// nextID is the id of the next watch; the task owns it.
+	nextID int64
+}
+
+func newWatchStream(end func()) *watchStream {
+	return &watchStream{out: make(chan *etcdserverpb.WatchResponse, watchCapacity), end: end}
+}
+
+// watcher is one watch of a stream.
+type watcher struct {
+	stream   *watchStream
+	id       int64
+	key, end string
+	// from is the first revision that is shown.
+	from int64
+}
+
+// response returns the events of a batch that concern the watch, or nil.
+func (w *watcher) response(header *etcdserverpb.ResponseHeader, batch platform.WatchBatch) *etcdserverpb.WatchResponse {
+	if batch.Revision < w.from {
+		return nil
+	}
+	response := &etcdserverpb.WatchResponse{Header: header, WatchId: w.id}
+	for _, e := range batch.Events {
+		if !memory.Covers(w.key, w.end, e.Entry.Key) {
+			continue
+		}
+		event := &mvccpb.Event{Kv: &mvccpb.KeyValue{Key: []byte(e.Entry.Key), ModRevision: e.Entry.ModRevision}}
+		if e.Deleted {
+			event.Type = mvccpb.Event_DELETE
+		} else {
+			event.Kv.Value, event.Kv.CreateRevision = e.Entry.Value, e.Entry.CreateRevision
+			event.Kv.Lease = int64(e.Entry.Lease)
+		}
+		response.Events = append(response.Events, event)
+	}
+	if len(response.Events) == 0 {
+		return nil
+	}
+	return response
+}
