Charge inherited, failed and abandoned grants until load reports show them gone

Cause: a new owner admitted at once, a failed connection freed its place, a grant whose gateway gave up leaked, and a request that queued longer than the time to start could never start, since the grant's time counted from before the wait. Change: endpoint states with suspect probes and back-off, inherited work, doubtful grants that only a newer load report releases, four sources of leaving, data centre out, confirmation of the lease at each decision, refusal of the fencing token. A grant's time to start is extended by the wait in the cell. The cell task reads holdings and configuration at each decision; an abandoned placement returns its grant.

--- a/decision/admission/cell.go
+++ b/decision/admission/cell.go
@@ -14,189 +14,117 @@
 
 // Cell decides for the endpoints of one cell. It is not safe for concurrent use; one task owns it.
 type Cell struct {
-	id        string
-	fence     uint64
-	params    Params
-	endpoints map[string]*endpoint
-	queue     []Waiting
-	number    uint64
+	id    string
+	fence uint64
+	// activeFrom is when the grants of the owner before can no longer start.
+	activeFrom time.Time
+	params     Params
+	endpoints  []*endpoint
+	byID       map[string]*endpoint
+	// byGrant maps the number of each open grant to its endpoint.
+	byGrant map[uint64]*endpoint
+	queue   []Waiting
+	number  uint64
+	out     bool
+	stale   bool
+	counts  Counts
 }
 
-// NewCell returns a cell without endpoints, owned with the given fencing token.
-func NewCell(id string, fence uint64, params Params) *Cell {
-	return &Cell{id: id, fence: fence, params: params, endpoints: map[string]*endpoint{}}
+// NewCell returns a cell without endpoints, owned with the given fencing token. It admits nothing before activeFrom.
+func NewCell(id string, fence uint64, activeFrom time.Time, params Params) *Cell {
+	return &Cell{
+		id: id, fence: fence, activeFrom: activeFrom, params: params,
+		byID: map[string]*endpoint{}, byGrant: map[uint64]*endpoint{},
+	}
 }
 
 // SetParams replaces the parameters.
-func (c *Cell) SetParams(params Params) { c.params = params }
-
-// SetEndpoints replaces the set of endpoints; leaving names those that get no new work.
-func (c *Cell) SetEndpoints(_ time.Time, endpoints []message.Endpoint, leaving map[string]bool) {
-	present := map[string]bool{}
-	for _, e := range endpoints {
-		present[e.ID] = true
-		known := c.endpoints[e.ID]
-		if known == nil {
-			known = &endpoint{Endpoint: e, limit: c.params.ColdLimit, grants: map[uint64]message.PlaceRequest{}}
-			c.endpoints[e.ID] = known
-		}
-		if leaving[e.ID] {
-			known.state = Leaving
-		}
-	}
-	for id, e := range c.endpoints {
-		if !present[id] {
-			e.state = Leaving
-			if e.inFlight() == 0 {
-				delete(c.endpoints, id)
-			}
-		}
+func (c *Cell) SetParams(params Params) {
+	c.params = params
+	for _, e := range c.endpoints {
+		e.clampLimit(params)
 	}
 }
 
-// ApplyLoad takes a load report into account.
-func (c *Cell) ApplyLoad(_ time.Time, load message.LoadReport) {
-	e := c.endpoints[load.Endpoint]
-	if e == nil {
-		return
-	}
-	restarted := e.load.Incarnation != load.Incarnation
-	e.load = load
-	switch {
-	case load.Leaving:
-		e.state = Leaving
-	case e.state == Unknown, restarted && e.state != Leaving:
-		e.state, e.limit, e.completed = Cold, c.params.ColdLimit, 0
+// SetEndpoints replaces the endpoints of the host list; leaving names those that get no new work. An endpoint that is
+// missing stays while it may be running work.
+func (c *Cell) SetEndpoints(now time.Time, endpoints []message.Endpoint, leaving map[string]bool) {
+	for _, e := range c.endpoints {
+		e.absent = true
+	}
+	for _, m := range endpoints {
+		e := c.byID[m.ID]
+		if e == nil {
+			e = &endpoint{limit: c.params.coldLimit(), grants: map[uint64]*grant{}}
+			c.byID[m.ID] = e
+			c.endpoints = append(c.endpoints, e)
+		}
+		e.Endpoint, e.absent, e.listed = m, false, leaving[m.ID]
 	}
-}
-
-// Enqueue adds a request to the queue, or refuses it at once.
-func (c *Cell) Enqueue(_ time.Time, w Waiting) *Decision {
-	if len(c.queue) >= c.params.MaxQueue {
-		return refuse(w, verdict.ReasonBusy, "the queue is full")
+	slices.SortFunc(c.endpoints, func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
+	for _, e := range c.endpoints {
+		e.updateLeaving(c.params)
 	}
-	c.queue = append(c.queue, w)
-	return nil
+	c.forgetGone(now)
 }
 
-// Cancel removes a waiting request.
-func (c *Cell) Cancel(ticket uint64) {
-	c.queue = slices.DeleteFunc(c.queue, func(w Waiting) bool { return w.Ticket == ticket })
-}
-
-// Dispatch grants what may start now and refuses what has waited too long.
-func (c *Cell) Dispatch(now time.Time) []Decision {
-	var decisions []Decision
-	var waiting []Waiting
-	for _, w := range c.queue {
-		if !now.Before(w.Deadline) {
-			decisions = append(decisions, *refuse(w, verdict.ReasonQueueTimeout, "no endpoint became free in time"))
-			continue
+// forgetGone removes the endpoints that are off the host list and run nothing, or cannot be reached any more and have
+// only work whose gateways gave up.
+func (c *Cell) forgetGone(now time.Time) {
+	c.endpoints = slices.DeleteFunc(c.endpoints, func(e *endpoint) bool {
+		if !e.absent || !c.isDone(now, e) {
+			return false
 		}
-		if e := c.pick(w.Request); e != nil {
-			decisions = append(decisions, c.grant(e, w))
-			continue
+		e.state = Gone
+		for number := range e.grants {
+			delete(c.byGrant, number)
 		}
-		waiting = append(waiting, w)
-	}
-	c.queue = waiting
-	return decisions
+		delete(c.byID, e.ID)
+		return true
+	})
 }
 
-// NextDeadline returns the earliest deadline in the queue; its second result is false when the queue is empty.
-func (c *Cell) NextDeadline() (time.Time, bool) {
-	if len(c.queue) == 0 {
-		return time.Time{}, false
+func (c *Cell) isDone(now time.Time, e *endpoint) bool {
+	if e.inFlight() == 0 {
+		return true
 	}
-	earliest := c.queue[0].Deadline
-	for _, w := range c.queue[1:] {
-		if w.Deadline.Before(earliest) {
-			earliest = w.Deadline
-		}
+	if e.failures < c.params.loadFailures() {
+		return false
 	}
-	return earliest, true
-}
-
-// pick returns the admitting endpoint with the fewest requests in flight, or nil.
-func (c *Cell) pick(r message.PlaceRequest) *endpoint {
-	var best *endpoint
-	for _, e := range c.endpoints {
-		if !e.admits() || slices.Contains(r.Exclude, e.ID) {
-			continue
-		}
-		if best == nil || e.inFlight() < best.inFlight() {
-			best = e
+	for _, g := range e.grants {
+		if now.Before(g.doubtFrom(c.params)) {
+			return false
 		}
 	}
-	return best
+	return true
 }
 
-// grant opens a grant for a request.
-func (c *Cell) grant(e *endpoint, w Waiting) Decision {
-	c.number++
-	e.grants[c.number] = w.Request
-	g := &message.Grant{
-		Cell: c.id, Number: c.number, Fence: c.fence, Endpoint: e.Endpoint, StartWithin: c.params.StartWithin,
-	}
-	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g}}
-}
-
-// ApplyReport takes the progress or the end of a grant into account. Reports of other owners' grants are ignored.
-func (c *Cell) ApplyReport(_ time.Time, r message.GrantReport) {
-	if r.Fence != c.fence || !r.Event.Ends() {
-		return
-	}
+// Endpoints returns the endpoints whose load reports are needed, sorted by id.
+func (c *Cell) Endpoints() []message.Endpoint {
+	list := make([]message.Endpoint, 0, len(c.endpoints))
 	for _, e := range c.endpoints {
-		if _, ok := e.grants[r.Number]; !ok {
-			continue
-		}
-		delete(e.grants, r.Number)
-		if r.Event == message.GrantCompleted {
-			c.completed(e)
-		}
-		if r.Leaving {
-			e.state = Leaving
-		}
-		return
+		list = append(list, e.Endpoint)
 	}
+	return list
 }
 
-// completed raises the limit after as many completions as the limit allows at once.
-func (c *Cell) completed(e *endpoint) {
-	if e.state != Cold && e.state != Warming {
-		return
-	}
-	e.completed++
-	if e.completed < e.limit {
-		return
-	}
-	e.completed = 0
-	e.limit = min(2*e.limit, c.params.MaxConcurrency)
-	e.state = Warming
-	if e.limit == c.params.MaxConcurrency {
-		e.state = Warm
+// Enqueue adds a request to the queue, or refuses it at once.
+func (c *Cell) Enqueue(now time.Time, w Waiting) *Decision {
+	w.Since = now
+	if len(c.queue) >= c.params.MaxQueue {
+		return c.refuse(w, verdict.ReasonBusy, "the queue is full")
 	}
+	c.queue = append(c.queue, w)
+	return nil
 }
 
-// View returns the state of the cell.
-func (c *Cell) View() View {
-	v := View{Cell: c.id, Fence: c.fence, Queued: map[string]int{}}
-	for _, w := range c.queue {
-		v.Queued[w.Request.Workspace]++
-	}
-	for _, e := range c.endpoints {
-		v.Endpoints = append(v.Endpoints, EndpointView{
-			Endpoint: e.Endpoint, State: e.state, Limit: e.limit, InFlight: e.inFlight(), Load: e.load,
-		})
-	}
-	slices.SortFunc(v.Endpoints, func(a, b EndpointView) int {
-		return strings.Compare(a.Endpoint.ID, b.Endpoint.ID)
-	})
-	return v
+// Cancel removes a waiting request.
+func (c *Cell) Cancel(ticket uint64) {
+	c.queue = slices.DeleteFunc(c.queue, func(w Waiting) bool { return w.Ticket == ticket })
 }
 
-func refuse(w Waiting, reason verdict.Reason, detail string) *Decision {
-	return &Decision{Ticket: w.Ticket, Reply: message.PlaceReply{
-		Refusal: &message.Refusal{Reason: reason, Detail: detail, RetryAfter: busyRetryAfter},
-	}}
-}
+// Stale reports whether an endpoint has refused the cell's fencing token as too old: another node owns the cell.
+func (c *Cell) Stale() bool { return c.stale }
+
+// Counts returns what happened since the cell began.
+func (c *Cell) Counts() Counts { return c.counts }
--- /dev/null
+++ b/decision/admission/cell_cold_test.go
@@ -0,0 +1,107 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/verdict"
+)
+
+// Guards against a cold endpoint receiving more than its cold limit, and against a limit that grows without work.
+func TestColdEndpointStaysWithinLimitUntilWorkCompletes(t *testing.T) {
+	b := newBench(t)
+	b.enqueue(5)
+	assert.Equal(t, len(b.dispatch(full)), 0, "an endpoint without a load report gets no work")
+	b.report(0)
+	first := b.dispatch(full)
+	assert.Equal(t, len(first), 1)
+	b.advance(30 * time.Minute)
+	assert.Equal(t, len(b.dispatch(full)), 0, "time alone must not raise the limit")
+	b.event(first[0].Number, message.GrantCompleted, 10)
+	assert.Equal(t, len(b.dispatch(full)), 2)
+}
+
+// Guards against a limit that grows by work that took too long, as an endpoint in a cold start delivers.
+func TestSlowWorkDoesNotRaiseTheLimit(t *testing.T) {
+	b := newBench(t)
+	b.report(0)
+	b.enqueue(5)
+	g := b.dispatch(full)
+	assert.Equal(t, len(g), 1)
+	b.cell.ApplyReport(b.now, message.GrantReport{
+		Fence: testFence, Number: g[0].Number, Event: message.GrantCompleted, Tokens: 10, Elapsed: 10 * time.Second,
+	})
+	assert.Equal(t, len(b.dispatch(full)), 1)
+}
+
+// Guards against new work for a cold, warming or suspect endpoint while another node may own the cell as well.
+func TestUnconfirmedOwnerSendsOnlyToWarmEndpoints(t *testing.T) {
+	unconfirmed := Authority{Owned: true}
+	b := newBench(t)
+	b.report(0)
+	b.enqueue(2)
+	assert.Equal(t, len(b.dispatch(unconfirmed)), 0)
+	b.cell.Cancel(1)
+	b.cell.Cancel(2)
+	b.warm()
+	b.enqueue(2)
+	grants := b.dispatch(unconfirmed)
+	assert.Equal(t, len(grants), 2)
+	b.event(grants[0].Number, message.GrantStalled, 0)
+	b.event(grants[1].Number, message.GrantProgress, 1)
+	assert.Equal(t, b.view().State, Warming)
+	b.event(grants[0].Number, message.GrantCompleted, 10)
+	b.event(grants[1].Number, message.GrantCompleted, 10)
+	b.enqueue(1)
+	assert.Equal(t, len(b.dispatch(unconfirmed)), 0)
+	assert.Equal(t, len(b.dispatch(full)), 1)
+}
+
+// Guards against an endpoint whose process restarted being loaded as if it were warm.
+func TestNewIncarnationIsCold(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.load.Incarnation = "b"
+	b.advance(time.Second)
+	b.report(0)
+	b.enqueue(5)
+	assert.Equal(t, len(b.dispatch(full)), 1)
+}
+
+// Guards against an endpoint that another owner loads as well receiving up to the whole limit from this one.
+func TestReportBoundsTheExcessOfTwoOwners(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.load.Running, b.load.Waiting = 2, 1
+	b.advance(time.Second)
+	b.report(0)
+	b.advance(time.Millisecond)
+	b.enqueue(5)
+	assert.Equal(t, len(b.dispatch(full)), 1)
+}
+
+// Guards against a grant that lapses before it is made, because its request waited longer than the time to start.
+func TestTimeToStartIsExtendedByTheWait(t *testing.T) {
+	b := newBench(t)
+	b.enqueue(1)
+	b.advance(5 * time.Second)
+	b.report(0)
+	grants := b.dispatch(full)
+	assert.Equal(t, len(grants), 1)
+	assert.Equal(t, grants[0].StartWithin, 6*time.Second)
+}
+
+// Guards against a request that waits until its deadline in a cell that cannot run it, while another cell could.
+func TestRequestThatNoEndpointCanRunIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.report(0)
+	assert.Assert(t, b.cell.Enqueue(b.now, Waiting{
+		Deadline: b.now.Add(time.Hour), Request: message.PlaceRequest{Exclude: []string{"e1"}},
+	}) == nil)
+	decisions := b.cell.Dispatch(b.now, full)
+	assert.Equal(t, len(decisions), 1)
+	assert.Equal(t, decisions[0].Reply.Refusal.Reason, verdict.ReasonNoEndpoint)
+}
--- a/decision/admission/endpoint_view.go
+++ b/decision/admission/endpoint_view.go
@@ -8,5 +8,7 @@
 	State    State
 	Limit    int
 	InFlight int
-	Load     message.LoadReport
+	// Inherited is the part of InFlight that earlier owners started.
+	Inherited int
+	Load      message.LoadReport
 }
--- a/decision/admission/state.go
+++ b/decision/admission/state.go
@@ -5,7 +5,7 @@
 
 // States of an endpoint.
 const (
-	// Unknown endpoints have not sent a load report since this owner took over; they get no work.
+	// Unknown endpoints have no load report that was taken since this owner may admit; they get no work.
 	Unknown State = iota
 	// Cold endpoints bear at most the cold limit.
 	Cold
@@ -17,9 +17,14 @@
 	Suspect
 	// Leaving endpoints are shutting down; they get no new work.
 	Leaving
+	// Gone endpoints are off the host list and run nothing that is still charged.
+	Gone
 )
 
+// States lists all states in their order.
+var States = [...]State{Unknown, Cold, Warming, Warm, Suspect, Leaving, Gone}
+
 // String returns the name that operators see.
 func (s State) String() string {
-	return [...]string{"unknown", "cold", "warming", "warm", "suspect", "leaving"}[s]
+	return [...]string{"unknown", "cold", "warming", "warm", "suspect", "leaving", "gone"}[s]
 }
--- a/decision/admission/view.go
+++ b/decision/admission/view.go
@@ -6,4 +6,5 @@
 	Fence     uint64
 	Queued    map[string]int
 	Endpoints []EndpointView
+	Counts    Counts
 }
--- a/decision/admission/waiting.go
+++ b/decision/admission/waiting.go
@@ -13,4 +13,6 @@
 	Ticket uint64
 	// Deadline is when the request is refused if it has not been granted.
 	Deadline time.Time
+	// Since is when the cell received the request. A grant's time to start is extended by the wait since then.
+	Since time.Time
 }
--- /dev/null
+++ b/service/dispatcher/authority.go
@@ -0,0 +1,29 @@
+package dispatcher
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/decision/admission"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/decision/ownership"
+)
+
+// authority reads what the node may decide for one cell from the snapshots in force.
+type authority struct {
+	cell       string
+	fence      uint64
+	dataCentre string
+	config     *latest.Value[*config.Snapshot]
+	holdings   *latest.Value[ownership.Holdings]
+}
+
+// at returns the authority at the given moment.
+func (a authority) at(now time.Time) admission.Authority {
+	h := a.holdings.Load()
+	hold, ok := h.ByResource[a.cell]
+	dc := a.config.Load().DataCentre(a.dataCentre)
+	return admission.Authority{
+		Owned: ok && hold.Fence == a.fence, Confirmed: h.Confirmed(now), Out: dc == nil || dc.Out,
+	}
+}
--- a/service/dispatcher/cell.go
+++ b/service/dispatcher/cell.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,42 +25,61 @@
 // Cell is the task that admits requests to the endpoints of one cell.
 type Cell struct {
 	id       string
+	fence    uint64
 	log      *zap.Logger
-	loader   Loader
-	interval time.Duration
 	messages mailbox.Mailbox[cellMessage]
+	tickets  atomic.Uint64
+	// life ends when the cell must stop; ended is closed after the last message was handled.
+	life  context.Context
+	ended chan struct{}
 
+	// The fields below belong to the task.
+	poll       loadPoller
+	authority  authority
+	fences     FenceObserver
+	meter      *cellMeter
 	decisions  *admission.Cell
 	waiting    map[uint64]placeMessage
-	nextTicket uint64
 	pollers    map[string]context.CancelFunc
-	ctx        context.Context
-}
-
-// newCell returns the task of a cell that is owned with the given fencing token.
-func newCell(log *zap.Logger, id string, fence uint64, loader Loader, interval time.Duration) *Cell {
-	return &Cell{
-		id: id, log: log, loader: loader, interval: interval, messages: mailbox.New[cellMessage](cellCapacity),
-		decisions: admission.NewCell(id, fence, admission.Params{}),
-		waiting:   map[uint64]placeMessage{}, pollers: map[string]context.CancelFunc{},
-	}
+	pollerTask sync.WaitGroup
 }
 
 // Place asks for a grant and waits until ctx ends. A full mailbox answers with the reason busy.
 func (c *Cell) Place(ctx context.Context, r message.PlaceRequest) (message.PlaceReply, error) {
-	reply := make(chan message.PlaceReply, 1)
-	if !c.messages.TrySend(placeMessage{ctx: ctx, request: r, reply: reply}) {
-		refusal := message.Refusal{Reason: verdict.ReasonBusy, Detail: "the cell has too many waiting messages"}
-		return message.PlaceReply{Refusal: &refusal}, nil
+	m := placeMessage{ticket: c.tickets.Add(1), request: r, reply: make(chan message.PlaceReply, 1)}
+	if !c.messages.TrySend(m) {
+		return refusal(verdict.ReasonBusy, "the cell has too many waiting messages"), nil
 	}
 	select {
-	case answer := <-reply:
+	case answer := <-m.reply:
 		return answer, nil
+	case <-c.ended:
+		return lastReply(m.reply), nil
 	case <-ctx.Done():
+		c.abandon(m)
 		return message.PlaceReply{}, ctx.Err()
 	}
 }
 
+// abandon tells the task that nobody waits for a reply any more. The grant that it may hold is returned.
+func (c *Cell) abandon(m placeMessage) {
+	_ = c.messages.Send(c.life, abandonMessage{ticket: m.ticket, reply: m.reply})
+}
+
+// lastReply returns the reply that the cell made before it ended, or a refusal.
+func lastReply(reply <-chan message.PlaceReply) message.PlaceReply {
+	select {
+	case answer := <-reply:
+		return answer
+	default:
+		return refusal(verdict.ReasonNoOwner, "the cell is changing its owner")
+	}
+}
+
+func refusal(reason verdict.Reason, detail string) message.PlaceReply {
+	return message.PlaceReply{Refusal: &message.Refusal{Reason: reason, Detail: detail}}
+}
+
 // Report tells the cell what happened to a grant.
 func (c *Cell) Report(ctx context.Context, r message.GrantReport) error {
 	return c.messages.Send(ctx, reportMessage{report: r})
@@ -71,19 +92,21 @@
 	})
 }
 
-// run handles messages until ctx ends, then refuses what still waits.
-func (c *Cell) run(ctx context.Context) {
-	c.ctx = ctx
+// run handles messages until the cell's life ends, then refuses what still waits.
+func (c *Cell) run() {
+	defer close(c.ended)
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
-	defer c.refuseWaiting()
+	defer c.stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-c.life.Done():
 			return
 		case m := <-c.messages.Receive():
 			m.apply(c)
 		case <-timer.C:
+			c.pollEndpoints()
+			c.meter.gauges(c.decisions.View())
 		}
 		c.dispatch()
 		timer.Reset(c.untilDeadline())
@@ -92,16 +115,23 @@
 
 // dispatch delivers the decisions that are due.
 func (c *Cell) dispatch() {
-	for _, d := range c.decisions.Dispatch(time.Now()) {
+	now := time.Now()
+	for _, d := range c.decisions.Dispatch(now, c.authority.at(now)) {
 		m, ok := c.waiting[d.Ticket]
 		if !ok {
 			continue
 		}
 		delete(c.waiting, d.Ticket)
-		m.reply <- d.Reply
+		c.answer(m, d.Reply)
 	}
 }
 
+// answer replies to a request. The reply channel has room, so the task never waits for a gateway.
+func (c *Cell) answer(m placeMessage, r message.PlaceReply) {
+	c.meter.decided(r)
+	m.reply <- r
+}
+
 func (c *Cell) untilDeadline() time.Duration {
 	deadline, ok := c.decisions.NextDeadline()
 	if !ok {
@@ -110,26 +140,30 @@
 	return min(idleInterval, max(0, time.Until(deadline)))
 }
 
-// refuseWaiting answers the requests that still wait when the cell ends.
-func (c *Cell) refuseWaiting() {
-	refusal := message.Refusal{Reason: verdict.ReasonNoOwner, Detail: "the cell is changing its owner"}
+// stop answers the requests that still wait, and ends the pollers.
+func (c *Cell) stop() {
 	for _, m := range c.waiting {
-		m.reply <- message.PlaceReply{Refusal: &refusal}
+		c.answer(m, refusal(verdict.ReasonNoOwner, "the cell is changing its owner"))
+	}
+	for _, cancel := range c.pollers {
+		cancel()
 	}
+	c.pollerTask.Wait()
 }
 
-// pollEndpoints runs one load poller for each endpoint.
-func (c *Cell) pollEndpoints(endpoints []message.Endpoint) {
+// pollEndpoints runs one load poller for each endpoint that the decisions need reports of.
+func (c *Cell) pollEndpoints() {
 	present := map[string]bool{}
-	for _, e := range endpoints {
+	for _, e := range c.decisions.Endpoints() {
 		present[e.ID] = true
 		if _, ok := c.pollers[e.ID]; ok {
 			continue
 		}
-		ctx, cancel := context.WithCancel(c.ctx)
+		ctx, cancel := context.WithCancel(c.life)
 		c.pollers[e.ID] = cancel
-		p := loadPoller{endpoint: e, loader: c.loader, interval: c.interval, cell: c}
-		go p.run(ctx)
+		p := c.poll
+		p.endpoint, p.messages = e, c.messages
+		c.pollerTask.Go(func() { p.run(ctx) })
 	}
 	for id, cancel := range c.pollers {
 		if !present[id] {
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/decision/admission"
@@ -27,6 +29,8 @@
 	holdings *latest.Value[ownership.Holdings]
 	cells    *latest.Value[map[string]*Cell]
 
+	scope   tally.Scope
+	fences  FenceObserver
 	running map[string]runningCell
 	tasks   sync.WaitGroup
 }
@@ -40,12 +44,17 @@
 
 // New returns a Dispatcher without cells.
 func New(log *zap.Logger, s settings.Dispatch, loader Loader, current *latest.Value[*config.Snapshot],
-	hosts *latest.Value[[]message.Host], holdings *latest.Value[ownership.Holdings],
+	hosts *latest.Value[[]message.Host], holdings *latest.Value[ownership.Holdings], options ...Option,
 ) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		log: log, settings: s, loader: loader, config: current, hosts: hosts, holdings: holdings,
-		cells: latest.New(map[string]*Cell{}), running: map[string]runningCell{},
+		cells: latest.New(map[string]*Cell{}), scope: tally.NoopScope, fences: noFenceObserver{},
+		running: map[string]runningCell{},
 	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
 }
 
 // Cells holds the running cells by name.
@@ -83,7 +92,7 @@
 			for i := range o.Service.Cells {
 				name := ownership.CellName(o.Name, dc.Name, i, o.Service.Cells)
 				if hold, ok := h.ByResource[name]; ok {
-					d.updateCell(ctx, name, hold, cellMembers(hosts, o, dc.Name, i))
+					d.updateCell(ctx, name, dc.Name, hold, cellMembers(hosts, o, dc.Name, i))
 				}
 			}
 		}
@@ -92,22 +101,40 @@
 }
 
 // updateCell starts a cell if needed and tells it its endpoints.
-func (d *Dispatcher) updateCell(ctx context.Context, name string, hold ownership.Hold, m endpointsMessage) {
+func (d *Dispatcher) updateCell(ctx context.Context, name, dataCentre string, hold ownership.Hold, m endpointsMessage) {
+	m.params.StartWithin = d.settings.StartWithin
+	m.params.MaxQueue = d.settings.MaxQueuePerCell
+	m.params.LoadFailures = d.settings.EndpointFailures
 	r, ok := d.running[name]
 	if !ok {
 		cellCtx, stop := context.WithCancel(ctx)
-		r = runningCell{
-			cell: newCell(d.log, name, hold.Fence, d.loader, d.settings.LoadInterval), fence: hold.Fence, stop: stop,
-		}
+		r = runningCell{cell: d.newCell(cellCtx, name, dataCentre, hold, m.params), fence: hold.Fence, stop: stop}
 		d.running[name] = r
-		d.tasks.Go(func() { r.cell.run(cellCtx) })
+		d.tasks.Go(func() { r.cell.run() })
 		d.log.Info("cell started", zap.String("cell", name), zap.Uint64("fence", hold.Fence))
 	}
-	m.params.StartWithin = d.settings.StartWithin
-	m.params.MaxQueue = d.settings.MaxQueuePerCell
 	_ = r.cell.messages.Send(ctx, m)
 }
 
+// newCell returns the task of a cell that is held with the given hold.
+func (d *Dispatcher) newCell(life context.Context, name, dataCentre string, hold ownership.Hold,
+	params admission.Params,
+) *Cell {
+	return &Cell{
+		id: name, fence: hold.Fence, log: d.log, messages: mailbox.New[cellMessage](cellCapacity),
+		life: life, ended: make(chan struct{}),
+		poll: loadPoller{
+			loader: d.loader, interval: d.settings.LoadInterval, timeout: d.settings.LoadTimeout,
+		},
+		authority: authority{
+			cell: name, fence: hold.Fence, dataCentre: dataCentre, config: d.config, holdings: d.holdings,
+		},
+		fences: d.fences, meter: newCellMeter(d.scope, name),
+		decisions: admission.NewCell(name, hold.Fence, hold.ActiveFrom, params),
+		waiting:   map[uint64]placeMessage{}, pollers: map[string]context.CancelFunc{},
+	}
+}
+
 // publish makes the running cells known to readers.
 func (d *Dispatcher) publish() {
 	cells := make(map[string]*Cell, len(d.running))
--- a/service/dispatcher/endpoints_message.go
+++ b/service/dispatcher/endpoints_message.go
@@ -17,5 +17,5 @@
 func (m endpointsMessage) apply(c *Cell) {
 	c.decisions.SetParams(m.params)
 	c.decisions.SetEndpoints(time.Now(), m.endpoints, m.leaving)
-	c.pollEndpoints(m.endpoints)
+	c.pollEndpoints()
 }
--- a/service/dispatcher/load_message.go
+++ b/service/dispatcher/load_message.go
@@ -6,9 +6,10 @@
 	"azuredyke.dev/azuredyke/common/message"
 )
 
-// loadMessage carries the load report of an endpoint.
+// loadMessage carries the load report of an endpoint. The figures were taken at taken or later.
 type loadMessage struct {
-	load message.LoadReport
+	taken time.Time
+	load  message.LoadReport
 }
 
-func (m loadMessage) apply(c *Cell) { c.decisions.ApplyLoad(time.Now(), m.load) }
+func (m loadMessage) apply(c *Cell) { c.decisions.ApplyLoad(time.Now(), m.taken, m.load) }
--- a/service/dispatcher/load_poller.go
+++ b/service/dispatcher/load_poller.go
@@ -4,15 +4,19 @@
 	"context"
 	"time"
 
+	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/message"
 )
 
-// loadPoller is the task that reads the load reports of one endpoint.
+// loadPoller is the task that reads the load reports of one endpoint. A report that finds the cell's mailbox full is
+// dropped, since the next one replaces it.
 type loadPoller struct {
 	endpoint message.Endpoint
 	loader   Loader
 	interval time.Duration
-	cell     *Cell
+	// timeout bounds each read.
+	timeout  time.Duration
+	messages mailbox.Mailbox[cellMessage]
 }
 
 // run reads reports until ctx ends.
@@ -20,9 +24,7 @@
 	ticker := time.NewTicker(p.interval)
 	defer ticker.Stop()
 	for {
-		if load, err := p.loader.Load(ctx, p.endpoint); err == nil {
-			p.cell.messages.TrySend(loadMessage{load: load})
-		}
+		p.read(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -30,3 +32,17 @@
 		}
 	}
 }
+
+func (p loadPoller) read(ctx context.Context) {
+	readCtx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	asked := time.Now()
+	load, err := p.loader.Load(readCtx, p.endpoint)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		p.messages.TrySend(loadFailedMessage{endpoint: p.endpoint.ID})
+	default:
+		p.messages.TrySend(loadMessage{taken: asked.Add(-load.Age), load: load})
+	}
+}
--- /dev/null
+++ b/service/dispatcher/option.go
@@ -0,0 +1,18 @@
+package dispatcher
+
+import "github.com/uber-go/tally/v4"
+
+// Option configures a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithMetrics reports the metrics of the cells to a scope.
+func WithMetrics(scope tally.Scope) Option { return func(d *Dispatcher) { d.scope = scope } }
+
+// WithFenceObserver tells an observer of refused fencing tokens.
+func WithFenceObserver(o FenceObserver) Option { return func(d *Dispatcher) { d.fences = o } }
+
+// noFenceObserver is used when nobody is told.
+type noFenceObserver struct{}
+
+// StaleFence implements FenceObserver.
+func (noFenceObserver) StaleFence(string, uint64) {}
--- a/service/dispatcher/place_message.go
+++ b/service/dispatcher/place_message.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"time"
 
 	"azuredyke.dev/azuredyke/common/message"
@@ -10,22 +9,19 @@
 
 // placeMessage asks for a grant. The reply channel has room for one reply.
 type placeMessage struct {
-	ctx     context.Context
+	ticket  uint64
 	request message.PlaceRequest
-	reply   chan<- message.PlaceReply
+	reply   chan message.PlaceReply
 }
 
 func (m placeMessage) apply(c *Cell) {
-	c.nextTicket++
-	ticket := c.nextTicket
 	now := time.Now()
 	refused := c.decisions.Enqueue(now, admission.Waiting{
-		Request: m.request, Ticket: ticket, Deadline: now.Add(m.request.MaxWait),
+		Request: m.request, Ticket: m.ticket, Deadline: now.Add(m.request.MaxWait),
 	})
 	if refused != nil {
-		m.reply <- refused.Reply
+		c.answer(m, refused.Reply)
 		return
 	}
-	c.waiting[ticket] = m
-	context.AfterFunc(m.ctx, func() { c.messages.TrySend(cancelMessage{ticket: ticket}) })
+	c.waiting[m.ticket] = m
 }
--- a/service/dispatcher/report_message.go
+++ b/service/dispatcher/report_message.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"azuredyke.dev/azuredyke/common/message"
 )
 
@@ -11,4 +13,12 @@
 	report message.GrantReport
 }
 
-func (m reportMessage) apply(c *Cell) { c.decisions.ApplyReport(time.Now(), m.report) }
+func (m reportMessage) apply(c *Cell) {
+	before := c.decisions.Stale()
+	c.decisions.ApplyReport(time.Now(), m.report)
+	if !before && c.decisions.Stale() {
+		c.log.Warn("an endpoint refused the fencing token; the cell stops admitting",
+			zap.String("cell", c.id), zap.Uint64("fence", c.fence))
+		c.fences.StaleFence(c.id, c.fence)
+	}
+}
