Add links between nodes over WebSocket with CBOR envelopes

Nodes need calls and notices with deadlines, bounded queues and a shared secret. Each link is a task that owns its connection; a stalled link is closed when a ping stays unanswered and the next call opens a new one.

--- /dev/null
+++ b/transport/peer/backoff.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// backoff is the state of an address that could not be dialled.
+type backoff struct {
+	failures int
+	until    time.Time
+}
+
+// next returns the state after one more failure. The wait doubles and is spread over half of its length, so that nodes
+// which lost the same peer do not dial it at the same time.
+func (b backoff) next(now time.Time, least, most time.Duration) backoff {
+	wait := most
+	if b.failures < 16 {
+		wait = min(most, least<<b.failures)
+	}
+	wait = wait/2 + rand.N(wait/2+1)
+	return backoff{failures: b.failures + 1, until: now.Add(wait)}
+}
--- /dev/null
+++ b/transport/peer/codec.go
@@ -0,0 +1,33 @@
+package peer
+
+import "github.com/fxamacker/cbor/v2"
+
+// Bounds of a decoded value, so that a small frame cannot claim a large allocation.
+const (
+	maxNesting  = 16
+	maxElements = 1 << 17
+)
+
+var (
+	encoding = mustEncMode(cbor.EncOptions{IndefLength: cbor.IndefLengthForbidden})
+	decoding = mustDecMode(cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+	})
+)
+
+func mustEncMode(o cbor.EncOptions) cbor.EncMode {
+	m, err := o.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode(o cbor.DecOptions) cbor.DecMode {
+	m, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
--- /dev/null
+++ b/transport/peer/handler.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"runtime/debug"
+
+	"go.uber.org/zap"
+)
+
+// DefaultHandlers is the number of handlers of one kind that may run at a time.
+const DefaultHandlers = 1024
+
+// handler serves one kind of request or notice. It is registered before Run and not changed after.
+type handler struct {
+	slots  chan struct{}
+	notice bool
+	// serve decodes the body, runs the handler and encodes the reply.
+	serve func(ctx context.Context, from string, body []byte) ([]byte, status, string)
+}
+
+// acquire reports whether one more handler may run.
+func (h *handler) acquire() bool {
+	select {
+	case h.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *handler) release() { <-h.slots }
+
+// Handle registers the handler of a kind of request, before Run. At most limit handlers of the kind run at a time, or
+// DefaultHandlers when limit is 0; further requests are answered as busy, which the caller sees as ErrNotDelivered. The
+// context of a handler ends with the caller's deadline, when the caller gives up, and when the link ends.
+func Handle[Q, R any](h *Hub, kind string, limit int, f func(ctx context.Context, from string, q Q) (R, error)) {
+	h.register(kind, limit, false, func(ctx context.Context, from string, body []byte) ([]byte, status, string) {
+		var q Q
+		if err := decoding.Unmarshal(body, &q); err != nil {
+			return nil, statusInvalid, err.Error()
+		}
+		r, err := f(ctx, from, q)
+		if err != nil {
+			return nil, statusFailed, err.Error()
+		}
+		reply, err := encoding.Marshal(r)
+		if err != nil {
+			return nil, statusFailed, err.Error()
+		}
+		return reply, statusOK, ""
+	})
+}
+
+// HandleNotice registers the handler of a kind of notice, before Run. Notices beyond the limit are dropped and counted.
+// Handlers of notices run side by side, so the order of two notices may change.
+func HandleNotice[Q any](h *Hub, kind string, limit int, f func(ctx context.Context, from string, q Q)) {
+	h.register(kind, limit, true, func(ctx context.Context, from string, body []byte) ([]byte, status, string) {
+		var q Q
+		if err := decoding.Unmarshal(body, &q); err != nil {
+			return nil, statusInvalid, err.Error()
+		}
+		f(ctx, from, q)
+		return nil, statusOK, ""
+	})
+}
+
+func (h *Hub) register(kind string, limit int, notice bool,
+	serve func(context.Context, string, []byte) ([]byte, status, string),
+) {
+	if limit == 0 {
+		limit = DefaultHandlers
+	}
+	h.handlers[kind] = &handler{
+		slots: make(chan struct{}, limit), notice: notice,
+		serve: func(ctx context.Context, from string, body []byte) (reply []byte, s status, detail string) {
+			defer func() {
+				if p := recover(); p != nil {
+					h.log.Error("handler panicked", zap.String("kind", kind), zap.Any("panic", p),
+						zap.ByteString("stack", debug.Stack()))
+					reply, s, detail = nil, statusFailed, "the handler panicked"
+				}
+			}()
+			return serve(ctx, from, body)
+		},
+	}
+}
--- /dev/null
+++ b/transport/peer/link.go
@@ -0,0 +1,150 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/mailbox"
+)
+
+// envelopeOverhead is more than the encoded size of an envelope without its body.
+const envelopeOverhead = 512
+
+// link is the task of one connection to another node.
+type link struct {
+	hub *Hub
+	// address is empty for a link that the other side opened.
+	address  string
+	messages mailbox.Mailbox[linkMessage]
+	frames   chan frame
+	// done is closed when the link has ended; err may then be read.
+	done chan struct{}
+	err  error
+
+	ctx  context.Context
+	conn *websocket.Conn
+	// node is the id that the other side gave.
+	node            string
+	connected       bool
+	pending         map[uint64]pendingCall
+	running         map[uint64]context.CancelFunc
+	nextID          uint64
+	lastUsed        time.Time
+	lastReceived    time.Time
+	unansweredSince time.Time
+}
+
+func newLink(h *Hub, address string, conn *websocket.Conn) *link {
+	return &link{
+		hub: h, address: address, conn: conn,
+		messages: mailbox.New[linkMessage](h.options.QueueSize), frames: make(chan frame, h.options.QueueSize),
+		done: make(chan struct{}), pending: map[uint64]pendingCall{}, running: map[uint64]context.CancelFunc{},
+	}
+}
+
+// ended reports whether the link can no longer be used.
+func (l *link) ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// run connects and serves until the connection fails, is idle, or ctx ends.
+func (l *link) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.ctx = ctx
+	var helpers sync.WaitGroup
+	defer func() {
+		cancel()
+		if l.conn != nil {
+			_ = l.conn.CloseNow()
+		}
+		close(l.done)
+		helpers.Wait()
+	}()
+	if l.err = l.connect(ctx); l.err != nil {
+		return
+	}
+	l.connected = true
+	l.lastUsed, l.lastReceived = time.Now(), time.Now()
+	failed := make(chan error, 2)
+	helpers.Go(func() { failed <- l.readFrames(ctx) })
+	helpers.Go(func() { failed <- l.writeFrames(ctx) })
+	l.err = l.loop(ctx, failed)
+	if ctx.Err() == nil {
+		l.hub.log.Debug("link closed", zap.String("node", l.node), zap.Error(l.err))
+	}
+}
+
+// loop handles messages until the link has to end, and says why.
+func (l *link) loop(ctx context.Context, failed <-chan error) error {
+	check := time.NewTicker(l.hub.options.PingAfter)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case m := <-l.messages.Receive():
+			m.apply(l)
+		case now := <-check.C:
+			if err := l.check(now); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// check sends a ping when a frame is overdue, and returns an error when the link is dead or idle.
+func (l *link) check(now time.Time) error {
+	o := l.hub.options
+	maps.DeleteFunc(l.pending, func(_ uint64, c pendingCall) bool { return now.After(c.deadline) })
+	silence := now.Sub(l.lastReceived)
+	switch {
+	case !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) >= o.DeadAfter:
+		return Error.New("no answer within %v", o.DeadAfter)
+	case l.address == "" && len(l.running) > 0 && silence >= 2*o.DeadAfter:
+		// The caller pings while it waits for a reply.
+		return Error.New("no ping within %v", 2*o.DeadAfter)
+	case len(l.pending) == 0 && l.unansweredSince.IsZero():
+		idle := now.Sub(l.lastUsed)
+		if l.address != "" && idle >= o.IdleTimeout || silence >= 2*o.IdleTimeout {
+			return Error.New("idle")
+		}
+		return nil
+	case l.address != "" && silence >= o.PingAfter:
+		l.nextID++
+		l.write(frame{envelope: envelope{Kind: kindPing, ID: l.nextID}})
+		if l.unansweredSince.IsZero() {
+			l.unansweredSince = now
+		}
+	}
+	return nil
+}
+
+// expectFrame notes that something was sent after which the other side must be heard.
+func (l *link) expectFrame() {
+	l.lastUsed = time.Now()
+	if l.unansweredSince.IsZero() && l.address != "" {
+		l.unansweredSince = l.lastUsed
+	}
+}
+
+// write reports whether the writer had room for the frame.
+func (l *link) write(f frame) bool {
+	select {
+	case l.frames <- f:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/transport/peer/link_test.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// Guards against a link that stalls without closing and is used for ever.
+func TestStalledLinkIsReplaced(t *testing.T) {
+	server := startNode(t, Options{}, echo)
+	proxy := startProxy(t, server.address)
+	client := startNode(t, Options{PingAfter: 20 * time.Millisecond, DeadAfter: 200 * time.Millisecond}, nil)
+	_, err := Call[string, string](waitCtx(t), client.hub, proxy.address, "echo", "before")
+	assert.NilError(t, err)
+	proxy.stallOpen()
+	_, err = Call[string, string](waitCtx(t), client.hub, proxy.address, "echo", "lost")
+	assert.Assert(t, ErrMayBeDelivered.Has(err), "%v", err)
+	reply, err := Call[string, string](waitCtx(t), client.hub, proxy.address, "echo", "after")
+	assert.NilError(t, err)
+	assert.Equal(t, reply, "after")
+	assert.Equal(t, proxy.accepted.Load(), int64(2))
+}
+
+// Guards against a stalled link that stays because each of its calls ends, by its own deadline, before the link is dead.
+func TestStalledLinkIsReplacedAfterShortCalls(t *testing.T) {
+	server := startNode(t, Options{}, echo)
+	proxy := startProxy(t, server.address)
+	client := startNode(t, Options{PingAfter: 20 * time.Millisecond, DeadAfter: 200 * time.Millisecond}, nil)
+	_, err := Call[string, string](waitCtx(t), client.hub, proxy.address, "echo", "before")
+	assert.NilError(t, err)
+	proxy.stallOpen()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if _, err := Call[string, string](ctx, client.hub, proxy.address, "echo", "short"); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(longWait))
+	assert.Assert(t, proxy.accepted.Load() >= 2)
+}
+
+// Guards against a handler that waits for a caller whose link has stalled.
+func TestHandlerEndsWhenTheLinkStalls(t *testing.T) {
+	entered, ended := make(chan struct{}), make(chan error, 1)
+	server := startNode(t, Options{PingAfter: 20 * time.Millisecond, DeadAfter: 100 * time.Millisecond}, func(h *Hub) {
+		Handle(h, "wait", 0, func(ctx context.Context, _ string, _ int) (int, error) {
+			close(entered)
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return 0, ctx.Err()
+		})
+	})
+	proxy := startProxy(t, server.address)
+	client := startNode(t, Options{PingAfter: 20 * time.Millisecond, DeadAfter: longWait}, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), longWait)
+	defer cancel()
+	go func() { _, _ = Call[int, int](ctx, client.hub, proxy.address, "wait", 1) }()
+	<-entered
+	proxy.stallOpen()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
+
+// Guards against a long wait for a reply that is taken for a dead link.
+func TestSlowHandlerKeepsTheLink(t *testing.T) {
+	options := Options{PingAfter: 10 * time.Millisecond, DeadAfter: 10 * time.Second, IdleTimeout: 20 * time.Millisecond}
+	server := startNode(t, options, func(h *Hub) {
+		Handle(h, "slow", 0, func(ctx context.Context, _ string, q time.Duration) (string, error) {
+			select {
+			case <-time.After(q):
+				return "done", nil
+			case <-ctx.Done():
+				return "", ctx.Err()
+			}
+		})
+	})
+	client := startNode(t, options, nil)
+	reply, err := Call[time.Duration, string](waitCtx(t), client.hub, server.address, "slow", 500*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, reply, "done")
+}
+
+// Guards against links that stay open for ever, and against calls that fail because a link was closed as idle.
+func TestIdleLinkIsClosedAndOpenedAgain(t *testing.T) {
+	server := startNode(t, Options{}, echo)
+	client := startNode(t, Options{PingAfter: 10 * time.Millisecond, IdleTimeout: 20 * time.Millisecond}, nil)
+	for range 3 {
+		_, err := Call[string, string](waitCtx(t), client.hub, server.address, "echo", "x")
+		assert.NilError(t, err)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n := len(client.hub.current.Load()); n > 0 {
+				return poll.Continue("%d links", n)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(longWait), poll.WithDelay(time.Millisecond))
+	}
+}
+
+// Guards against a node without the shared secret, on either side of a link.
+func TestWrongSecretIsRefused(t *testing.T) {
+	for name, secrets := range map[string][2]string{
+		"other": {"one", "two"}, "dialler has none": {"", "two"}, "acceptor has none": {"one", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := make(chan struct{}, 1)
+			server := startNode(t, Options{Secret: []byte(secrets[1])}, func(h *Hub) {
+				HandleNotice(h, "note", 0, func(context.Context, string, int) { served <- struct{}{} })
+				echo(h)
+			})
+			client := startNode(t, Options{Secret: []byte(secrets[0])}, nil)
+			_, err := Call[string, string](waitCtx(t), client.hub, server.address, "echo", "x")
+			assert.Assert(t, ErrNotDelivered.Has(err), "%v", err)
+			assert.ErrorContains(t, err, "shared secret")
+			assert.Equal(t, len(served), 0)
+		})
+	}
+}
+
+// Guards against an unauthenticated link outside the machine.
+func TestEmptySecretIsForLoopbackOnly(t *testing.T) {
+	client := startNode(t, Options{}, nil)
+	_, err := Call[string, string](waitCtx(t), client.hub, "192.0.2.1:1", "echo", "x")
+	assert.Assert(t, ErrNotDelivered.Has(err))
+	assert.ErrorContains(t, err, "no shared secret")
+	assert.Assert(t, !loopback("192.0.2.1:1") && !loopback("host:1") && loopback("127.0.0.1:1") && loopback("[::1]:1"))
+}
+
+// Guards against calls that hang when their node stops.
+func TestCallsEndWithTheHub(t *testing.T) {
+	entered := make(chan struct{})
+	server := startNode(t, Options{}, func(h *Hub) {
+		Handle(h, "wait", 0, func(ctx context.Context, _ string, _ int) (int, error) {
+			close(entered)
+			<-ctx.Done()
+			return 0, ctx.Err()
+		})
+	})
+	client := startNode(t, Options{}, nil)
+	result := make(chan error, 1)
+	go func() {
+		_, err := Call[int, int](waitCtx(t), client.hub, server.address, "wait", 1)
+		result <- err
+	}()
+	<-entered
+	client.stop()
+	assert.Assert(t, ErrMayBeDelivered.Has(<-result))
+	_, err := Call[int, int](waitCtx(t), client.hub, server.address, "wait", 1)
+	assert.Assert(t, ErrNotDelivered.Has(err))
+}
--- /dev/null
+++ b/transport/peer/options.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Options configures a Hub. Zero durations and bounds take the defaults below.
+type Options struct {
+	// NodeID names this node to the other side of each link.
+	NodeID string
+	// Secret is shared by all nodes. An empty secret is accepted only on loopback addresses.
+	Secret []byte
+	// TLS configures outgoing links; nil means plain text.
+	TLS *tls.Config
+	// Scope receives the counters; nil means none.
+	Scope tally.Scope
+	// DialTimeout bounds connecting and authenticating.
+	DialTimeout time.Duration
+	// CallTimeout bounds calls whose context has no deadline.
+	CallTimeout time.Duration
+	// IdleTimeout is the time without traffic after which an outgoing link is closed.
+	IdleTimeout time.Duration
+	// PingAfter is the time without a frame from the other side, while one is expected, after which a ping is sent.
+	PingAfter time.Duration
+	// DeadAfter is the time without a frame, counted from the first unanswered frame, after which a link is closed. It
+	// also bounds each write.
+	DeadAfter time.Duration
+	// MinBackoff and MaxBackoff bound the wait after failed dials.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	// MaxFrame is the largest frame in bytes.
+	MaxFrame int
+	// QueueSize bounds the frames that wait to be written on one link.
+	QueueSize int
+	// MaxIncoming bounds the links that other nodes have opened.
+	MaxIncoming int
+}
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = 2 * time.Second
+	DefaultCallTimeout = 10 * time.Second
+	DefaultIdleTimeout = time.Minute
+	DefaultPingAfter   = time.Second
+	// DefaultDeadAfter lets a stalled link be replaced within the failover time of a cell.
+	DefaultDeadAfter  = 3 * time.Second
+	DefaultMinBackoff = 100 * time.Millisecond
+	DefaultMaxBackoff = 5 * time.Second
+	// DefaultMaxFrame leaves room for a configuration of 1,500 workspaces of 500 bytes.
+	DefaultMaxFrame    = 4 << 20
+	DefaultQueueSize   = 1024
+	DefaultMaxIncoming = 4096
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.PingAfter, DefaultPingAfter)
+	setDefault(&o.DeadAfter, DefaultDeadAfter)
+	setDefault(&o.MinBackoff, DefaultMinBackoff)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&o.MaxFrame, DefaultMaxFrame)
+	setDefault(&o.QueueSize, DefaultQueueSize)
+	setDefault(&o.MaxIncoming, DefaultMaxIncoming)
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
