Let a caller come back to its stream with Last-Event-ID

Cause: a caller who lost its connection had to start a second generation. Change: event ids name the generation, and hash its workspace, endpoint and node; a request with Last-Event-ID goes on with the generation from the endpoint, at any node. With Azuredyke-Resume-Window the generation survives the hang-up, and the node that holds its grant hands it over.

--- a/service/gateway/answer_writer.go
+++ b/service/gateway/answer_writer.go
@@ -13,6 +13,6 @@
 	fail(err *verdict.Error) bool
 	// started reports whether anything was written to the caller.
 	started() bool
-	// restart forgets the parts of an attempt; it is only called while nothing was written.
-	restart()
+	// begin starts a generation and forgets the parts of an earlier one; it is only called while nothing was written.
+	begin(p streamPosition)
 }
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -33,6 +34,10 @@
 	grant   message.Grant
 	asked   time.Time
 	number  int
+	// generation names the generation at its endpoint.
+	generation string
+	// next is the first part that the caller does not have.
+	next int
 
 	assembler *stream.Assembler
 	started   time.Time
@@ -44,20 +49,43 @@
 }
 
 func newAttempt(s *session, g message.Grant, asked time.Time, number int) *attempt {
-	return &attempt{session: s, grant: g, asked: asked, number: number}
+	return &attempt{
+		session: s, grant: g, asked: asked, number: number, generation: fmt.Sprintf("%s-%d", s.id, number),
+	}
 }
 
-// run sends the request and relays its answer, resuming the generation when its connection breaks or stalls.
+// run sends the request and relays its answer.
 func (a *attempt) run(caller, detached context.Context) *verdict.Error {
+	return a.follow(caller, detached, func(ctx context.Context) *engine.Stream {
+		a.report(detached, message.GrantStarted, nil)
+		return a.session.server.Client.Open(ctx, a.session.startOf(a))
+	})
+}
+
+// reattach relays the rest of a generation that runs already.
+func (a *attempt) reattach(caller, detached context.Context) *verdict.Error {
+	a.resumes = 1
+	return a.follow(caller, detached, a.resume)
+}
+
+// resume asks the endpoint for the parts that the caller does not have.
+func (a *attempt) resume(ctx context.Context) *engine.Stream {
+	return a.session.server.Client.Resume(ctx, a.grant.Endpoint.Address, a.generation, a.assembler.Next())
+}
+
+// follow relays a generation to its end, resuming it when its connection breaks or stalls.
+func (a *attempt) follow(caller, detached context.Context, open func(context.Context) *engine.Stream) *verdict.Error {
 	ctx, cancel := context.WithCancel(detached)
 	defer cancel()
 	a.started = time.Now()
 	a.reported = a.started
-	a.assembler = stream.NewAssembler(a.started, 0)
-	a.report(detached, message.GrantStarted, nil)
-	running := a.session.server.Client.Open(ctx, a.session.startOf(a.grant, a.number, a.asked))
+	a.assembler = stream.NewAssembler(a.started, a.next)
+	running := open(ctx)
 	for {
 		e := a.relay(caller, detached, running)
+		if e.callerGone && a.keep(detached, running) {
+			return errDetached
+		}
 		running.Close()
 		switch {
 		case e.whole:
@@ -70,8 +98,48 @@
 		case !a.waitToResume(caller):
 			return a.hangUp(detached)
 		}
-		running = a.session.server.Client.Resume(
-			ctx, a.grant.Endpoint.Address, a.session.generationName(a.number), a.assembler.Next())
+		running = a.resume(ctx)
+	}
+}
+
+// errDetached ends a session whose generation was handed over or ran to its end without a caller.
+var errDetached = verdict.New(verdict.Ran, verdict.ReasonCancelled, "the caller hung up")
+
+// keep lets the generation of a caller who hung up go on for the resume window, so that the caller can come back for it. It
+// returns when the generation has ended, was taken over or, with false, must be cancelled.
+func (a *attempt) keep(ctx context.Context, running *engine.Stream) bool {
+	if a.session.window == 0 || a.assembler.Next() == 0 {
+		return false
+	}
+	requests := make(chan takeOver)
+	d := a.session.server.Detached
+	if !d.register(ctx, a.generation, requests) {
+		// The caller has come back already. Its new session has no grant, so this one stays charged until a load report
+		// shows that the generation has ended.
+		running.Close()
+		a.report(ctx, message.GrantFailed, nil)
+		return true
+	}
+	defer d.forget(ctx, a.generation)
+	window := time.NewTimer(a.session.window)
+	defer window.Stop()
+	for {
+		select {
+		case <-window.C:
+			return false
+		case r := <-requests:
+			running.Close()
+			r.reply <- a.grant
+			return true
+		case e, ok := <-running.Events():
+			if !ok || e.Kind == engine.EventFailed {
+				return false
+			}
+			if e.Kind == engine.EventEnd {
+				a.report(ctx, message.GrantCompleted, nil)
+				return true
+			}
+		}
 	}
 }
 
@@ -266,7 +334,7 @@
 func (a *attempt) cancel(ctx context.Context, f *engine.Failure) {
 	cancelCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	err := a.session.server.Client.Cancel(cancelCtx, a.grant.Endpoint.Address, a.session.generationName(a.number))
+	err := a.session.server.Client.Cancel(cancelCtx, a.grant.Endpoint.Address, a.generation)
 	if err != nil {
 		a.report(ctx, message.GrantFailed, f)
 		return
@@ -276,6 +344,9 @@
 
 // report tells the owner of the cell what happened to the grant.
 func (a *attempt) report(ctx context.Context, event message.GrantEvent, f *engine.Failure) {
+	if a.grant.Cell == "" && a.grant.Number == 0 {
+		return // A reattached generation whose grant is gone.
+	}
 	r := message.GrantReport{
 		Cell: a.grant.Cell, Fence: a.grant.Fence, Number: a.grant.Number, Event: event, Tokens: a.assembler.Next(),
 		FirstToken: a.first, Elapsed: time.Since(a.started), Sent: true,
--- a/service/gateway/dependencies.go
+++ b/service/gateway/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
@@ -15,4 +16,8 @@
 	Retries    RetryBudget
 	Quarantine Quarantine
 	Client     *engine.Client
+	// Hosts finds the endpoints of generations that callers come back to.
+	Hosts    *latest.Value[[]message.Host]
+	Detached *Detached
+	Handover Handover
 }
--- a/service/gateway/generation.go
+++ b/service/gateway/generation.go
@@ -13,6 +13,9 @@
 
 // serveGeneration serves a completion request of a model.
 func (s *Server) serveGeneration(w http.ResponseWriter, r *http.Request, body []byte, workspace string) *verdict.Error {
+	if r.Header.Get(headerLastEventID) != "" {
+		return s.serveReattach(w, r, workspace)
+	}
 	request, err := parseGenerationRequest(body)
 	if err != nil {
 		return err
@@ -26,7 +29,8 @@
 	session := &session{work: s.newWork(snapshot, workspace, serviceName), path: r.URL.Path, request: request}
 	session.fingerprint = quarantine.Fingerprint(fingerprintOf(request.body, workspace, r.URL.Path))
 	if request.stream {
-		session.writer = newStreamWriter(w, session.id, request.includeUsage)
+		session.writer = newStreamWriter(w, request.includeUsage)
+		session.window = resumeWindow(r)
 	} else {
 		session.writer = newWholeWriter(w, strings.HasSuffix(r.URL.Path, "/chat/completions"))
 	}
--- a/service/gateway/options.go
+++ b/service/gateway/options.go
@@ -8,6 +8,8 @@
 
 // Options configures a Server.
 type Options struct {
+	// NodeID names this node.
+	NodeID string
 	Limits settings.Limits
 	// StallAfter is the shortest time without a part after which a stream is resumed.
 	StallAfter time.Duration
--- a/service/gateway/session.go
+++ b/service/gateway/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -19,6 +18,8 @@
 	path    string
 	request generationRequest
 	writer  answerWriter
+	// window is how long the stream goes on after its caller hung up.
+	window time.Duration
 	// delivered counts the parts of the last attempt.
 	delivered int
 }
@@ -38,6 +39,7 @@
 			return s.fail(err)
 		}
 		a := newAttempt(s, grant, asked, attempt)
+		s.writer.begin(newStreamPosition(a.generation, s.workspaceName, grant.Endpoint.ID, s.server.options.NodeID))
 		err = a.run(caller, detached)
 		s.delivered = a.assembler.Next()
 		if err == nil {
@@ -50,7 +52,6 @@
 		if !a.mayPlaceAgain || !s.mayRetry(caller, attempt, grant.Endpoint.ID) {
 			return s.fail(err)
 		}
-		s.writer.restart()
 		s.server.log.Info("request placed again", zap.String("request", s.id),
 			zap.String("endpoint", grant.Endpoint.ID), zap.Error(err))
 	}
@@ -66,15 +67,12 @@
 	return final
 }
 
-// generationName names the generation of one attempt at its endpoint.
-func (s *session) generationName(attempt int) string { return fmt.Sprintf("%s-%d", s.id, attempt) }
-
 // startOf describes the request of one attempt.
-func (s *session) startOf(g message.Grant, attempt int, asked time.Time) engine.Start {
+func (s *session) startOf(a *attempt) engine.Start {
 	return engine.Start{
-		Address: g.Endpoint.Address, Method: http.MethodPost, Path: s.path, Body: s.request.body,
+		Address: a.grant.Endpoint.Address, Method: http.MethodPost, Path: s.path, Body: s.request.body,
 		Header:    http.Header{"Content-Type": {"application/json"}},
-		RequestID: s.generationName(attempt), Fence: g.Fence, Priority: s.workspace.Priority,
-		Latest: asked.Add(g.StartWithin),
+		RequestID: a.generation, Fence: a.grant.Fence, Priority: s.workspace.Priority,
+		Latest: a.asked.Add(a.grant.StartWithin),
 	}
 }
--- a/service/gateway/site_test.go
+++ b/service/gateway/site_test.go
@@ -146,6 +146,8 @@
 	for _, run := range []func(context.Context){limiter.Run, budget.Run, keeper.Run} {
 		go run(ctx)
 	}
+	detached := NewDetached()
+	go detached.Run(ctx)
 	client := engine.NewClient(time.Second, nil)
 	t.Cleanup(client.Close)
 	s.server = NewServer(zaptest.NewLogger(t), Options{
@@ -153,7 +155,7 @@
 		StallAfter: 100 * time.Millisecond, FirstTokenTimeout: time.Minute, ClaimTimeout: time.Second,
 	}, Dependencies{
 		Config: current, Placer: s.placer, Claimer: s.claimer, Limiter: limiter, Retries: budget, Quarantine: keeper,
-		Client: client,
+		Client: client, Detached: detached, Handover: localHandover{detached}, Hosts: latest.New(hostsOf(endpoints)),
 	}, tally.NoopScope)
 	server := httptest.NewServer(s.server.Handler())
 	t.Cleanup(server.Close)
@@ -226,3 +228,20 @@
 	}
 	return text.String()
 }
+
+// localHandover reaches the detached sessions of one node.
+type localHandover struct {
+	detached *Detached
+}
+
+func (h localHandover) TakeOver(ctx context.Context, _ func(string) bool, generation string) (message.Grant, bool) {
+	return h.detached.TakeOver(ctx, generation)
+}
+
+func hostsOf(endpoints []*scriptedEndpoint) []message.Host {
+	var hosts []message.Host
+	for _, e := range endpoints {
+		hosts = append(hosts, message.Host{ID: e.address, Address: e.address, Service: "notes", DataCentre: "d"})
+	}
+	return hosts
+}
--- a/service/gateway/stream_writer.go
+++ b/service/gateway/stream_writer.go
@@ -14,23 +14,24 @@
 
 // streamWriter passes a generation on as server-sent events.
 type streamWriter struct {
-	w          http.ResponseWriter
-	control    *http.ResponseController
-	generation string
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// position is the event id of the generation's parts without their number.
+	position string
 	// keepUsage is false when the caller did not ask for the usage part.
 	keepUsage bool
 	wrote     bool
 }
 
-func newStreamWriter(w http.ResponseWriter, generation string, keepUsage bool) *streamWriter {
-	return &streamWriter{w: w, control: http.NewResponseController(w), generation: generation, keepUsage: keepUsage}
+func newStreamWriter(w http.ResponseWriter, keepUsage bool) *streamWriter {
+	return &streamWriter{w: w, control: http.NewResponseController(w), keepUsage: keepUsage}
 }
 
 func (s *streamWriter) started() bool { return s.wrote }
 
-func (s *streamWriter) restart() {}
+func (s *streamWriter) begin(p streamPosition) { s.position = p.prefix() }
 
-func (s *streamWriter) begin() {
+func (s *streamWriter) writeHeader() {
 	if s.wrote {
 		return
 	}
@@ -46,12 +47,12 @@
 	if !s.keepUsage && isUsageOnly(data) {
 		return nil
 	}
-	s.begin()
-	return s.write("id: %s:%d\ndata: %s\n\n", s.generation, number, data)
+	s.writeHeader()
+	return s.write("id: %s:%d\ndata: %s\n\n", s.position, number, data)
 }
 
 func (s *streamWriter) end() error {
-	s.begin()
+	s.writeHeader()
 	return s.write("data: [DONE]\n\n")
 }
 
--- a/service/gateway/whole_writer.go
+++ b/service/gateway/whole_writer.go
@@ -22,7 +22,7 @@
 
 func (s *wholeWriter) started() bool { return s.wrote }
 
-func (s *wholeWriter) restart() { s.whole = newWholeAnswer(s.chat) }
+func (s *wholeWriter) begin(streamPosition) { s.whole = newWholeAnswer(s.chat) }
 
 func (s *wholeWriter) part(_ int, data []byte) error { return s.whole.add(data) }
 
