Let the stand-ins of plain services and the host list fail

Tests need calls that fail before and after running, refusals, stalls and damaged lists. The plain service is a task that counts the runs of each Idempotency-Key.

go test -race ./fake/... ./service/development passes.

--- a/fake/hostlist/server.go
+++ b/fake/hostlist/server.go
@@ -14,6 +14,8 @@
 type Server struct {
 	lag   time.Duration
 	lists *latest.Value[[]version]
+	// failure is published by the goroutine that publishes lists.
+	failure *latest.Value[Failure]
 }
 
 // version is one published list.
@@ -24,7 +26,7 @@
 
 // NewServer returns a server whose list is empty.
 func NewServer(lag time.Duration) *Server {
-	return &Server{lag: lag, lists: latest.New([]version(nil))}
+	return &Server{lag: lag, lists: latest.New([]version(nil)), failure: latest.New(FailNone)}
 }
 
 // maxVersions bounds the kept lists.
@@ -40,6 +42,9 @@
 	s.lists.Publish(next)
 }
 
+// SetFailure lets every read fail, or none. The goroutine that publishes lists may call it.
+func (s *Server) SetFailure(f Failure) { s.failure.Publish(f) }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	shown := []hostlist.TargetGroup{}
@@ -48,6 +53,18 @@
 			shown = v.groups
 		}
 	}
+	failure := s.failure.Load()
+	if failure == FailEmpty {
+		shown = []hostlist.TargetGroup{}
+	}
+	data, err := json.Marshal(shown)
+	if err != nil || failure == FailStatus {
+		http.Error(w, "the list is not available", http.StatusServiceUnavailable)
+		return
+	}
+	if failure == FailDamaged {
+		data = data[:len(data)/2]
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(shown)
+	_, _ = w.Write(data)
 }
--- /dev/null
+++ b/fake/plainservice/load_message.go
@@ -0,0 +1,15 @@
+package plainservice
+
+import "azuredyke.dev/azuredyke/transport/engine"
+
+// loadMessage asks for the load report.
+type loadMessage struct {
+	reply chan<- engine.LoadBody
+}
+
+func (m loadMessage) handle(t *task) {
+	m.reply <- engine.LoadBody{
+		Incarnation: "plain", Running: t.stats.InFlight, CompletedTotal: t.stats.Ran - int64(t.stats.InFlight),
+		Draining: t.leaving,
+	}
+}
--- a/service/development/site.go
+++ b/service/development/site.go
@@ -48,7 +48,7 @@
 	log       *zap.Logger
 	node      *node.Node
 	kv        *memory.KV
-	engines   []*fakeengine.Server
+	fakes     []func(context.Context)
 	servers   []*http.Server
 	listeners []net.Listener
 	tasks     sync.WaitGroup
@@ -78,8 +78,8 @@
 func (s *Site) Run(ctx context.Context) error {
 	platformCtx, stopPlatform := context.WithCancel(context.WithoutCancel(ctx))
 	s.tasks.Go(func() { s.kv.Run(platformCtx) })
-	for _, engine := range s.engines {
-		s.tasks.Go(func() { engine.Run(platformCtx) })
+	for _, run := range s.fakes {
+		s.tasks.Go(func() { run(platformCtx) })
 	}
 	for i, server := range s.servers {
 		s.tasks.Go(func() { _ = server.Serve(s.listeners[i]) })
@@ -104,8 +104,9 @@
 	var groups []hostlist.TargetGroup
 	for _, dc := range dataCentres {
 		engine := fakeengine.NewServer(fakeengine.Options{Model: Model, Tokens: answerTokens, StepTime: stepTime})
-		s.engines = append(s.engines, engine)
-		for service, handler := range map[string]http.Handler{Model: engine, PlainService: plainservice.NewServer()} {
+		plain := plainservice.NewServer(plainservice.Options{})
+		s.fakes = append(s.fakes, engine.Run, plain.Run)
+		for service, handler := range map[string]http.Handler{Model: engine, PlainService: plain} {
 			address, err := s.serve(handler)
 			if err != nil {
 				return nil, err
