--- a/service/dispatcher/cell.go
+++ b/service/dispatcher/cell.go
@@ -140,14 +140,11 @@
 	return min(idleInterval, max(0, time.Until(deadline)))
 }
 
-// stop answers the requests that still wait, and ends the pollers.
+// stop answers the requests that still wait, and waits for the pollers, whose contexts have ended.
 func (c *Cell) stop() {
 	for _, m := range c.waiting {
 		c.answer(m, refusal(verdict.ReasonNoOwner, "the cell is changing its owner"))
 	}
-	for _, cancel := range c.pollers {
-		cancel()
-	}
 	c.pollerTask.Wait()
 }
 
