Add a harness that runs real nodes with links that stall in front of them

Integration tests need azuredyked as a process and every stand-in behind a link that can be stalled, delayed or cut.

--- /dev/null
+++ b/test/harness/link.go
@@ -0,0 +1,86 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+// Link is the network path to one server.
+type Link struct {
+	t     testing.TB
+	proxy *toxiproxy.Proxy
+	// stalls counts the stalls, which gives each its own name.
+	stalls int
+}
+
+// directions are the two directions of a connection, as toxiproxy names them.
+var directions = []string{"upstream", "downstream"}
+
+// newLink opens a link to a server until the test ends.
+func newLink(t testing.TB, name, listen, target string) *Link {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	l := &Link{t: t, proxy: toxiproxy.NewProxy(server, name, listen, target)}
+	assert.NilError(t, l.proxy.Start(), name)
+	t.Cleanup(func() {
+		l.Heal()
+		l.proxy.Stop()
+	})
+	return l
+}
+
+// Address returns the address at which the server is reached over the link.
+func (l *Link) Address() string { return l.proxy.Listen }
+
+// Stall stops all data on all connections, old and new, without closing any.
+func (l *Link) Stall() { l.stall(false) }
+
+// StallPresent stops all data on the connections that are open now. New connections are not affected. It may be called
+// again for connections that were opened since.
+func (l *Link) StallPresent() { l.stall(true) }
+
+func (l *Link) stall(spareNew bool) {
+	l.stalls++
+	for _, d := range directions {
+		toxic, err := l.add(fmt.Sprint(stallToxicType, l.stalls), d, stallToxicType, "{}")
+		assert.NilError(l.t, err)
+		if spareNew {
+			toxic.spareNew.Store(true)
+		}
+	}
+}
+
+// Delay adds a latency to each direction.
+func (l *Link) Delay(d time.Duration) {
+	for _, direction := range directions {
+		_, err := l.add("latency", direction, "latency", fmt.Sprintf(`{"latency":%d}`, d.Milliseconds()))
+		assert.NilError(l.t, err)
+	}
+}
+
+// add puts a toxic on one direction. The result is nil for types other than stallToxicType.
+func (l *Link) add(name, direction, kind, attributes string) (*stallToxic, error) {
+	wrapper, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(
+		`{"name":"%s_%s","type":%q,"stream":%q,"attributes":%s}`, name, direction, kind, direction, attributes)))
+	if err != nil {
+		return nil, err
+	}
+	stall, _ := wrapper.Toxic.(*stallToxic)
+	return stall, nil
+}
+
+// Heal ends stalls and delays. Connections that were stalled are closed.
+func (l *Link) Heal() { l.proxy.Toxics.ResetToxics(context.Background()) }
+
+// Cut closes all connections and refuses new ones until Restore.
+func (l *Link) Cut() { l.proxy.Stop() }
+
+// Restore accepts connections again.
+func (l *Link) Restore() { assert.NilError(l.t, l.proxy.Start()) }
--- /dev/null
+++ b/test/harness/seed.go
@@ -0,0 +1,98 @@
+package harness
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"connectrpc.com/connect"
+
+	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
+	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
+)
+
+// Names in the configuration of a site.
+const (
+	// Model is the model, and the service that offers it.
+	Model = "notes"
+	// PlainService is the plain service. Its POST requests may not be repeated.
+	PlainService = "orders"
+	// WorkspaceKey is the key of the only workspace.
+	WorkspaceKey = "test-workspace"
+
+	operatorToken = "test-operator"
+	region        = "local"
+	queueTimeout  = 20_000
+)
+
+// Operator returns a client of the operator API of a node.
+func (s *Site) Operator(n *Node) operatorv1connect.OperatorServiceClient {
+	return operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+n.Settings.Listen.Operators)
+}
+
+// Authorized returns a request with the operator's token.
+func Authorized[T any](message *T) *connect.Request[T] {
+	r := connect.NewRequest(message)
+	r.Header().Set("Authorization", "Bearer "+operatorToken)
+	return r
+}
+
+// seed writes the configuration through the operator API of the first node.
+func (s *Site) seed() {
+	s.t.Helper()
+	o := s.options
+	objects := []*operatorv1.Object{
+		{Name: Model, Spec: &operatorv1.Object_Model{Model: &operatorv1.ModelSpec{Version: "1"}}},
+	}
+	for _, dc := range o.DataCentres {
+		objects = append(objects, &operatorv1.Object{Name: dc, Spec: &operatorv1.Object_DataCentre{
+			DataCentre: &operatorv1.DataCentreSpec{Region: region, State: operatorv1.DataCentreState_DATA_CENTRE_STATE_IN},
+		}})
+	}
+	for name, service := range map[string]*operatorv1.ServiceSpec{
+		Model:        {Type: operatorv1.ServiceType_SERVICE_TYPE_MODEL, Models: []string{Model}},
+		PlainService: {Type: operatorv1.ServiceType_SERVICE_TYPE_PLAIN},
+	} {
+		service.ColdLimit, service.MaxConcurrency = int32(o.ColdLimit), int32(o.MaxConcurrency)
+		service.Cells, service.QueueTimeoutMs, service.HonoursFencing = 1, queueTimeout, o.HonoursFencing
+		objects = append(objects, &operatorv1.Object{Name: name, Spec: &operatorv1.Object_Service{Service: service}})
+	}
+	objects = append(objects, &operatorv1.Object{Name: "test", Spec: &operatorv1.Object_Workspace{
+		Workspace: &operatorv1.WorkspaceSpec{KeyHashes: []string{hash(WorkspaceKey)}, Weight: 1},
+	}})
+	ctx, cancel := s.timeout()
+	defer cancel()
+	for _, object := range objects {
+		_, err := s.Operator(s.Nodes[0]).PutObject(ctx, Authorized(&operatorv1.PutObjectRequest{
+			Object: object, Change: &operatorv1.ChangeInfo{OperationId: rand.Text(), Reason: "test site"},
+		}))
+		s.ok(err, object.GetName())
+	}
+}
+
+// SetDataCentre takes a data centre out or brings it back, through a node.
+func (s *Site) SetDataCentre(n *Node, dc string, state operatorv1.DataCentreState) {
+	s.t.Helper()
+	ctx, cancel := s.timeout()
+	defer cancel()
+	_, err := s.Operator(n).SetDataCentreState(ctx, Authorized(&operatorv1.SetDataCentreStateRequest{
+		Name: dc, State: state, Change: &operatorv1.ChangeInfo{OperationId: rand.Text(), Reason: "test"},
+	}))
+	s.ok(err, dc)
+}
+
+// peerKeyFile writes the shared secret of the nodes.
+func (s *Site) peerKeyFile() string {
+	path := filepath.Join(s.t.TempDir(), "peer.key")
+	s.ok(os.WriteFile(path, []byte("0123456789abcdef0123456789abcdef\n"), 0o600), path)
+	return path
+}
+
+// hash returns the SHA-256 of a secret in hexadecimal.
+func hash(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
