--- a/fake/engine/control_message.go
+++ b/fake/engine/control_message.go
@@ -18,10 +18,12 @@
 }
 
 // control applies a change and returns once it is in force.
-func (s *Server) control(apply func(t *task, now time.Time)) {
-	_, _ = mailbox.Call(s.life, s.inbox, func(reply chan<- struct{}) message {
+// It reports false when the engine has ended.
+func (s *Server) control(apply func(t *task, now time.Time)) bool {
+	_, err := mailbox.Call(s.life, s.inbox, func(reply chan<- struct{}) message {
 		return controlMessage{apply: apply, reply: reply}
 	})
+	return err == nil
 }
 
 // TurnCold makes the engine cold without a sign: its incarnation and its connections stay.
@@ -51,9 +53,11 @@
 	})
 }
 
-// Stats returns the counters.
+// Stats returns the counters, also after the end.
 func (s *Server) Stats() Stats {
 	var stats Stats
-	s.control(func(t *task, _ time.Time) { stats = t.snapshotStats() })
+	if !s.control(func(t *task, _ time.Time) { stats = t.snapshotStats() }) {
+		return s.final.Load()
+	}
 	return stats
 }
--- a/fake/engine/server.go
+++ b/fake/engine/server.go
@@ -19,6 +19,8 @@
 	mux     *http.ServeMux
 	// outside is the condition that every connection sees.
 	outside *latest.Value[condition]
+	// final holds the counters once Run has ended.
+	final *latest.Value[Stats]
 	// life ends when Run has ended.
 	life    context.Context
 	endLife context.CancelFunc
@@ -43,7 +45,7 @@
 func NewServer(o Options) *Server {
 	s := &Server{
 		options: o.withDefaults(), inbox: mailbox.New[message](mailboxCapacity), mux: http.NewServeMux(),
-		outside: latest.New(condition{incarnation: 1}),
+		outside: latest.New(condition{incarnation: 1}), final: latest.New(Stats{}),
 	}
 	s.life, s.endLife = context.WithCancel(context.Background())
 	s.mux.HandleFunc("POST /v1/chat/completions", s.serveGenerate)
@@ -60,7 +62,10 @@
 func (s *Server) Run(ctx context.Context) {
 	defer s.endLife()
 	t := newTask(s.options, s.outside)
-	defer t.closeAll()
+	defer func() {
+		t.closeAll()
+		s.final.Publish(t.snapshotStats())
+	}()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
--- a/fake/plainservice/control_message.go
+++ b/fake/plainservice/control_message.go
@@ -18,10 +18,12 @@
 }
 
 // control applies a change and returns once it is in force.
-func (s *Server) control(apply func(t *task)) {
-	_, _ = mailbox.Call(s.life, s.inbox, func(reply chan<- struct{}) message {
+// It reports false when the service has ended.
+func (s *Server) control(apply func(t *task)) bool {
+	_, err := mailbox.Call(s.life, s.inbox, func(reply chan<- struct{}) message {
 		return controlMessage{apply: apply, reply: reply}
 	})
+	return err == nil
 }
 
 // Fail lets the next n calls fail.
@@ -37,9 +39,11 @@
 // StartLeaving shows draining in load reports and refuses new calls.
 func (s *Server) StartLeaving() { s.control(func(t *task) { t.leaving = true }) }
 
-// Stats returns the counters.
+// Stats returns the counters, also after the end.
 func (s *Server) Stats() Stats {
 	var stats Stats
-	s.control(func(t *task) { stats = t.stats.clone() })
+	if !s.control(func(t *task) { stats = t.stats.clone() }) {
+		return s.final.Load()
+	}
 	return stats
 }
--- a/fake/plainservice/server.go
+++ b/fake/plainservice/server.go
@@ -28,6 +28,8 @@
 	inbox   mailbox.Mailbox[message]
 	// stalledUntil is the end of the present stall.
 	stalledUntil *latest.Value[time.Time]
+	// final holds the counters once Run has ended.
+	final *latest.Value[Stats]
 	// life ends when Run has ended.
 	life    context.Context
 	endLife context.CancelFunc
@@ -40,7 +42,10 @@
 
 // NewServer returns a server that has run nothing.
 func NewServer(o Options) *Server {
-	s := &Server{options: o, inbox: mailbox.New[message](mailboxCapacity), stalledUntil: latest.New(time.Time{})}
+	s := &Server{
+		options: o, inbox: mailbox.New[message](mailboxCapacity), stalledUntil: latest.New(time.Time{}),
+		final: latest.New(Stats{}),
+	}
 	s.life, s.endLife = context.WithCancel(context.Background())
 	return s
 }
@@ -49,6 +54,7 @@
 func (s *Server) Run(ctx context.Context) {
 	defer s.endLife()
 	t := &task{options: s.options, stalledUntil: s.stalledUntil, stats: Stats{Runs: map[string]int{}}}
+	defer func() { s.final.Publish(t.stats.clone()) }()
 	for {
 		select {
 		case <-ctx.Done():
