--- /dev/null
+++ b/decision/placement/alone_filter_test.go
@@ -0,0 +1,16 @@
+package placement
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request that may crash its endpoint taking other requests with it.
+func TestAloneFilter(t *testing.T) {
+	alone, other := &Request{Alone: true}, &Request{}
+	assert.Assert(t, AloneFilter{}.Permits(alone, &Candidate{}))
+	assert.Assert(t, !AloneFilter{}.Permits(alone, &Candidate{InFlight: 1}))
+	assert.Assert(t, AloneFilter{}.Permits(other, &Candidate{InFlight: 1}))
+	assert.Assert(t, !AloneFilter{}.Permits(other, &Candidate{InFlight: 1, Alone: true}))
+}
--- /dev/null
+++ b/decision/placement/expected_memory_scorer.go
@@ -0,0 +1,12 @@
+package placement
+
+// ExpectedMemoryScorer prefers the endpoint with the largest share of memory left at the fullest horizon.
+type ExpectedMemoryScorer struct{}
+
+// Score implements Scorer. An endpoint of unknown size scores one half.
+func (ExpectedMemoryScorer) Score(r *Request, c *Candidate) float64 {
+	if c.Capacity == 0 {
+		return 0.5
+	}
+	return max(0, 1-(c.Other+c.Memory.PeakWith(&r.Memory))/c.Capacity)
+}
--- /dev/null
+++ b/decision/placement/model_filter.go
@@ -0,0 +1,12 @@
+package placement
+
+import "slices"
+
+// ModelFilter permits the endpoints that have the request's model loaded. An endpoint that lists no models has all of
+// its service.
+type ModelFilter struct{}
+
+// Permits implements Filter.
+func (ModelFilter) Permits(r *Request, c *Candidate) bool {
+	return r.Model == "" || len(c.Models) == 0 || slices.Contains(c.Models, r.Model)
+}
--- /dev/null
+++ b/decision/placement/policies.go
@@ -0,0 +1,42 @@
+package placement
+
+import "math/rand/v2"
+
+// Names of the policies, as in the settings.
+const (
+	Azuredyke        = "azuredyke"
+	LeastOutstanding = "least_outstanding"
+	RoundRobin       = "round_robin"
+)
+
+// Weights of the scorers. Memory and the time between tokens matter equally; a matching prefix saves the prefill but no
+// decode step, and outstanding requests only tell apart endpoints that report neither memory nor step times.
+const (
+	memoryWeight      = 1
+	intervalWeight    = 1
+	prefixWeight      = 0.5
+	outstandingWeight = 0.25
+)
+
+// NewPolicy returns the policy of a name; an unknown name means Azuredyke. All policies obey the same filters for state,
+// limit, model and isolation; only Azuredyke looks at memory.
+func NewPolicy(name string, random *rand.Rand, index *PrefixIndex) *Policy {
+	p := &Policy{Filters: []Filter{AdmissibleFilter{}, ExcludeFilter{}, ModelFilter{}, AloneFilter{}}}
+	switch name {
+	case RoundRobin:
+		p.Picker = &RoundRobinPicker{last: -1}
+	case LeastOutstanding:
+		p.Scorers = []WeightedScorer{{Scorer: LeastOutstandingScorer{}, Weight: 1}}
+		p.Picker = MaxScorePicker{Random: random}
+	default:
+		p.Filters = append(p.Filters, ExpectedMemoryFilter{})
+		p.Scorers = []WeightedScorer{
+			{Scorer: ExpectedMemoryScorer{}, Weight: memoryWeight},
+			{Scorer: TokenIntervalScorer{}, Weight: intervalWeight},
+			{Scorer: &PrefixAffinityScorer{Index: index}, Weight: prefixWeight},
+			{Scorer: LeastOutstandingScorer{}, Weight: outstandingWeight},
+		}
+		p.Picker = MaxScorePicker{Random: random}
+	}
+	return p
+}
--- /dev/null
+++ b/decision/placement/token_interval_scorer.go
@@ -0,0 +1,21 @@
+package placement
+
+import "time"
+
+// targetInterval is the stated time between tokens for 95 in 100 (section 1.3 of the design page).
+const targetInterval = 29 * time.Millisecond
+
+// TokenIntervalScorer prefers the endpoint with the shortest predicted time between tokens once the request has joined.
+type TokenIntervalScorer struct{}
+
+// Score implements Scorer. The target interval, and an unknown one, score one half.
+func (TokenIntervalScorer) Score(_ *Request, c *Candidate) float64 {
+	if c.Steps == nil {
+		return 0.5
+	}
+	predicted := c.Steps.Predict(c.InFlight + 1)
+	if predicted == 0 {
+		return 0.5
+	}
+	return float64(targetInterval) / float64(targetInterval+predicted)
+}
