--- a/cmd/azuredyked/serve.go
+++ b/cmd/azuredyked/serve.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"net/http"
+	"context"
 
 	"github.com/spf13/cobra"
-	"github.com/zeebo/errs"
 
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/settings"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/hostlist"
 	"azuredyke.dev/azuredyke/service/node"
 )
 
@@ -35,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	kv, err := openKV(s)
+	kv, err := openKV(context.WithoutCancel(cmd.Context()), s)
 	if err != nil {
 		return err
 	}
@@ -45,16 +42,3 @@
 	}
 	return n.Run(cmd.Context())
 }
-
-// openKV returns the key-value service of the settings.
-func openKV(s settings.Settings) (platform.KV, error) {
-	return nil, errs.New("key-value service of kind %q cannot be reached by this build", s.Platform.KeyValue.Kind)
-}
-
-// openHostList returns the host list of the settings.
-func openHostList(s settings.HostListSettings) platform.HostList {
-	if s.Kind == settings.HostListFile {
-		return hostlist.NewFile(s.Path)
-	}
-	return hostlist.NewHTTP(http.DefaultClient, s.URL)
-}
