--- a/service/node/node.go
+++ b/service/node/node.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 
 	"github.com/zeebo/errs"
@@ -57,6 +55,9 @@
 	if err := n.listeners.open(s.Listen); err != nil {
 		return nil, err
 	}
+	n.settings.Listen = n.listeners.addresses(s.Listen)
+	n.settings.Node.ID = orAddress(s.Node.ID, n.settings.Listen.PeersAdvertised)
+	s = n.settings
 	n.client = engine.NewClient(s.Dispatch.ConnectTimeout, nil)
 	n.keeper = configuration.NewKeeper(logging.For(log, logging.Configuration))
 	n.watcher = configuration.NewWatcher(logging.For(log, logging.Configuration), kv, n.keeper)
@@ -84,7 +85,15 @@
 }
 
 // Addresses returns the addresses that the node listens on.
-func (n *Node) Addresses() settings.Listen { return n.listeners.addresses() }
+func (n *Node) Addresses() settings.Listen { return n.settings.Listen }
+
+// orAddress returns the id, or the address of a node that was given none.
+func orAddress(id, address string) string {
+	if id == "" {
+		return address
+	}
+	return id
+}
 
 // Run serves until ctx ends, then stops gracefully: no request that was accepted is cut.
 func (n *Node) Run(ctx context.Context) error {
@@ -139,55 +148,3 @@
 		s.stop(ctx)
 	}
 }
-
-// listeners are the open listeners of a node.
-type listeners struct {
-	callers, operators, metrics net.Listener
-}
-
-func (l *listeners) open(s settings.Listen) error {
-	for _, item := range []struct {
-		target  *net.Listener
-		address string
-	}{{&l.callers, s.Callers}, {&l.operators, s.Operators}, {&l.metrics, s.Metrics}} {
-		listener, err := net.Listen("tcp", item.address)
-		if err != nil {
-			l.close()
-			return Error.Wrap(err)
-		}
-		*item.target = listener
-	}
-	return nil
-}
-
-func (l *listeners) close() {
-	for _, open := range []net.Listener{l.callers, l.operators, l.metrics} {
-		if open != nil {
-			_ = open.Close()
-		}
-	}
-}
-
-func (l *listeners) addresses() settings.Listen {
-	return settings.Listen{
-		Callers: l.callers.Addr().String(), Operators: l.operators.Addr().String(), Metrics: l.metrics.Addr().String(),
-	}
-}
-
-// healthHandler serves metrics, liveness and readiness.
-func (n *Node) healthHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", n.metrics.Handler)
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
-// ready reports whether the node has a configuration and is not stopping.
-func (n *Node) ready() bool {
-	return n.keeper.Current().Load().Revision() > 0 && !n.gateway.Stopping()
-}
