Admit through the queue and the placement policy, with memory and lengths learned from reports

Cause: the cell picked the endpoint with the fewest requests from a list in the order of arrival. Change: the cell keeps a forecast of the memory of each endpoint from its grants and load reports, learns output lengths from progress and completions, and lets the policy of the settings choose. A request that others overtake for 5 s gets an endpoint reserved, so that small requests cannot keep a large one out for ever. Progress reports cause no scan.

--- a/decision/admission/cell.go
+++ b/decision/admission/cell.go
@@ -1,17 +1,18 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"azuredyke.dev/azuredyke/common/message"
-	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/placement"
+	"azuredyke.dev/azuredyke/decision/queue"
 )
 
-// busyRetryAfter is the advice to callers whose request was refused for lack of room.
-const busyRetryAfter = time.Second
-
 // Cell decides for the endpoints of one cell. It is not safe for concurrent use; one task owns it.
 type Cell struct {
 	id    string
@@ -22,25 +23,39 @@
 	endpoints  []*endpoint
 	byID       map[string]*endpoint
 	// byGrant maps the number of each open grant to its endpoint.
-	byGrant map[uint64]*endpoint
-	queue   []Waiting
-	number  uint64
-	out     bool
-	stale   bool
-	counts  Counts
+	byGrant  map[uint64]*endpoint
+	queue    *queue.Queue[Waiting]
+	placer   *placer
+	lengths  *placement.LengthTables
+	prefixes *placement.PrefixIndex
+	number   uint64
+	out      bool
+	stale    bool
+	counts   Counts
+	// changed is set when something happened that may let a waiting request start; scanned is when the queue was last
+	// looked at, and scannedWith the authority of that moment.
+	changed     bool
+	scanned     time.Time
+	scannedWith Authority
 }
 
 // NewCell returns a cell without endpoints, owned with the given fencing token. It admits nothing before activeFrom.
 func NewCell(id string, fence uint64, activeFrom time.Time, params Params) *Cell {
+	prefixes := placement.NewPrefixIndex()
+	random := rand.New(rand.NewPCG(fence, xxh3.HashString(id)))
 	return &Cell{
 		id: id, fence: fence, activeFrom: activeFrom, params: params,
 		byID: map[string]*endpoint{}, byGrant: map[uint64]*endpoint{},
+		queue:   queue.New[Waiting](queue.Params{Max: params.MaxQueue}),
+		placer:  newPlacer(placement.NewPolicy(params.Policy, random, prefixes)),
+		lengths: placement.NewLengthTables(), prefixes: prefixes,
 	}
 }
 
 // SetParams replaces the parameters.
 func (c *Cell) SetParams(params Params) {
-	c.params = params
+	c.params, c.changed = params, true
+	c.queue.SetParams(queue.Params{Max: params.MaxQueue})
 	for _, e := range c.endpoints {
 		e.clampLimit(params)
 	}
@@ -49,6 +64,7 @@
 // SetEndpoints replaces the endpoints of the host list; leaving names those that get no new work. An endpoint that is
 // missing stays while it may be running work.
 func (c *Cell) SetEndpoints(now time.Time, endpoints []message.Endpoint, leaving map[string]bool) {
+	c.changed = true
 	for _, e := range c.endpoints {
 		e.absent = true
 	}
@@ -56,6 +72,7 @@
 		e := c.byID[m.ID]
 		if e == nil {
 			e = &endpoint{limit: c.params.coldLimit(), grants: map[uint64]*grant{}}
+			e.candidate.Slot = c.freeSlot()
 			c.byID[m.ID] = e
 			c.endpoints = append(c.endpoints, e)
 		}
@@ -68,6 +85,16 @@
 	c.forgetGone(now)
 }
 
+// freeSlot returns the lowest slot of the prefix index that no endpoint has, and empties it.
+func (c *Cell) freeSlot() int {
+	slot := 0
+	for slices.ContainsFunc(c.endpoints, func(e *endpoint) bool { return e.candidate.Slot == slot }) {
+		slot++
+	}
+	c.prefixes.Forget(slot)
+	return slot
+}
+
 // forgetGone removes the endpoints that are off the host list and run nothing, or cannot be reached any more and have
 // only work whose gateways gave up.
 func (c *Cell) forgetGone(now time.Time) {
@@ -108,21 +135,6 @@
 	return list
 }
 
-// Enqueue adds a request to the queue, or refuses it at once.
-func (c *Cell) Enqueue(now time.Time, w Waiting) *Decision {
-	w.Since = now
-	if len(c.queue) >= c.params.MaxQueue {
-		return c.refuse(w, verdict.ReasonBusy, "the queue is full")
-	}
-	c.queue = append(c.queue, w)
-	return nil
-}
-
-// Cancel removes a waiting request.
-func (c *Cell) Cancel(ticket uint64) {
-	c.queue = slices.DeleteFunc(c.queue, func(w Waiting) bool { return w.Ticket == ticket })
-}
-
 // Stale reports whether an endpoint has refused the cell's fencing token as too old: another node owns the cell.
 func (c *Cell) Stale() bool { return c.stale }
 
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -6,67 +6,89 @@
 
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/queue"
 )
 
-// Dispatch grants what may start now and refuses what has waited too long. The authority must have been read after now.
+// Dispatch grants what may start now and refuses what has waited too long. The authority must be that of the same moment.
 func (c *Cell) Dispatch(now time.Time, a Authority) []Decision {
 	c.setOut(a.Out)
 	switch {
 	case !a.Owned || c.stale:
-		return c.refuseAll(verdict.ReasonNoOwner, "the cell is changing its owner")
+		return c.refuseAll(now, verdict.ReasonNoOwner, "the cell is changing its owner")
 	case a.Out:
-		return c.refuseAll(verdict.ReasonNoEndpoint, "the data centre is out")
+		return c.refuseAll(now, verdict.ReasonNoEndpoint, "the data centre is out")
 	}
-	var decisions []Decision
-	var waiting []Waiting
-	for _, w := range c.queue {
-		if !now.Before(w.Deadline) {
-			decisions = append(decisions, *c.refuse(w, verdict.ReasonQueueTimeout, "no endpoint became free in time"))
-			continue
+	decisions := c.expire(now)
+	if now.Before(c.activeFrom) || c.queue.Len() == 0 || !c.scanIsDue(now, a) {
+		return decisions
+	}
+	c.placer.release(c.queue.Has)
+	c.placer.begin(now, a.Confirmed, c.endpoints)
+	if c.placer.staying == 0 {
+		return append(decisions, c.refuseAll(now, verdict.ReasonNoEndpoint, "no endpoint of the cell takes new work")...)
+	}
+	c.queue.Scan(now, func(i *queue.Item[Waiting]) queue.Outcome {
+		if c.isHopeless(i.Value.Request) {
+			decisions = append(decisions, *c.refuse(i.Value, verdict.ReasonNoEndpoint, "no endpoint of the cell can run the request"))
+			return queue.Drop
 		}
-		if c.isHopeless(now, w.Request) {
-			decisions = append(decisions, *c.refuse(w, verdict.ReasonNoEndpoint, "no endpoint of the cell can run the request"))
-			continue
+		if c.placer.free == 0 {
+			return queue.Stop
 		}
-		if e := c.pick(now, a, w.Request); e != nil {
-			decisions = append(decisions, c.grant(now, e, w))
-			continue
+		e := c.choose(now, a.Confirmed, i)
+		if e == nil {
+			return queue.Skip
 		}
-		waiting = append(waiting, w)
-	}
-	c.queue = waiting
+		decisions = append(decisions, c.grant(now, e, i.Value))
+		c.placer.granted(now, a.Confirmed, e)
+		return queue.Take
+	})
 	return decisions
 }
 
-// setOut takes the data centre out or back in. On its return every endpoint is cold.
-func (c *Cell) setOut(out bool) {
-	if c.out && !out {
-		for _, e := range c.endpoints {
-			if e.state != Unknown && e.state != Leaving {
-				e.becomeCold(c.params)
-			}
-		}
+// scanIsDue reports whether a look at the queue can have a new result: something changed since the last one, a probe is
+// due, or time that matters for ageing and reservations has passed. Progress reports, most of all messages, change nothing.
+func (c *Cell) scanIsDue(now time.Time, a Authority) bool {
+	probe := !c.placer.probe.IsZero() && !now.Before(c.placer.probe)
+	if !c.changed && !probe && a == c.scannedWith && now.Before(c.scanned.Add(scanInterval)) {
+		return false
 	}
-	c.out = out
+	c.changed, c.scannedWith, c.scanned = false, a, now
+	return true
 }
 
-// NextDeadline returns the earliest deadline in the queue; its second result is false when the queue is empty.
-func (c *Cell) NextDeadline() (time.Time, bool) {
-	if len(c.queue) == 0 {
-		return time.Time{}, false
+// expire refuses what has waited too long.
+func (c *Cell) expire(now time.Time) []Decision {
+	var decisions []Decision
+	for _, i := range c.queue.Expired(now) {
+		decisions = append(decisions, *c.refuse(i.Value, verdict.ReasonQueueTimeout, "no endpoint became free in time"))
 	}
-	earliest := c.queue[0].Deadline
-	for _, w := range c.queue[1:] {
-		if w.Deadline.Before(earliest) {
-			earliest = w.Deadline
-		}
+	return decisions
+}
+
+// choose returns the endpoint on which a waiting request starts, or nil. A request that others overtook for too long,
+// because it needs more room than becomes free at once, gets an endpoint reserved.
+func (c *Cell) choose(now time.Time, confirmed bool, i *queue.Item[Waiting]) *endpoint {
+	r := &i.Value.Request
+	overdue := c.placer.reservation.endpoint == nil &&
+		i.Waited(now) >= min(reserveAfter, i.Deadline.Sub(i.Value.Since)/2)
+	mine := c.placer.reservation.ticket == i.Ticket
+	if !overdue && !mine && c.placer.hasFailed(r) {
+		return nil
 	}
-	return earliest, true
+	at, ok := c.placer.choose(now, confirmed, &i.Value, c.forecast(r, 0, c.endpoints[0]))
+	switch {
+	case ok:
+		return c.endpoints[at]
+	case overdue:
+		c.placer.reserve(i.Ticket, c.endpoints)
+	}
+	return nil
 }
 
-// isHopeless reports whether every endpoint is leaving or excluded, so that the request can only run in another cell.
-func (c *Cell) isHopeless(now time.Time, r message.PlaceRequest) bool {
-	if now.Before(c.activeFrom) {
+// isHopeless reports whether every endpoint that stays is excluded, so that the request can only run in another cell.
+func (c *Cell) isHopeless(r message.PlaceRequest) bool {
+	if len(r.Exclude) == 0 {
 		return false
 	}
 	for _, e := range c.endpoints {
@@ -77,54 +99,35 @@
 	return true
 }
 
-// pick returns the admitting endpoint with the fewest requests in flight, or nil.
-func (c *Cell) pick(now time.Time, a Authority, r message.PlaceRequest) *endpoint {
-	if now.Before(c.activeFrom) {
-		return nil
-	}
-	var best *endpoint
-	for _, e := range c.endpoints {
-		if !e.admits(now, a.Confirmed) || slices.Contains(r.Exclude, e.ID) || e.alone() {
-			continue
-		}
-		if r.Alone && e.inFlight() > 0 {
-			continue
-		}
-		if best == nil || e.inFlight() < best.inFlight() {
-			best = e
+// setOut takes the data centre out or back in. On its return every endpoint is cold.
+func (c *Cell) setOut(out bool) {
+	if c.out && !out {
+		for _, e := range c.endpoints {
+			if e.state != Unknown && e.state != Leaving {
+				e.becomeCold(c.params)
+			}
 		}
 	}
-	return best
+	c.out = out
 }
 
 // grant opens a grant for a request.
 func (c *Cell) grant(now time.Time, e *endpoint, w Waiting) Decision {
 	c.number++
 	c.counts.Grants++
-	e.grants[c.number] = &grant{request: w.Request, at: now, heard: now, probe: e.state == Suspect}
+	opened := &grant{request: w.Request, at: now, heard: now, probe: e.state == Suspect}
+	e.grants[c.number] = opened
 	e.sinceReport++
+	if w.Request.Alone {
+		e.alone++
+	}
+	e.addMemory(opened, c.forecast(&opened.request, 0, e))
+	c.prefixes.Add(e.candidate.Slot, w.Request.PrefixHashes)
 	c.byGrant[c.number] = e
 	// The gateway counts from a moment before w.Since, so the grant lapses at most params.StartWithin from now.
 	g := &message.Grant{
 		Cell: c.id, Number: c.number, Fence: c.fence, Endpoint: e.Endpoint,
-		StartWithin: now.Sub(w.Since) + c.params.StartWithin,
+		StartWithin: now.Sub(w.Since) + c.params.StartWithin, TokenInterval: e.steps.Predict(e.inFlight()),
 	}
 	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g, Summary: c.summary(now)}}
 }
-
-// refuseAll empties the queue.
-func (c *Cell) refuseAll(reason verdict.Reason, detail string) []Decision {
-	decisions := make([]Decision, 0, len(c.queue))
-	for _, w := range c.queue {
-		decisions = append(decisions, *c.refuse(w, reason, detail))
-	}
-	c.queue = nil
-	return decisions
-}
-
-func (c *Cell) refuse(w Waiting, reason verdict.Reason, detail string) *Decision {
-	return &Decision{Ticket: w.Ticket, Reply: message.PlaceReply{
-		Refusal: &message.Refusal{Reason: reason, Detail: detail, RetryAfter: busyRetryAfter},
-		Summary: message.CellSummary{Queued: len(c.queue)},
-	}}
-}
--- a/decision/admission/cell_load.go
+++ b/decision/admission/cell_load.go
@@ -13,11 +13,15 @@
 	if e == nil {
 		return
 	}
-	if e.load.Incarnation == load.Incarnation {
-		c.counts.Preemptions += max(0, load.PreemptionsTotal-e.load.PreemptionsTotal)
-	}
+	c.changed = true
+	before := e.load
 	open := len(e.grants)
 	e.applyLoad(now, taken, load, c.activeFrom, c.params)
+	if e.load.Incarnation != before.Incarnation {
+		c.prefixes.Forget(e.candidate.Slot)
+	} else {
+		c.counts.Preemptions += max(0, e.load.PreemptionsTotal-before.PreemptionsTotal)
+	}
 	if len(e.grants) < open {
 		c.counts.Released += int64(open - len(e.grants))
 		c.forgetReleased()
--- a/decision/admission/cell_report.go
+++ b/decision/admission/cell_report.go
@@ -28,6 +28,8 @@
 		e.updateLeaving(c.params)
 	}
 	g.heard = now
+	state := e.state
+	defer func() { c.changed = c.changed || r.Event.Ends() || e.state != state }()
 	switch r.Event {
 	case message.GrantStarted:
 		g.start(now)
@@ -61,10 +63,13 @@
 
 // progress notes the tokens of a grant; new ones show that its endpoint works.
 func (c *Cell) progress(e *endpoint, g *grant, tokens int) {
-	if tokens > g.tokens {
-		g.tokens = tokens
-		e.sawToken(c.params)
+	if tokens <= g.tokens {
+		return
 	}
+	c.lengths.Grew(g.request.Workspace, g.tokens, tokens)
+	g.tokens = tokens
+	e.replaceMemory(g, c.forecast(&g.request, tokens, e))
+	e.sawToken(c.params)
 }
 
 // late makes the endpoint of a stalled grant suspect, and a failed probe wait longer.
@@ -93,6 +98,7 @@
 	switch r.Event {
 	case message.GrantCompleted:
 		e.ends = append(e.ends, ended{granted: g.at, ended: now})
+		c.learnLength(g, r.Tokens)
 		e.sawToken(c.params)
 		if c.inTime(r) {
 			e.creditCompleted(1, c.params)
@@ -102,6 +108,17 @@
 	}
 }
 
+// learnLength notes how long an answer became. An answer that reached the caller's bound did not end by itself.
+func (c *Cell) learnLength(g *grant, tokens int) {
+	if g.request.Model == "" || tokens == 0 {
+		return
+	}
+	c.lengths.Grew(g.request.Workspace, g.tokens, tokens)
+	if g.request.MaxTokens == 0 || tokens < g.request.MaxTokens {
+		c.lengths.Ended(g.request.Workspace, tokens)
+	}
+}
+
 // remove forgets an open grant.
 func (c *Cell) remove(now time.Time, e *endpoint, g *grant, number uint64) {
 	e.drop(number, g)
--- a/decision/admission/cell_view.go
+++ b/decision/admission/cell_view.go
@@ -4,14 +4,13 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/decision/queue"
 )
 
 // View returns the state of the cell.
 func (c *Cell) View() View {
 	v := View{Cell: c.id, Fence: c.fence, Queued: map[string]int{}, Counts: c.counts}
-	for _, w := range c.queue {
-		v.Queued[w.Request.Workspace]++
-	}
+	c.queue.Each(func(i *queue.Item[Waiting]) { v.Queued[i.Workspace]++ })
 	for _, e := range c.endpoints {
 		v.Endpoints = append(v.Endpoints, EndpointView{
 			Endpoint: e.Endpoint, State: e.state, Limit: e.limit, InFlight: e.inFlight(), Inherited: e.inherited, Load: e.load,
@@ -22,7 +21,7 @@
 
 // summary tells a router how busy the cell is.
 func (c *Cell) summary(now time.Time) message.CellSummary {
-	s := message.CellSummary{Queued: len(c.queue)}
+	s := message.CellSummary{Queued: c.queue.Len()}
 	if now.Before(c.activeFrom) || c.out || c.stale {
 		return s
 	}
--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/decision/placement"
 )
 
 // endpoint is what a cell knows about one endpoint.
@@ -13,11 +14,17 @@
 	limit int
 	// grants holds the open grants by number.
 	grants map[uint64]*grant
+	// alone counts the open grants of requests that must run alone.
+	alone int
 	// inherited counts the work of earlier owners that load reports have not shown to be gone.
 	inherited int
 	// completed counts the requests finished at the present limit.
 	completed int
 
+	// candidate is the endpoint as placement sees it; steps is its model of the step time.
+	candidate placement.Candidate
+	steps     placement.StepModel
+
 	load message.LoadReport
 	// taken is a moment before the figures of load were taken.
 	taken time.Time
@@ -72,16 +79,6 @@
 	}
 }
 
-// alone reports whether a request that must run alone is on the endpoint.
-func (e *endpoint) alone() bool {
-	for _, g := range e.grants {
-		if g.request.Alone {
-			return true
-		}
-	}
-	return false
-}
-
 // isLeaving reports whether any source says that the endpoint is leaving.
 func (e *endpoint) isLeaving() bool { return e.absent || e.listed || e.reported || e.refused }
 
--- a/decision/admission/endpoint_load.go
+++ b/decision/admission/endpoint_load.go
@@ -20,6 +20,7 @@
 	restarted := !e.taken.IsZero() && before.Incarnation != load.Incarnation
 	if restarted {
 		e.refused, e.samples = false, nil
+		e.steps.Reset()
 	}
 	e.reported = load.Leaving
 	if taken.Before(activeFrom) {
@@ -38,7 +39,9 @@
 			e.becomeCold(p)
 		}
 	}
+	e.steps.Observe(load.Running, load.StepTime)
 	fell := e.settle(now, p)
+	e.measureMemory()
 	if !first && !restarted {
 		e.creditInherited(fell, load.CompletedTotal-before.CompletedTotal, p)
 	}
@@ -128,6 +131,10 @@
 // drop removes an open grant.
 func (e *endpoint) drop(number uint64, g *grant) {
 	delete(e.grants, number)
+	e.candidate.Memory.Remove(&g.memory)
+	if g.request.Alone {
+		e.alone--
+	}
 	if !g.at.Before(e.taken) {
 		e.sinceReport--
 	}
--- a/decision/admission/grant.go
+++ b/decision/admission/grant.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/decision/placement"
 )
 
 // grant is an open grant: a request that may be running on its endpoint.
@@ -18,6 +19,8 @@
 	// failed is when the gateway reported that the connection failed; zero until then.
 	failed time.Time
 	tokens int
+	// memory is the part of the endpoint's forecast that this grant makes up.
+	memory placement.Forecast
 	// probe is set when the grant was made to a suspect endpoint.
 	probe bool
 }
--- a/decision/admission/params.go
+++ b/decision/admission/params.go
@@ -15,6 +15,10 @@
 	// firstProbe and maxProbe bound the exponential back-off between the probes of a suspect endpoint.
 	firstProbe = time.Second
 	maxProbe   = 30 * time.Second
+	// scanInterval is the longest time without a look at a queue in which requests wait.
+	scanInterval = 50 * time.Millisecond
+	// reserveAfter is the longest wait after which a request that others overtake gets an endpoint reserved.
+	reserveAfter = 5 * time.Second
 	// defaultTokenInterval is four times the 29 ms between tokens of the stated target.
 	defaultTokenInterval = 116 * time.Millisecond
 	// defaultLoadFailures is used when Params leaves LoadFailures at 0.
@@ -32,6 +36,8 @@
 	MaxQueue int
 	// LoadFailures is the number of failed load reports in a row after which an endpoint is suspect; 0 means 3.
 	LoadFailures int
+	// Policy names the placement policy; it counts when the cell is made. Empty means the default policy.
+	Policy string
 	// TokenInterval is the longest mean time between tokens at which completed work raises a limit; 0 means 116 ms.
 	TokenInterval time.Duration
 }
--- a/decision/queue/queue.go
+++ b/decision/queue/queue.go
@@ -20,6 +20,8 @@
 	byTicket map[uint64]*Item[T]
 	sequence uint64
 	rate     rateMeter
+	// earliest is at most the earliest deadline, so that a look at the deadlines is rarely needed.
+	earliest time.Time
 }
 
 // New returns an empty queue.
@@ -37,6 +39,12 @@
 // Len returns the number of waiting items.
 func (q *Queue[T]) Len() int { return len(q.byTicket) }
 
+// Has reports whether an item waits.
+func (q *Queue[T]) Has(ticket uint64) bool {
+	_, ok := q.byTicket[ticket]
+	return ok
+}
+
 // Push adds an item, or refuses it when the queue is full or the item would wait past its deadline.
 func (q *Queue[T]) Push(now time.Time, i Item[T]) *Refusal {
 	i.class = min(max(i.Priority, 0), classes-1)
@@ -52,6 +60,9 @@
 	q.sequence++
 	i.arrived, i.sequence = now, q.sequence
 	item := &i
+	if len(q.byTicket) == 0 || i.Deadline.Before(q.earliest) {
+		q.earliest = i.Deadline
+	}
 	q.byTicket[i.Ticket] = item
 	q.classes[i.class].insert(now, item)
 	return nil
@@ -130,25 +141,26 @@
 	}
 }
 
-// NextDeadline returns the earliest deadline; the second result is false when the queue is empty.
-func (q *Queue[T]) NextDeadline() (time.Time, bool) {
-	var earliest time.Time
-	for _, i := range q.byTicket {
-		if earliest.IsZero() || i.Deadline.Before(earliest) {
-			earliest = i.Deadline
-		}
-	}
-	return earliest, len(q.byTicket) > 0
-}
+// NextDeadline returns when Expired must be called next, which is the earliest deadline or sooner; the second result is
+// false when the queue is empty.
+func (q *Queue[T]) NextDeadline() (time.Time, bool) { return q.earliest, len(q.byTicket) > 0 }
 
 // Expired removes and returns the items whose deadline has passed.
 func (q *Queue[T]) Expired(now time.Time) []Item[T] {
+	if len(q.byTicket) == 0 || now.Before(q.earliest) {
+		return nil
+	}
 	var late []Item[T]
+	var earliest time.Time
 	for _, i := range q.byTicket {
-		if !now.Before(i.Deadline) {
+		switch {
+		case !now.Before(i.Deadline):
 			late = append(late, *i)
+		case earliest.IsZero() || i.Deadline.Before(earliest):
+			earliest = i.Deadline
 		}
 	}
+	q.earliest = earliest
 	for _, i := range late {
 		q.Remove(i.Ticket)
 	}
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -105,6 +105,7 @@
 	m.params.StartWithin = d.settings.StartWithin
 	m.params.MaxQueue = d.settings.MaxQueuePerCell
 	m.params.LoadFailures = d.settings.EndpointFailures
+	m.params.Policy = d.settings.Policy
 	r, ok := d.running[name]
 	if !ok {
 		cellCtx, stop := context.WithCancel(ctx)
