Add azuredykectl, the command line of the operator API

Operators had only the RPC interface. A lost answer to a change is reported as an unknown outcome (8), not as a refusal.

--- /dev/null
+++ b/cmd/azuredykectl/exit_code.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"connectrpc.com/connect"
+	"github.com/zeebo/errs"
+)
+
+// Exit codes. They are part of the command's interface and do not change.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitNotFound    = 4
+	exitUnavailable = 5
+	exitInvalid     = 6
+	exitPermission  = 7
+	exitUnknown     = 8
+	exitNotInForce  = 9
+)
+
+// exitCodeHelp documents the exit codes in the help.
+const exitCodeHelp = `Exit codes:
+  0  ok
+  1  any other failure, such as a file that cannot be read
+  2  wrong usage, or a document that cannot be parsed; nothing was sent
+  3  conflict: the object has changed, or the operation id was used for a different change
+  4  not found
+  5  unavailable: nothing was changed, try again later
+  6  invalid: the resulting configuration is refused
+  7  permission: the token is unknown or lacks the role
+  8  outcome unknown: the change may have taken effect; run it again with the same --operation-id
+  9  accepted, but not in force on every node within --wait-timeout`
+
+// errNotInForce is the class of changes that were accepted but did not reach every node in time.
+var errNotInForce = errs.Class("not in force everywhere")
+
+// exitCode returns the exit code of a failed command.
+func exitCode(failed *commandError) int {
+	if errNotInForce.Has(failed.err) {
+		return exitNotInForce
+	}
+	var rpc *connect.Error
+	if !errors.As(failed.err, &rpc) {
+		return exitFailed
+	}
+	if failed.changes && outcomeLost(failed.err) {
+		return exitUnknown
+	}
+	switch rpc.Code() {
+	case connect.CodeAborted, connect.CodeAlreadyExists:
+		return exitConflict
+	case connect.CodeNotFound:
+		return exitNotFound
+	case connect.CodeInvalidArgument, connect.CodeResourceExhausted, connect.CodeOutOfRange:
+		return exitInvalid
+	case connect.CodePermissionDenied, connect.CodeUnauthenticated:
+		return exitPermission
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeFailedPrecondition:
+		return exitUnavailable
+	case connect.CodeUnknown:
+		if failed.changes {
+			return exitUnknown
+		}
+		return exitFailed
+	default:
+		return exitFailed
+	}
+}
+
+// outcomeLost reports whether a change may have been sent without a definite answer. Only an answer of the server itself
+// and a connection that was never made are definite.
+func outcomeLost(err error) bool {
+	if connect.IsWireError(err) {
+		code := connect.CodeOf(err)
+		return code == connect.CodeUnknown || code == connect.CodeDeadlineExceeded || code == connect.CodeCanceled ||
+			code == connect.CodeInternal
+	}
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return false
+	}
+	code := connect.CodeOf(err)
+	return code == connect.CodeUnavailable || code == connect.CodeUnknown || code == connect.CodeInternal ||
+		code == connect.CodeDeadlineExceeded || code == connect.CodeCanceled ||
+		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
--- /dev/null
+++ b/cmd/azuredykectl/message_to_map.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// messageToMap returns the fields of a message by the names of the .proto file. Enums are shown by their short
+// lower-case names. Fields of messages that are not set are left out; all others are present.
+func messageToMap(m protoreflect.Message) map[string]any {
+	out := map[string]any{}
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		if !m.Has(field) && (field.Message() != nil && !field.IsList() && !field.IsMap() || field.HasPresence()) {
+			continue
+		}
+		out[string(field.Name())] = fieldToAny(field, m.Get(field))
+	}
+	return out
+}
+
+func fieldToAny(field protoreflect.FieldDescriptor, value protoreflect.Value) any {
+	switch {
+	case field.IsMap():
+		entries := map[string]any{}
+		value.Map().Range(func(key protoreflect.MapKey, v protoreflect.Value) bool {
+			entries[key.String()] = scalarToAny(field.MapValue(), v)
+			return true
+		})
+		return entries
+	case field.IsList():
+		items := make([]any, 0, value.List().Len())
+		for i := range value.List().Len() {
+			items = append(items, scalarToAny(field, value.List().Get(i)))
+		}
+		return items
+	default:
+		return scalarToAny(field, value)
+	}
+}
+
+func scalarToAny(field protoreflect.FieldDescriptor, value protoreflect.Value) any {
+	switch field.Kind() {
+	case protoreflect.MessageKind:
+		return messageToMap(value.Message())
+	case protoreflect.EnumKind:
+		if v := field.Enum().Values().ByNumber(value.Enum()); v != nil {
+			return strings.ToLower(strings.TrimPrefix(string(v.Name()), enumPrefix(field.Enum())))
+		}
+		return int32(value.Enum())
+	default:
+		return value.Interface()
+	}
+}
+
+// enumPrefix returns the prefix that the names of an enum's values share: that of the value 0, which ends in UNSPECIFIED.
+func enumPrefix(enum protoreflect.EnumDescriptor) string {
+	return strings.TrimSuffix(string(enum.Values().Get(0).Name()), "UNSPECIFIED")
+}
--- /dev/null
+++ b/cmd/azuredykectl/messages_to_maps.go
@@ -0,0 +1,12 @@
+package main
+
+import "google.golang.org/protobuf/proto"
+
+// messagesToMaps translates a list of messages for the formats json and yaml.
+func messagesToMaps[M proto.Message](messages []M) []map[string]any {
+	out := make([]map[string]any, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, messageToMap(m.ProtoReflect()))
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/azuredykectl/parse_documents.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"io"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const (
+	// maxInputBytes bounds the size of a file of documents.
+	maxInputBytes = 16 << 20
+	// maxDocuments bounds the changes of one command.
+	maxDocuments = 10_000
+)
+
+// parseDocuments decodes YAML documents strictly: unknown and repeated keys are errors. Empty documents are left out.
+func parseDocuments(data []byte) ([]document, error) {
+	if len(data) > maxInputBytes {
+		return nil, errUsage.New("the input is longer than %d bytes", maxInputBytes)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	var documents []document
+	for n := 1; ; n++ {
+		var d *document
+		err := decoder.Decode(&d)
+		if errors.Is(err, io.EOF) {
+			return documents, nil
+		}
+		if err != nil {
+			return nil, errUsage.New("document %d: %w", n, err)
+		}
+		if d == nil {
+			continue
+		}
+		if len(documents) == maxDocuments {
+			return nil, errUsage.New("more than %d documents", maxDocuments)
+		}
+		if d.Revision != nil && *d.Revision < 0 {
+			return nil, errUsage.New("document %d: revision must not be negative", n)
+		}
+		documents = append(documents, *d)
+	}
+}
--- /dev/null
+++ b/cmd/azuredykectl/root.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"slices"
+
+	"github.com/spf13/cobra"
+)
+
+// newRootCommand returns the whole command line.
+func newRootCommand(a *app) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "azuredykectl",
+		Short: "Reads and changes the configuration of azuredyke and shows the state of the fleet",
+		Long: `azuredykectl reads and changes the configuration of azuredyke and shows the state of the fleet, over the operator
+API of any node.
+
+Each change names a reason and has an operation id, which is printed. The same operation id is applied once, so a change
+whose outcome is unknown can safely be run again with the id that was printed.
+
+` + exitCodeHelp,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if !slices.Contains(outputs, a.output) {
+				return errUsage.New("--output must be table, json or yaml")
+			}
+			return nil
+		},
+	}
+	a.connection.addFlags(root)
+	root.PersistentFlags().StringVarP(&a.output, "output", "o", outputTable, "table, json or yaml")
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(outputs, cobra.ShellCompDirectiveNoFileComp))
+	for _, k := range objectKinds {
+		root.AddCommand(newKindCommand(a, k))
+	}
+	root.AddCommand(newApplyCommand(a, nil), newNodesCommand(a), newEndpointsCommand(a), newCellsCommand(a),
+		newQueueCommand(a), newAuditCommand(a))
+	return root
+}
