--- a/service/ownership/faulty_kv_test.go
+++ b/service/ownership/faulty_kv_test.go
@@ -108,3 +108,29 @@
 func (f *faultyKV) RenewLease(ctx context.Context, id platform.LeaseID) error {
 	return f.write(ctx, func(ctx context.Context) error { return f.KV.RenewLease(ctx, id) })
 }
+
+// Watch holds events back while the node is paused.
+func (f *faultyKV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+	if err := f.read(); err != nil {
+		return nil, err
+	}
+	batches, err := f.KV.Watch(ctx, prefix, from)
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan platform.WatchBatch, 64)
+	go func() {
+		defer close(out)
+		for batch := range batches {
+			if f.fault() == faultPause {
+				time.Sleep(pauseFor)
+			}
+			select {
+			case out <- batch:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
+}
--- a/service/ownership/keeper_test.go
+++ b/service/ownership/keeper_test.go
@@ -168,3 +168,56 @@
 		assert.Equal(t, n.keeper.Current().Load().ByResource[shard].Fence, uint64(8))
 	})
 }
+
+// Guards against a resource that is still published as held while the deletion of its record may have taken effect.
+func TestReleaseWithHeldBackAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, nil)
+		assert.NilError(t, s.watch(settle))
+		first := s.nodes[0]
+		assert.Assert(t, first.confirmed() > 0)
+		done := make(chan error, 1)
+		go func() { done <- first.keeper.Release(context.Background()) }()
+		assert.NilError(t, s.watch(500*time.Millisecond))
+		first.kv.mode.Store(int32(faultPause))
+		assert.NilError(t, s.watch(settle))
+		assert.NilError(t, <-done)
+		assert.Equal(t, s.nodes[1].confirmed(), resources)
+	})
+}
+
+// Guards against a record that is written although another node owns the resource, or has owned it in between.
+func TestOwnerWriterConditions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 0, nil)
+		ctx := t.Context()
+		writer := func(node string) ownerWriter {
+			lease, err := s.kv.GrantLease(ctx, time.Minute)
+			assert.NilError(t, err)
+			return ownerWriter{kv: s.kv, node: node, resource: "r", lease: lease}
+		}
+		first, second := writer("a"), writer("b")
+		held, err := first.acquire(ctx, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, held.owned)
+		taken, err := second.acquire(ctx, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, !taken.owned)
+
+		assert.NilError(t, s.kv.RevokeLease(ctx, first.lease))
+		first = writer("a")
+		restored, err := first.restore(ctx, held.fence)
+		assert.NilError(t, err)
+		assert.Assert(t, restored.owned)
+		assert.Equal(t, restored.fence, held.fence)
+
+		assert.NilError(t, s.kv.RevokeLease(ctx, first.lease))
+		taken, err = second.acquire(ctx, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, taken.owned && taken.fence > held.fence)
+		assert.NilError(t, s.kv.RevokeLease(ctx, second.lease))
+		restored, err = writer("a").restore(ctx, held.fence)
+		assert.NilError(t, err)
+		assert.Assert(t, !restored.owned)
+	})
+}
