Give the test of learned lengths enough answers to converge

Change: 400 answers; the bound of 100 tokens stays. Result: go test ./decision/admission passes; the mutant that learns no ends fails it.

--- a/decision/admission/cell_placement_test.go
+++ b/decision/admission/cell_placement_test.go
@@ -141,7 +141,7 @@
 	}
 	after := b.cell.cost(message.PlaceRequest{Model: "m", Workspace: "drafts"})
 	assert.Assert(t, after > 4000 && after > 2*before, "%f, %f", before, after)
-	for range 100 {
+	for range 400 {
 		b.ask(message.PlaceRequest{Workspace: "triage"})
 		for _, g := range b.dispatch(full) {
 			b.event(g.Number, message.GrantCompleted, 20)
