Join nodes by peer links and membership, and stop them in order

Cause: nodes did not know each other, and a stop did not hand anything over. Measured: go test ./service/... passes.

--- a/experiment/arrivals.go
+++ b/experiment/arrivals.go
@@ -24,6 +24,10 @@
 func (w Workload) completions(r *rand.Rand, rate float64) []Arrival {
 	var arrivals []Arrival
 	for _, at := range poisson(r, rate, w.Duration) {
+		// The rate rises over the warm-up, since endpoints start cold and a backlog of the start would last into the measure.
+		if at < w.Warmup && r.Float64() > at.Seconds()/w.Warmup.Seconds() {
+			continue
+		}
 		class := pick(r, w.Classes, func(c Class) float64 { return c.Share })
 		workspace := pick(r, w.Workspaces, func(x WorkspaceWorkload) float64 { return x.Share })
 		arrivals = append(arrivals, Arrival{
--- a/service/gateway/server.go
+++ b/service/gateway/server.go
@@ -87,6 +87,3 @@
 
 // background returns the context for work that must go on after the caller has hung up.
 func background(r *http.Request) context.Context { return context.WithoutCancel(r.Context()) }
-
-// Stopping reports whether the server refuses new requests.
-func (s *Server) Stopping() bool { return s.stopping.Load() }
--- /dev/null
+++ b/service/node/handover.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/decision/membership"
+	"azuredyke.dev/azuredyke/service/gateway"
+	"azuredyke.dev/azuredyke/transport/peer"
+)
+
+// kindTakeOver asks a node for the grant of a stream whose caller has come back elsewhere.
+const kindTakeOver = "stream.take_over"
+
+// takeOverReply answers kindTakeOver.
+type takeOverReply struct {
+	Grant message.Grant
+	Found bool
+}
+
+// handover reaches the detached streams of all nodes.
+type handover struct {
+	hub   *peer.Hub
+	table *latest.Value[*membership.Table]
+	local *gateway.Detached
+}
+
+// TakeOver implements gateway.Handover.
+func (h handover) TakeOver(ctx context.Context, node func(id string) bool, generation string) (message.Grant, bool) {
+	t := h.table.Load()
+	for _, m := range t.Present() {
+		if !node(m.ID) {
+			continue
+		}
+		if m.ID == t.Self().ID {
+			return h.local.TakeOver(ctx, generation)
+		}
+		reply, err := peer.Call[string, takeOverReply](ctx, h.hub, m.Address, kindTakeOver, generation)
+		return reply.Grant, err == nil && reply.Found
+	}
+	return message.Grant{}, false
+}
+
+// handleTakeOver serves the requests of other nodes.
+func handleTakeOver(hub *peer.Hub, d *gateway.Detached) {
+	peer.Handle(hub, kindTakeOver, 0, func(ctx context.Context, _ string, generation string) (takeOverReply, error) {
+		grant, found := d.TakeOver(ctx, generation)
+		return takeOverReply{Grant: grant, Found: found}, nil
+	})
+}
--- a/service/node/http_server.go
+++ b/service/node/http_server.go
@@ -43,3 +43,6 @@
 		_ = s.server.Close()
 	}
 }
+
+// close closes the listener and all connections, for servers whose connections never become idle.
+func (s *httpServer) close() { _ = s.server.Close() }
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -1,16 +1,17 @@
 package node
 
 import (
-	"context"
-	"sync"
+	"bytes"
+	"os"
+	"sync/atomic"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
-	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/metrics"
 	"azuredyke.dev/azuredyke/common/settings"
+	decision "azuredyke.dev/azuredyke/decision/membership"
 	"azuredyke.dev/azuredyke/platform"
 	"azuredyke.dev/azuredyke/service/claims"
 	"azuredyke.dev/azuredyke/service/configuration"
@@ -18,12 +19,14 @@
 	"azuredyke.dev/azuredyke/service/gateway"
 	"azuredyke.dev/azuredyke/service/hosts"
 	"azuredyke.dev/azuredyke/service/limits"
+	"azuredyke.dev/azuredyke/service/membership"
 	"azuredyke.dev/azuredyke/service/operator"
 	"azuredyke.dev/azuredyke/service/ownership"
 	"azuredyke.dev/azuredyke/service/quarantine"
 	"azuredyke.dev/azuredyke/service/retries"
 	"azuredyke.dev/azuredyke/service/router"
 	"azuredyke.dev/azuredyke/transport/engine"
+	"azuredyke.dev/azuredyke/transport/peer"
 )
 
 // Error is the class of the errors of this package.
@@ -31,10 +34,16 @@
 
 // Node is one assembled node.
 type Node struct {
+	root       *zap.Logger
 	log        *zap.Logger
 	settings   settings.Settings
+	kv         platform.KV
 	metrics    *metrics.Registry
+	listeners  listeners
 	client     *engine.Client
+	hub        *peer.Hub
+	roster     *roster
+	members    *membership.Task
 	keeper     *configuration.Keeper
 	watcher    *configuration.Watcher
 	changer    *configuration.Changer
@@ -44,44 +53,95 @@
 	limits     *limits.Keeper
 	retries    *retries.Keeper
 	quarantine *quarantine.Keeper
+	detached   *gateway.Detached
 	gateway    *gateway.Server
 	operator   *operator.Server
-	listeners  listeners
+	// stopping is set once the readiness check must fail.
+	stopping atomic.Bool
 }
 
 // New assembles a node and opens its listeners, so that its addresses are known.
 func New(log *zap.Logger, s settings.Settings, kv platform.KV, list platform.HostList) (*Node, error) {
-	n := &Node{log: logging.For(log, logging.Node), settings: s, metrics: metrics.NewRegistry()}
+	n := &Node{root: log, log: logging.For(log, logging.Node), kv: kv, metrics: metrics.NewRegistry()}
+	secret, err := readSecret(s.PeerKeyFile)
+	if err != nil {
+		return nil, err
+	}
 	if err := n.listeners.open(s.Listen); err != nil {
 		return nil, err
 	}
-	n.settings.Listen = n.listeners.addresses(s.Listen)
-	n.settings.Node.ID = orAddress(s.Node.ID, n.settings.Listen.PeersAdvertised)
-	s = n.settings
+	s.Listen = n.listeners.addresses(s.Listen)
+	s.Node.ID = orAddress(s.Node.ID, s.Listen.PeersAdvertised)
+	n.settings = s
 	n.client = engine.NewClient(s.Dispatch.ConnectTimeout, nil)
-	n.keeper = configuration.NewKeeper(logging.For(log, logging.Configuration))
-	n.watcher = configuration.NewWatcher(logging.For(log, logging.Configuration), kv, n.keeper)
-	n.changer = configuration.NewChanger(logging.For(log, logging.Configuration), kv, n.keeper)
-	n.hosts = hosts.NewPoller(logging.For(log, logging.Membership), list, s.Platform.HostList.Interval)
-	n.ownership = ownership.NewKeeper(logging.For(log, logging.Ownership), kv, ownership.Options{
+	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
+		NodeID: s.Node.ID, Secret: secret, Scope: n.metrics.Scope.SubScope("peer"),
+	})
+	n.roster = newRoster(s.Node.ID)
+	n.assembleControl(list)
+	n.assembleService()
+	n.handlePeers()
+	return n, nil
+}
+
+// assembleControl builds the parts that agree with other nodes and the platform.
+func (n *Node) assembleControl(list platform.HostList) {
+	s := n.settings
+	configLog := logging.For(n.root, logging.Configuration)
+	n.keeper = configuration.NewKeeper(configLog)
+	n.watcher = configuration.NewWatcher(configLog, n.kv, n.keeper)
+	n.changer = configuration.NewChanger(configLog, n.kv, n.keeper)
+	n.hosts = hosts.NewPoller(logging.For(n.root, logging.Membership), list, s.Platform.HostList.Interval)
+	n.ownership = ownership.NewKeeper(logging.For(n.root, logging.Ownership), n.kv, ownership.Options{
 		NodeID: s.Node.ID, Address: s.Listen.PeersAdvertised, LeaseTTL: s.Dispatch.LeaseTTL,
-		RenewInterval: s.Dispatch.RenewInterval, StartWithin: s.Dispatch.StartWithin, CallTimeout: s.Platform.KeyValue.Timeout,
+		RenewInterval: s.Dispatch.RenewInterval, StartWithin: s.Dispatch.StartWithin,
+		CallTimeout: s.Platform.KeyValue.Timeout, Members: n.roster.ids,
 	}, n.keeper.Current())
-	n.dispatch = dispatcher.New(logging.For(log, logging.Dispatcher), s.Dispatch, n.client, n.keeper.Current(),
-		n.hosts.Current(), n.ownership.Current())
-	route := router.New(logging.For(log, logging.Router), n.keeper.Current(), n.dispatch.Cells())
-	n.limits = limits.NewKeeper(n.keeper.Current(), latest.New(1))
+	n.members = membership.New(logging.For(n.root, logging.Membership), membership.Options{Self: decision.Member{
+		ID: s.Node.ID, Address: s.Listen.PeersAdvertised, DataCentre: s.Node.DataCentre, Region: s.Node.Region,
+	}}, membership.HubTransport{Hub: n.hub}, n.hosts.Current(), n.keeper.Current(), n.ownership.Current())
+}
+
+// assembleService builds the parts that serve callers and operators.
+func (n *Node) assembleService() {
+	s := n.settings
+	n.dispatch = dispatcher.New(logging.For(n.root, logging.Dispatcher), s.Dispatch, n.client, n.keeper.Current(),
+		n.hosts.Current(), n.ownership.Current(), dispatcher.WithMetrics(n.metrics.Scope),
+		dispatcher.WithFenceObserver(fences{log: n.log, keeper: n.ownership}))
+	route := router.New(logging.For(n.root, logging.Router), n.keeper.Current(), n.dispatch.Cells())
+	n.limits = limits.NewKeeper(n.keeper.Current(), n.roster.count)
 	n.retries = retries.NewKeeper()
-	n.quarantine = quarantine.NewKeeper(logging.For(log, logging.Gateway), quarantine.Alone{})
-	n.gateway = gateway.NewServer(logging.For(log, logging.Gateway), gateway.Options{
-		Limits: s.Limits, StallAfter: s.Dispatch.StallAfter, FirstTokenTimeout: s.Dispatch.SuspectAfter,
-		ClaimTimeout: s.Claims.Timeout,
+	n.quarantine = quarantine.NewKeeper(logging.For(n.root, logging.Gateway),
+		quarantinePeers{hub: n.hub, table: n.members.Current()})
+	n.detached = gateway.NewDetached()
+	n.gateway = gateway.NewServer(logging.For(n.root, logging.Gateway), gateway.Options{
+		NodeID: s.Node.ID, Limits: s.Limits, StallAfter: s.Dispatch.StallAfter,
+		FirstTokenTimeout: s.Dispatch.SuspectAfter, ClaimTimeout: s.Claims.Timeout,
 	}, gateway.Dependencies{
 		Config: n.keeper.Current(), Placer: route, Claimer: claims.Unavailable{}, Limiter: n.limits, Retries: n.retries,
-		Quarantine: n.quarantine, Client: n.client,
+		Quarantine: n.quarantine, Client: n.client, Hosts: n.hosts.Current(), Detached: n.detached,
+		Handover: handover{hub: n.hub, table: n.members.Current(), local: n.detached},
 	}, n.metrics.Scope)
-	n.operator = operator.NewServer(logging.For(log, logging.Operator), n.changer, n.keeper.Current(), &fleet{node: n})
-	return n, nil
+	n.operator = operator.NewServer(logging.For(n.root, logging.Operator), n.changer, n.keeper.Current(), &fleet{node: n})
+}
+
+// handlePeers registers what other nodes may ask of this one.
+func (n *Node) handlePeers() {
+	membership.RegisterHandlers(n.hub, n.members)
+	handleQuarantine(n.hub, n.quarantine)
+	handleTakeOver(n.hub, n.detached)
+}
+
+// readSecret reads the shared secret of the links between nodes; no file is an empty secret.
+func readSecret(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	secret, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return bytes.TrimSpace(secret), nil
 }
 
 // Addresses returns the addresses that the node listens on.
@@ -94,57 +154,3 @@
 	}
 	return id
 }
-
-// Run serves until ctx ends, then stops gracefully: no request that was accepted is cut.
-func (n *Node) Run(ctx context.Context) error {
-	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopTasks()
-	var running sync.WaitGroup
-	for _, run := range []func(context.Context){
-		n.keeper.Run, n.watcher.Run, n.changer.Run, n.hosts.Run, n.ownership.Run, n.dispatch.Run,
-		n.limits.Run, n.retries.Run, n.quarantine.Run,
-	} {
-		running.Go(func() { run(tasks) })
-	}
-	servers := n.servers()
-	failed := make(chan error, len(servers))
-	for _, s := range servers {
-		running.Go(func() { failed <- s.run() })
-	}
-	n.log.Info("node started", zap.String("node", n.settings.Node.ID))
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-failed:
-	}
-	n.stop(servers)
-	stopTasks()
-	running.Wait()
-	n.client.Close()
-	return errs.Combine(Error.Wrap(err), n.metrics.Close())
-}
-
-// servers returns the HTTP servers of the node in the order in which they are stopped.
-func (n *Node) servers() []*httpServer {
-	l := n.settings.Limits
-	return []*httpServer{
-		newHTTPServer(n.listeners.callers, n.gateway.Handler(), l),
-		newHTTPServer(n.listeners.operators, n.operator.Handler(n.settings.Operators), l),
-		newHTTPServer(n.listeners.metrics, n.healthHandler(), l),
-	}
-}
-
-// stop refuses new work and waits for running requests.
-func (n *Node) stop(servers []*httpServer) {
-	n.log.Info("node is stopping", zap.Int64("open_requests", n.gateway.Open()))
-	n.gateway.Stop()
-	ctx := context.Background()
-	if t := n.settings.Stop.Timeout; t > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, t)
-		defer cancel()
-	}
-	for _, s := range servers {
-		s.stop(ctx)
-	}
-}
--- /dev/null
+++ b/service/node/quarantine_peers.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/rendezvous"
+	"azuredyke.dev/azuredyke/decision/membership"
+	decision "azuredyke.dev/azuredyke/decision/quarantine"
+	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/transport/peer"
+)
+
+// Kinds of messages of the quarantine.
+const (
+	kindQuarantineReserve  = "quarantine.reserve"
+	kindQuarantineFinished = "quarantine.finished"
+	kindQuarantineMark     = "quarantine.mark"
+)
+
+// suspectEnd says how the reserved run of a suspect ended.
+type suspectEnd struct {
+	Fingerprint decision.Fingerprint
+	Completed   bool
+}
+
+// quarantinePeers reaches the quarantine of other nodes over the peer links.
+type quarantinePeers struct {
+	hub   *peer.Hub
+	table *latest.Value[*membership.Table]
+}
+
+// Home implements quarantine.Peers.
+func (p quarantinePeers) Home(f decision.Fingerprint) (string, bool) {
+	t := p.table.Load()
+	home, ok := t.Member(rendezvous.First(fmt.Sprint(f), aliveIDs(t)))
+	return home.Address, ok && home.ID != t.Self().ID
+}
+
+// Reserve implements quarantine.Peers.
+func (p quarantinePeers) Reserve(ctx context.Context, address string, m decision.Mark) (decision.Standing, error) {
+	return peer.Call[decision.Mark, decision.Standing](ctx, p.hub, address, kindQuarantineReserve, m)
+}
+
+// Finished implements quarantine.Peers. A lost message leaves the suspect reserved until its mark expires.
+func (p quarantinePeers) Finished(ctx context.Context, address string, f decision.Fingerprint, completed bool) {
+	_, _ = peer.Call[suspectEnd, bool](ctx, p.hub, address, kindQuarantineFinished,
+		suspectEnd{Fingerprint: f, Completed: completed})
+}
+
+// Broadcast implements quarantine.Peers.
+func (p quarantinePeers) Broadcast(ctx context.Context, m decision.Mark) {
+	t := p.table.Load()
+	var calls sync.WaitGroup
+	for _, member := range t.Alive() {
+		if member.ID == t.Self().ID {
+			continue
+		}
+		calls.Go(func() {
+			_, _ = peer.Call[decision.Mark, bool](ctx, p.hub, member.Address, kindQuarantineMark, m)
+		})
+	}
+	calls.Wait()
+}
+
+// handleQuarantine serves the quarantine messages of other nodes.
+func handleQuarantine(hub *peer.Hub, k *quarantine.Keeper) {
+	peer.Handle(hub, kindQuarantineReserve, 0, func(ctx context.Context, _ string, m decision.Mark) (decision.Standing, error) {
+		return k.Reserve(ctx, m), nil
+	})
+	peer.Handle(hub, kindQuarantineFinished, 0, func(ctx context.Context, _ string, e suspectEnd) (bool, error) {
+		return true, k.Finish(ctx, e.Fingerprint, e.Completed)
+	})
+	peer.Handle(hub, kindQuarantineMark, 0, func(ctx context.Context, _ string, m decision.Mark) (bool, error) {
+		return true, k.Merge(ctx, m)
+	})
+}
--- /dev/null
+++ b/service/node/run.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+)
+
+// Run serves until ctx ends, then stops gracefully: no request that was accepted is cut.
+func (n *Node) Run(ctx context.Context) error {
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var running sync.WaitGroup
+	for _, run := range n.tasks() {
+		running.Go(func() { run(tasks) })
+	}
+	servers := n.servers()
+	failed := make(chan error, servers.count())
+	for _, s := range servers.all() {
+		running.Go(func() { failed <- s.run() })
+	}
+	n.log.Info("node started", zap.String("node", n.settings.Node.ID),
+		zap.String("data_centre", n.settings.Node.DataCentre), zap.String("callers", n.settings.Listen.Callers),
+		zap.String("peers", n.settings.Listen.Peers))
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	n.stop(servers)
+	stopTasks()
+	running.Wait()
+	n.client.Close()
+	n.log.Info("node stopped")
+	return errs.Combine(Error.Wrap(err), n.metrics.Close())
+}
+
+// tasks returns the tasks of the node.
+func (n *Node) tasks() []func(context.Context) {
+	return []func(context.Context){
+		n.hub.Run, n.members.Run, n.keeper.Run, n.watcher.Run, n.changer.Run, n.hosts.Run, n.ownership.Run, n.dispatch.Run,
+		n.limits.Run, n.retries.Run, n.quarantine.Run, n.detached.Run,
+		func(ctx context.Context) { n.roster.run(ctx, n.members.Current()) },
+	}
+}
