--- a/test/harness/seed.go
+++ b/test/harness/seed.go
@@ -40,6 +40,16 @@
 	return r
 }
 
+// Endpoints returns the endpoints of the cells that a node can reach.
+func (s *Site) Endpoints(n *Node) []*operatorv1.Endpoint {
+	s.t.Helper()
+	ctx, cancel := s.timeout()
+	defer cancel()
+	response, err := s.Operator(n).ListEndpoints(ctx, Authorized(&operatorv1.ListEndpointsRequest{}))
+	s.ok(err, "list endpoints")
+	return response.Msg.GetEndpoints()
+}
+
 // seed writes the configuration through the operator API of the first node.
 func (s *Site) seed() {
 	s.t.Helper()
--- /dev/null
+++ b/test/integration/stream_test.go
@@ -0,0 +1,104 @@
+package integration
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/fake/engine"
+	"azuredyke.dev/azuredyke/test/harness"
+)
+
+// requestTimeout bounds each request of a caller, so that a fault does not hang a test.
+const requestTimeout = 60 * time.Second
+
+// requestContext returns the context of one request.
+func requestContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// started returns the number of generations that all engines have started.
+func started(s *harness.Site) int64 {
+	var sum int64
+	for _, e := range s.Engines {
+		sum += e.Stats().Started
+	}
+	return sum
+}
+
+// running returns the engine that runs the only generation.
+func running(t *testing.T, s *harness.Site) *harness.Engine {
+	t.Helper()
+	for _, e := range s.Engines {
+		if e.Stats().Running == 1 {
+			return e
+		}
+	}
+	t.Fatal("no engine runs the request")
+	return nil
+}
+
+// Guards against a stream that looks complete although its engine died, and against one that goes on with the tokens of
+// another generation.
+func TestStreamOfKilledEngineEndsHonestly(t *testing.T) {
+	t.Parallel()
+	s := harness.Start(t, harness.Options{Nodes: siteNodes, Engines: 2, Engine: engine.Options{Tokens: 200}})
+	killed := false
+	a := s.AskWith(requestContext(t), s.Nodes[len(s.Nodes)-1], "long note", true, func(words int) {
+		if words >= 10 && !killed {
+			killed = true
+			running(t, s).Kill()
+		}
+	})
+	assert.Assert(t, killed)
+	assert.Assert(t, !a.Done, "the answer is cut short but has the terminal mark")
+	assert.Equal(t, a.FinishReason, "")
+	assert.Assert(t, a.Failure != "", "the stream ended without an error event")
+	assert.NilError(t, a.Ordered())
+	assert.Assert(t, len(a.Words) >= 10 && len(a.Words) < 200)
+}
+
+// Guards against a caller without a stream who gets a part of an answer, or an error, when one of two engines dies.
+func TestWholeAnswerSurvivesKilledEngine(t *testing.T) {
+	t.Parallel()
+	s := harness.Start(t, harness.Options{Nodes: siteNodes, Engines: 2, Engine: engine.Options{Tokens: 100}})
+	answers := make(chan harness.Answer, 1)
+	go func() { answers <- s.Ask(requestContext(t), s.Nodes[len(s.Nodes)-1], "whole note", false) }()
+	s.Await("an engine has produced tokens", requestTimeout, func() bool {
+		for _, e := range s.Engines {
+			if e.Stats().Tokens > 10 {
+				return true
+			}
+		}
+		return false
+	})
+	running(t, s).Kill()
+	a := <-answers
+	a.CheckWhole(t)
+	assert.Equal(t, len(a.Words), 100)
+	assert.Equal(t, started(s), int64(2))
+}
+
+// Guards against a stream that hangs when its connection stalls without closing, and against a resume that repeats, loses
+// or reorders tokens or starts the work again.
+func TestStalledStreamResumes(t *testing.T) {
+	t.Parallel()
+	s := harness.Start(t, harness.Options{Nodes: siteNodes, Engines: 1, Engine: engine.Options{Tokens: 150}})
+	stalls := 0
+	a := s.AskWith(requestContext(t), s.Nodes[len(s.Nodes)-1], "stalled note", true, func(words int) {
+		if words == 10 && stalls == 0 || words >= 80 && stalls == 1 {
+			stalls++
+			s.Engines[0].Link.StallPresent()
+		}
+	})
+	a.CheckWhole(t)
+	assert.Equal(t, len(a.Words), 150)
+	assert.Equal(t, stalls, 2)
+	stats := s.Engines[0].Stats()
+	assert.Assert(t, stats.Resumes >= 2, "%d resumes", stats.Resumes)
+	assert.Equal(t, stats.Started, int64(1))
+}
