--- a/service/ownership/site_test.go
+++ b/service/ownership/site_test.go
@@ -82,6 +82,8 @@
 
 // check returns an error when two nodes are certain to own a resource, or have owned it with the same fence.
 func (s *testSite) check() error {
+	// The holdings of all nodes must be read at one instant: a hand-over takes no time in the bubble.
+	synctest.Wait()
 	confirmed := map[string]string{}
 	for _, n := range s.nodes {
 		h := n.keeper.Current().Load()
