Make refused, repeated and uncertain changes answer truthfully

A write of unknown outcome could be answered as a conflict with itself, or as unavailable once the tries ran out. The operation id is now looked up after the head is read, and what cannot be resolved is answered as an unknown outcome. An operation id that is used for a different change is refused. A warning or an error that was there before a change no longer blocks it. A key-value service that was restored to an older state is neither followed nor changed. Request bodies of the operator API have a read deadline.

--- a/decision/config/invalid_error.go
+++ b/decision/config/invalid_error.go
@@ -1,6 +1,12 @@
 package config
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
+
+// maxProblemsShown bounds the text of an InvalidError.
+const maxProblemsShown = 20
 
 // InvalidError lists what is wrong with the configuration that a change would give.
 type InvalidError struct {
@@ -9,8 +15,12 @@
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	lines := make([]string, 0, len(e.Problems))
-	for _, p := range e.Problems {
+	lines := make([]string, 0, min(len(e.Problems), maxProblemsShown+1))
+	for i, p := range e.Problems {
+		if i == maxProblemsShown {
+			lines = append(lines, fmt.Sprintf("and %d more", len(e.Problems)-i))
+			break
+		}
 		lines = append(lines, p.String())
 	}
 	return strings.Join(lines, "; ")
--- a/decision/config/object.go
+++ b/decision/config/object.go
@@ -12,3 +12,17 @@
 	PlacementRule *PlacementRule `json:",omitempty"`
 	Model         *Model         `json:",omitempty"`
 }
+
+// Complete reports whether exactly the field of the object's kind is set.
+func (o *Object) Complete() bool {
+	set := map[Kind]bool{
+		KindService: o.Service != nil, KindDataCentre: o.DataCentre != nil, KindWorkspace: o.Workspace != nil,
+		KindPlacementRule: o.PlacementRule != nil, KindModel: o.Model != nil,
+	}
+	for kind, isSet := range set {
+		if isSet != (kind == o.Kind) {
+			return false
+		}
+	}
+	return set[o.Kind]
+}
--- a/decision/config/validate.go
+++ b/decision/config/validate.go
@@ -10,18 +10,18 @@
 // namePattern is what names may look like; they are parts of keys and URLs.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
-// Bounds of limits.
-const (
-	maxPriority    = 9
-	maxCells       = 1024
-	maxConcurrency = 100_000
-)
+// nameMessage says what names may look like.
+const nameMessage = "must be lower-case letters, digits, '.', '_' and '-', at most 63"
 
 // Validate returns everything that is wrong with a configuration as a whole.
 func Validate(s *Snapshot) []Problem {
 	v := &validator{snapshot: s}
 	for _, kind := range Kinds {
-		for _, o := range s.List(kind) {
+		objects := s.List(kind)
+		for i, o := range objects {
+			if i == maxObjectsPerKind {
+				v.add(o.Ref, "", "is one more than the %d objects that a kind may have", maxObjectsPerKind)
+			}
 			v.object(o)
 		}
 	}
@@ -43,9 +43,22 @@
 		Problem{Ref: ref, Field: field, Message: fmt.Sprintf(format, args...), Warning: true})
 }
 
+// texts checks the length of a list and of its items.
+func (v *validator) texts(ref Ref, field string, items ...string) {
+	if len(items) > maxListItems {
+		v.add(ref, field, "must not have more than %d items", maxListItems)
+		return
+	}
+	for _, item := range items {
+		if len(item) > maxTextBytes {
+			v.add(ref, field, "must not be longer than %d bytes", maxTextBytes)
+		}
+	}
+}
+
 func (v *validator) object(o *Object) {
 	if !namePattern.MatchString(o.Name) {
-		v.add(o.Ref, "name", "%q must be lower-case letters, digits, '.', '_' and '-', at most 63", o.Name)
+		v.add(o.Ref, "name", nameMessage)
 	}
 	switch {
 	case o.Kind == KindService && o.Service != nil:
@@ -54,7 +67,11 @@
 		v.workspace(o.Ref, o.Workspace)
 	case o.Kind == KindPlacementRule && o.PlacementRule != nil:
 		v.placementRule(o.Ref, o.PlacementRule)
-	case o.Kind == KindDataCentre && o.DataCentre != nil, o.Kind == KindModel && o.Model != nil:
+	case o.Kind == KindDataCentre && o.DataCentre != nil:
+		v.texts(o.Ref, "region", o.DataCentre.Region)
+	case o.Kind == KindModel && o.Model != nil:
+		v.texts(o.Ref, "version", o.Model.Version)
+		v.texts(o.Ref, "adapters", o.Model.Adapters...)
 	default:
 		v.add(o.Ref, "spec", "does not match the kind")
 	}
@@ -73,8 +90,12 @@
 	if s.Cells < 1 || s.Cells > maxCells {
 		v.add(ref, "cells", "must be from 1 to %d", maxCells)
 	}
-	if s.QueueTimeout <= 0 {
-		v.add(ref, "queue_timeout_ms", "must be above 0")
+	if s.QueueTimeout <= 0 || s.QueueTimeout > maxQueueTimeout {
+		v.add(ref, "queue_timeout_ms", "must be from 1 to %d", maxQueueTimeout.Milliseconds())
+	}
+	v.texts(ref, "models", s.Models...)
+	if len(s.PathRules) > maxListItems {
+		v.add(ref, "path_rules", "must not have more than %d items", maxListItems)
 	}
 	for _, model := range s.Models {
 		if v.snapshot.Get(Ref{KindModel, model}) == nil {
@@ -82,6 +103,7 @@
 		}
 	}
 	for _, rule := range s.PathRules {
+		v.texts(ref, "path_rules", rule.Method, rule.PathPrefix)
 		if !strings.HasPrefix(rule.PathPrefix, "/") {
 			v.add(ref, "path_rules", "path prefix %q must start with /", rule.PathPrefix)
 		}
@@ -92,9 +114,10 @@
 }
 
 func (v *validator) workspace(ref Ref, w *Workspace) {
+	v.texts(ref, "key_hashes", w.KeyHashes...)
 	for _, hash := range w.KeyHashes {
-		if sum, err := hex.DecodeString(hash); err != nil || len(sum) != 32 {
-			v.add(ref, "key_hashes", "is not a SHA-256 in hexadecimal")
+		if sum, err := hex.DecodeString(hash); err != nil || len(sum) != 32 || strings.ToLower(hash) != hash {
+			v.add(ref, "key_hashes", "is not a SHA-256 in lower-case hexadecimal")
 			continue
 		}
 		if owner, _ := v.snapshot.WorkspaceOfKey(hash); owner != ref.Name {
@@ -104,8 +127,8 @@
 	if w.Priority < 0 || w.Priority > maxPriority {
 		v.add(ref, "priority", "must be from 0 to %d", maxPriority)
 	}
-	if w.RequestsPerSecond < 0 || w.TokensPerSecond < 0 || w.MaxConcurrency < 0 || w.Weight < 0 {
-		v.add(ref, "limits", "must not be negative")
+	if !validRate(w.RequestsPerSecond, w.TokensPerSecond, w.Weight) || w.MaxConcurrency < 0 {
+		v.add(ref, "limits", "must be numbers from 0 on")
 	}
 }
 
@@ -116,6 +139,7 @@
 	if r.Workspace != "" && v.snapshot.Workspace(r.Workspace) == nil {
 		v.add(ref, "workspace", "workspace %q does not exist", r.Workspace)
 	}
+	v.texts(ref, "data_centres", r.DataCentres...)
 	for _, name := range r.DataCentres {
 		if v.snapshot.DataCentre(name) == nil {
 			v.add(ref, "data_centres", "data centre %q does not exist", name)
--- a/gen/azuredyke/operator/v1/operatorv1connect/operator.connect.go
+++ b/gen/azuredyke/operator/v1/operatorv1connect/operator.connect.go
@@ -71,7 +71,10 @@
 	// GetObject returns one object, or NOT_FOUND.
 	GetObject(context.Context, *connect.Request[v1.GetObjectRequest]) (*connect.Response[v1.GetObjectResponse], error)
 	// PutObject creates or replaces an object. It fails with ABORTED and a ConflictDetail when the object has changed
-	// since expected_revision, and with INVALID_ARGUMENT when the resulting configuration is not valid.
+	// since expected_revision, with INVALID_ARGUMENT when the resulting configuration is not valid, with ALREADY_EXISTS
+	// when the operation id was used for a different change, with FAILED_PRECONDITION when the key-value service was
+	// restored to an older state, with UNAVAILABLE when nothing was changed, and with UNKNOWN when the change may have
+	// taken effect and the same operation id must be sent again.
 	PutObject(context.Context, *connect.Request[v1.PutObjectRequest]) (*connect.Response[v1.ChangeResponse], error)
 	// DeleteObject deletes an object under the same rules as PutObject.
 	DeleteObject(context.Context, *connect.Request[v1.DeleteObjectRequest]) (*connect.Response[v1.ChangeResponse], error)
@@ -220,7 +223,10 @@
 	// GetObject returns one object, or NOT_FOUND.
 	GetObject(context.Context, *connect.Request[v1.GetObjectRequest]) (*connect.Response[v1.GetObjectResponse], error)
 	// PutObject creates or replaces an object. It fails with ABORTED and a ConflictDetail when the object has changed
-	// since expected_revision, and with INVALID_ARGUMENT when the resulting configuration is not valid.
+	// since expected_revision, with INVALID_ARGUMENT when the resulting configuration is not valid, with ALREADY_EXISTS
+	// when the operation id was used for a different change, with FAILED_PRECONDITION when the key-value service was
+	// restored to an older state, with UNAVAILABLE when nothing was changed, and with UNKNOWN when the change may have
+	// taken effect and the same operation id must be sent again.
 	PutObject(context.Context, *connect.Request[v1.PutObjectRequest]) (*connect.Response[v1.ChangeResponse], error)
 	// DeleteObject deletes an object under the same rules as PutObject.
 	DeleteObject(context.Context, *connect.Request[v1.DeleteObjectRequest]) (*connect.Response[v1.ChangeResponse], error)
--- /dev/null
+++ b/service/configuration/faulty_kv_test.go
@@ -0,0 +1,70 @@
+package configuration
+
+import (
+	"context"
+	"sync/atomic"
+
+	"azuredyke.dev/azuredyke/platform"
+)
+
+// faultyKV is a key-value service whose calls a test can change. The hooks are set before the calls are made.
+type faultyKV struct {
+	platform.KV
+	// commit replaces the next Commit once.
+	commit atomic.Pointer[func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error)]
+	// afterGet is called after each Get.
+	afterGet func(key string)
+	down     atomic.Bool
+	ranges   atomic.Int64
+}
+
+func (k *faultyKV) nextCommit(f func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error)) {
+	k.commit.Store(&f)
+}
+
+func (k *faultyKV) check() error {
+	if k.down.Load() {
+		return platform.ErrUnavailable.New("outage")
+	}
+	return nil
+}
+
+// Commit implements platform.KV.
+func (k *faultyKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	if f := k.commit.Swap(nil); f != nil {
+		return (*f)(ctx, txn)
+	}
+	if err := k.check(); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return k.KV.Commit(ctx, txn)
+}
+
+// Range implements platform.KV.
+func (k *faultyKV) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+	k.ranges.Add(1)
+	if err := k.check(); err != nil {
+		return platform.RangeResult{}, err
+	}
+	return k.KV.Range(ctx, prefix)
+}
+
+// Get implements platform.KV.
+func (k *faultyKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := k.check(); err != nil {
+		return platform.Entry{}, err
+	}
+	e, err := k.KV.Get(ctx, key)
+	if k.afterGet != nil {
+		k.afterGet(key)
+	}
+	return e, err
+}
+
+// Watch implements platform.KV.
+func (k *faultyKV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+	if err := k.check(); err != nil {
+		return nil, err
+	}
+	return k.KV.Watch(ctx, prefix, from)
+}
--- a/service/configuration/keeper.go
+++ b/service/configuration/keeper.go
@@ -18,14 +18,17 @@
 	log     *zap.Logger
 	offers  mailbox.Mailbox[Offer]
 	current *latest.Value[*config.Snapshot]
+	history *latest.Value[*config.History]
 }
 
 // NewKeeper returns a Keeper with the empty configuration at revision 0.
 func NewKeeper(log *zap.Logger) *Keeper {
+	empty := config.NewSnapshot(0, nil)
 	return &Keeper{
 		log:     log,
 		offers:  mailbox.New[Offer](keeperCapacity),
-		current: latest.New(config.NewSnapshot(0, nil)),
+		current: latest.New(empty),
+		history: latest.New(config.NewHistory(empty)),
 	}
 }
 
@@ -35,6 +38,23 @@
 // Offer hands a snapshot to the keeper, which puts it in force if it is newer. It returns the error of ctx.
 func (k *Keeper) Offer(ctx context.Context, o Offer) error { return k.offers.Send(ctx, o) }
 
+// Pull answers a peer that has the given revision in force.
+func (k *Keeper) Pull(have int64) PullReply {
+	h := k.history.Load()
+	newest := h.Newest()
+	reply := PullReply{Revision: newest.Revision()}
+	if have >= newest.Revision() {
+		return reply
+	}
+	if delta, ok := h.Since(have); ok {
+		reply.Delta = &delta
+		return reply
+	}
+	reply.Whole = true
+	reply.Objects = newest.Objects()
+	return reply
+}
+
 // Run puts offered snapshots in force until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for {
@@ -48,15 +68,10 @@
 }
 
 func (k *Keeper) apply(o Offer) {
-	inForce := k.current.Load().Revision()
-	offered := o.Snapshot.Revision()
-	switch {
-	case offered > inForce:
+	if revision := o.Snapshot.Revision(); revision > k.current.Load().Revision() {
+		k.history.Publish(k.history.Load().Advance(o.Snapshot))
 		k.current.Publish(o.Snapshot)
-		k.log.Info("configuration in force", zap.Int64("revision", offered))
-	case offered < inForce && o.FromPlatform:
-		k.log.Error("configuration restored to an older state, not followed",
-			zap.Int64("revision", inForce), zap.Int64("restored", offered))
+		k.log.Info("configuration in force", zap.Int64("revision", revision))
 	}
 	if o.Done != nil {
 		close(o.Done)
--- a/service/configuration/store.go
+++ b/service/configuration/store.go
@@ -5,138 +5,152 @@
 	"encoding/json"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/platform"
 )
 
-// Error is the class of the errors of this package.
-var Error = errs.Class("configuration")
+const (
+	// maxAuditRecords bounds the audit trail of accepted changes, and with it the operation ids that are remembered.
+	maxAuditRecords = 10_000
+	// trimBatch bounds the old records that one change deletes. Above 1, a trail that is too long shrinks.
+	trimBatch = 4
+	// loadTries bounds the reads of a configuration that changes while it is read.
+	loadTries = 8
+)
 
 // store reads and writes the configuration in the key-value service.
 type store struct {
 	kv platform.KV
+	// auditLimit is the number of audit records that are kept.
+	auditLimit int64
 }
 
-// head is the value of headKey.
-type head struct {
-	Revision int64
-}
+func newStore(kv platform.KV) store { return store{kv: kv, auditLimit: maxAuditRecords} }
 
-// stored is the configuration as the key-value service holds it.
-type stored struct {
-	snapshot *config.Snapshot
-	// headModRevision is the store's revision of headKey, for a compare-and-swap.
-	headModRevision int64
-	// storeRevision is the revision of the whole store, from which a watch goes on.
-	storeRevision int64
+// load reads the whole configuration. Objects and head are two reads; they belong together when the head was not written
+// after the objects were read, since every change writes the head.
+func (s store) load(ctx context.Context) (stored, error) {
+	for range loadTries {
+		result, err := s.kv.Range(ctx, objectsPrefix)
+		if err != nil {
+			return stored{}, err
+		}
+		h, err := s.kv.Get(ctx, headKey)
+		if err != nil {
+			return stored{}, err
+		}
+		if h.ModRevision <= result.Revision {
+			return decodeStored(result, h)
+		}
+	}
+	return stored{}, platform.ErrUnavailable.New("the configuration changed during each of %d reads", loadTries)
 }
 
-// load reads the whole configuration. Head and objects come from one read, so they belong together.
-func (s store) load(ctx context.Context) (stored, error) {
-	result, err := s.kv.Range(ctx, prefix)
+func decodeStored(result platform.RangeResult, headEntry platform.Entry) (stored, error) {
+	h, err := decodeHead(headEntry.Value)
 	if err != nil {
 		return stored{}, err
 	}
-	var (
-		h       head
-		out     = stored{storeRevision: result.Revision}
-		objects []*config.Object
-	)
+	objects := make([]*config.Object, 0, len(result.Entries))
 	for _, e := range result.Entries {
-		switch {
-		case e.Key == headKey:
-			out.headModRevision = e.ModRevision
-			if err := json.Unmarshal(e.Value, &h); err != nil {
-				return stored{}, Error.New("value of %s: %w", e.Key, err)
-			}
-		case len(e.Key) > len(objectsPrefix) && e.Key[:len(objectsPrefix)] == objectsPrefix:
-			o := &config.Object{}
-			if err := json.Unmarshal(e.Value, o); err != nil {
-				return stored{}, Error.New("value of %s: %w", e.Key, err)
-			}
-			objects = append(objects, o)
+		o, err := decodeObject(e.Key, e.Value)
+		if err != nil {
+			return stored{}, err
 		}
+		objects = append(objects, o)
+	}
+	return stored{
+		head: h, snapshot: config.NewSnapshot(h.Revision, objects),
+		headModRevision: headEntry.ModRevision, storeRevision: result.Revision,
+	}, nil
+}
+
+// readHead reads the head alone.
+func (s store) readHead(ctx context.Context) (head, error) {
+	e, err := s.kv.Get(ctx, headKey)
+	if err != nil {
+		return head{}, err
 	}
-	out.snapshot = config.NewSnapshot(h.Revision, objects)
-	return out, nil
+	return decodeHead(e.Value)
 }
 
-// write makes one accepted change. It reports false when the head has moved since it was read.
+// write makes one change. It reports false when the head has moved since it was read, or the operation was applied
+// already. An error that is not definite leaves the outcome unknown.
 func (s store) write(ctx context.Context, base stored, next *config.Snapshot, c config.Change, now time.Time) (bool, error) {
-	record := newAuditRecord(base.snapshot, next, c, now)
-	headValue, err := json.Marshal(head{Revision: next.Revision()})
+	trim, floor, err := s.trim(ctx, base.head, next.Revision())
 	if err != nil {
-		return false, Error.Wrap(err)
+		return false, unavailable(err)
 	}
-	recordValue, err := json.Marshal(record)
+	print, err := fingerprint(c)
 	if err != nil {
-		return false, Error.Wrap(err)
+		return false, unavailable(err)
 	}
 	object := platform.Write{Key: objectKey(c.Ref), Delete: true}
 	if after := next.Get(c.Ref); after != nil {
-		value, err := json.Marshal(after)
+		if object, err = put(objectKey(c.Ref), after); err != nil {
+			return false, unavailable(err)
+		}
+	}
+	writes := []platform.Write{object}
+	for key, value := range map[string]any{
+		headKey:                     head{Revision: next.Revision(), AuditFloor: floor},
+		auditKey(next.Revision()):   newAuditRecord(base.snapshot, next, c, now),
+		operationKey(c.OperationID): operation{Revision: next.Revision(), Fingerprint: print},
+	} {
+		w, err := put(key, value)
 		if err != nil {
-			return false, Error.Wrap(err)
+			return false, unavailable(err)
 		}
-		object = platform.Write{Key: objectKey(c.Ref), Value: value}
+		writes = append(writes, w)
 	}
 	result, err := s.kv.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{
 			{Key: headKey, ModRevision: base.headModRevision},
 			{Key: operationKey(c.OperationID)},
 		},
-		Writes: []platform.Write{
-			object,
-			{Key: headKey, Value: headValue},
-			{Key: auditKey(next.Revision()), Value: recordValue},
-			{Key: operationKey(c.OperationID), Value: headValue},
-		},
+		Writes: append(writes, trim...),
 	})
 	return result.Committed, err
 }
 
-// operation returns the configuration revision that an operation id was accepted at, or 0.
-func (s store) operation(ctx context.Context, id string) (int64, error) {
-	e, err := s.kv.Get(ctx, operationKey(id))
-	if err != nil || e.ModRevision == 0 {
-		return 0, err
-	}
-	var h head
-	if err := json.Unmarshal(e.Value, &h); err != nil {
-		return 0, Error.New("value of %s: %w", e.Key, err)
+// trim returns the deletions of old audit records and their operation ids, and the new floor.
+func (s store) trim(ctx context.Context, h head, next int64) ([]platform.Write, int64, error) {
+	floor := max(h.AuditFloor, 1)
+	var writes []platform.Write
+	for n := 0; n < trimBatch && floor <= next-s.auditLimit; n++ {
+		e, err := s.kv.Get(ctx, auditKey(floor))
+		if err != nil {
+			return nil, 0, err
+		}
+		if e.ModRevision != 0 {
+			writes = append(writes, platform.Write{Key: e.Key, Delete: true})
+			if r, err := decodeRecord(e.Key, e.Value); err == nil && r.OperationID != "" {
+				writes = append(writes, platform.Write{Key: operationKey(r.OperationID), Delete: true})
+			}
+		}
+		floor++
 	}
-	return h.Revision, nil
+	return writes, floor, nil
 }
 
-// audit returns all records, oldest first.
-func (s store) audit(ctx context.Context) ([]AuditRecord, error) {
-	result, err := s.kv.Range(ctx, auditPrefix)
-	if err != nil {
-		return nil, err
+// operation returns what an operation id was accepted for; its Revision is 0 when it was not.
+func (s store) operation(ctx context.Context, id string) (operation, error) {
+	e, err := s.kv.Get(ctx, operationKey(id))
+	if err != nil || e.ModRevision == 0 {
+		return operation{}, err
 	}
-	records := make([]AuditRecord, 0, len(result.Entries))
-	for _, e := range result.Entries {
-		var r AuditRecord
-		if err := json.Unmarshal(e.Value, &r); err != nil {
-			return nil, Error.New("value of %s: %w", e.Key, err)
-		}
-		records = append(records, r)
+	var op operation
+	if err := json.Unmarshal(e.Value, &op); err != nil {
+		return operation{}, Error.New("value of %s: %w", e.Key, err)
 	}
-	return records, nil
+	return op, nil
 }
 
-func newAuditRecord(before, after *config.Snapshot, c config.Change, now time.Time) AuditRecord {
-	r := AuditRecord{
-		Revision: after.Revision(), Time: now, Actor: c.Actor, Reason: c.Reason, OperationID: c.OperationID,
-		Ref: c.Ref, Before: before.Get(c.Ref), After: after.Get(c.Ref), Outcome: OutcomeAccepted, Action: "update",
-	}
-	switch {
-	case r.Before == nil:
-		r.Action = "create"
-	case r.After == nil:
-		r.Action = "delete"
+// put returns the write of a value in JSON.
+func put(key string, value any) (platform.Write, error) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return platform.Write{}, Error.Wrap(err)
 	}
-	return r
+	return platform.Write{Key: key, Value: text}, nil
 }
--- a/service/operator/authenticator.go
+++ b/service/operator/authenticator.go
@@ -20,8 +20,9 @@
 	operatorv1connect.OperatorServiceSetDataCentreStateProcedure: true,
 }
 
-// newAuthenticator returns an interceptor that refuses calls without a known token or with too weak a role.
-func newAuthenticator(tokens []settings.OperatorToken) connect.UnaryInterceptorFunc {
+// newAuthenticator returns an interceptor that refuses calls without a known token or with too weak a role. It tells
+// refused about a change that a known operator may not make.
+func newAuthenticator(tokens []settings.OperatorToken, refused func(actor, connect.AnyRequest)) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 			a, ok := authenticate(tokens, req.Header().Get("Authorization"))
@@ -29,6 +30,7 @@
 				return nil, connect.NewError(connect.CodeUnauthenticated, errMissingToken)
 			}
 			if changingProcedures[req.Spec().Procedure] && a.role != settings.RoleOperator {
+				refused(a, req)
 				return nil, connect.NewError(connect.CodePermissionDenied, errViewerOnly)
 			}
 			return next(withActor(ctx, a), req)
--- a/service/operator/convert_error.go
+++ b/service/operator/convert_error.go
@@ -19,6 +19,8 @@
 		conflict *config.ConflictError
 		invalid  *config.InvalidError
 		notFound *config.NotFoundError
+		reused   *config.OperationReusedError
+		restored *config.RestoredError
 	)
 	switch {
 	case err == nil:
@@ -29,6 +31,10 @@
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	case errors.As(err, &notFound):
 		return connect.NewError(connect.CodeNotFound, err)
+	case errors.As(err, &reused):
+		return connect.NewError(connect.CodeAlreadyExists, err)
+	case errors.As(err, &restored):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
 	case platform.ErrUnknownOutcome.Has(err):
 		return connect.NewError(connect.CodeUnknown, err)
 	case errors.Is(err, context.DeadlineExceeded):
@@ -41,7 +47,8 @@
 func conflictToConnect(conflict *config.ConflictError) error {
 	out := connect.NewError(connect.CodeAborted, conflict)
 	detail, err := connect.NewErrorDetail(&operatorv1.ConflictDetail{
-		Stored: ObjectToProto(conflict.Stored), Proposed: ObjectToProto(conflict.Proposed),
+		Stored:   ObjectToProto(config.Redacted(conflict.Stored)),
+		Proposed: ObjectToProto(config.Redacted(conflict.Proposed)),
 	})
 	if err == nil {
 		out.AddDetail(detail)
--- a/service/operator/objects.go
+++ b/service/operator/objects.go
@@ -69,32 +69,24 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errState)
 	}
 	ref := config.Ref{Kind: config.KindDataCentre, Name: req.Msg.GetName()}
-	stored := s.current.Load().Get(ref)
-	if stored == nil {
-		return nil, errorToConnect(&config.NotFoundError{Ref: ref})
-	}
 	expected := req.Msg.GetExpectedRevision()
 	if expected == 0 {
+		expected = config.AnyRevision
 		// Made against what this node has in force, so that a racing change of the same data centre is a conflict.
-		expected = stored.Revision
+		if stored := s.current.Load().Get(ref); stored != nil {
+			expected = stored.Revision
+		}
 	}
-	changed := *stored.DataCentre
-	changed.Out = out
-	return s.change(ctx, req.Msg.GetChange(), config.Change{
-		Ref: ref, Expected: expected, Proposed: &config.Object{Ref: ref, DataCentre: &changed},
-	})
+	return s.change(ctx, req.Msg.GetChange(), config.Change{Ref: ref, Expected: expected, SetOut: &out})
 }
 
 // change makes one change and translates its result.
 func (s *Server) change(ctx context.Context, info *operatorv1.ChangeInfo, c config.Change) (*connect.Response[operatorv1.ChangeResponse], error) {
-	if info.GetOperationId() == "" {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errOperationID)
-	}
-	if info.GetReason() == "" {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errReason)
-	}
 	c.OperationID, c.Reason, c.Force = info.GetOperationId(), info.GetReason(), info.GetForce()
 	c.Actor = actorOf(ctx).name
+	if c.Expected < 0 && c.SetOut == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errExpected)
+	}
 	accepted, err := s.changer.Change(ctx, c)
 	if err != nil {
 		return nil, errorToConnect(err)
--- a/service/operator/server.go
+++ b/service/operator/server.go
@@ -20,7 +20,9 @@
 // Changer makes changes and reads the audit trail.
 type Changer interface {
 	Change(ctx context.Context, change config.Change) (configuration.Accepted, error)
-	Audit(ctx context.Context) ([]configuration.AuditRecord, error)
+	// Refused records a change that was refused before it was tried, without waiting.
+	Refused(change config.Change, outcome, detail string)
+	Audit(ctx context.Context, q configuration.AuditQuery) ([]configuration.AuditRecord, error)
 }
 
 // Server implements the operator API.
@@ -40,6 +42,6 @@
 func (s *Server) Handler(tokens []settings.OperatorToken) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(operatorv1connect.NewOperatorServiceHandler(s,
-		connect.WithInterceptors(newAuthenticator(tokens)), connect.WithReadMaxBytes(maxMessageBytes)))
-	return mux
+		connect.WithInterceptors(newAuthenticator(tokens, s.refusedByRole)), connect.WithReadMaxBytes(maxMessageBytes)))
+	return readBody{next: mux}
 }
--- a/service/operator/state.go
+++ b/service/operator/state.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -12,8 +12,16 @@
 	"azuredyke.dev/azuredyke/service/configuration"
 )
 
-// defaultAuditLimit is the number of audit records returned when a call gives no limit.
-const defaultAuditLimit = 100
+const (
+	// defaultAuditLimit is the number of audit records returned when a call gives no limit.
+	defaultAuditLimit = 100
+	// maxAuditLimit bounds the records of one answer.
+	maxAuditLimit = 1000
+	// maxFilterBytes bounds a filter of a listing.
+	maxFilterBytes = 256
+	// auditTimeout bounds the reads of one listing; a filter that matches nothing reads the whole trail.
+	auditTimeout = 15 * time.Second
+)
 
 // ListNodes implements the operator API.
 func (s *Server) ListNodes(ctx context.Context, _ *connect.Request[operatorv1.ListNodesRequest]) (*connect.Response[operatorv1.ListNodesResponse], error) {
@@ -26,6 +34,9 @@
 
 // ListEndpoints implements the operator API.
 func (s *Server) ListEndpoints(ctx context.Context, req *connect.Request[operatorv1.ListEndpointsRequest]) (*connect.Response[operatorv1.ListEndpointsResponse], error) {
+	if len(req.Msg.GetService()) > maxFilterBytes {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errFilter)
+	}
 	endpoints, err := s.fleet.Endpoints(ctx, req.Msg.GetService())
 	if err != nil {
 		return nil, errorToConnect(err)
@@ -44,38 +55,51 @@
 
 // ListAudit implements the operator API.
 func (s *Server) ListAudit(ctx context.Context, req *connect.Request[operatorv1.ListAuditRequest]) (*connect.Response[operatorv1.ListAuditResponse], error) {
-	records, err := s.changer.Audit(ctx)
+	query, err := auditQuery(req.Msg)
 	if err != nil {
-		return nil, errorToConnect(err)
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	limit := int(req.Msg.GetLimit())
-	if limit <= 0 {
-		limit = defaultAuditLimit
+	ctx, cancel := context.WithTimeout(ctx, auditTimeout)
+	defer cancel()
+	records, err := s.changer.Audit(ctx, query)
+	if err != nil {
+		return nil, errorToConnect(err)
 	}
 	out := &operatorv1.ListAuditResponse{}
-	for _, r := range slices.Backward(records) {
-		if len(out.Records) == limit {
-			break
-		}
-		if matchesAudit(req.Msg, r) {
-			out.Records = append(out.Records, auditToProto(r))
-		}
+	for _, r := range records {
+		out.Records = append(out.Records, auditToProto(r))
 	}
 	return connect.NewResponse(out), nil
 }
 
-func matchesAudit(filter *operatorv1.ListAuditRequest, r configuration.AuditRecord) bool {
-	kind, byKind := kinds[filter.GetKind()]
-	return (filter.GetActor() == "" || filter.GetActor() == r.Actor) &&
-		(!byKind || kind == r.Ref.Kind) &&
-		(filter.GetName() == "" || filter.GetName() == r.Ref.Name)
+// auditQuery checks the filters, all of which may be left out.
+func auditQuery(req *operatorv1.ListAuditRequest) (configuration.AuditQuery, error) {
+	q := configuration.AuditQuery{Actor: req.GetActor(), Name: req.GetName(), Limit: int(req.GetLimit())}
+	if req.GetKind() != operatorv1.Kind_KIND_UNSPECIFIED {
+		kind, ok := kinds[req.GetKind()]
+		if !ok {
+			return q, errKind
+		}
+		q.Kind = kind
+	}
+	if len(q.Actor) > maxFilterBytes || len(q.Name) > maxFilterBytes {
+		return q, errFilter
+	}
+	if q.Limit < 0 {
+		return q, errLimit
+	}
+	if q.Limit == 0 {
+		q.Limit = defaultAuditLimit
+	}
+	q.Limit = min(q.Limit, maxAuditLimit)
+	return q, nil
 }
 
 func auditToProto(r configuration.AuditRecord) *operatorv1.AuditRecord {
 	return &operatorv1.AuditRecord{
 		Revision: r.Revision, TimeMs: r.Time.UnixMilli(), Actor: r.Actor, Reason: r.Reason,
 		OperationId: r.OperationID, Action: r.Action, Kind: kindToProto(r.Ref.Kind), Name: r.Ref.Name,
-		Before: objectText(r.Before), After: objectText(r.After), Outcome: r.Outcome,
+		Before: objectText(r.Before), After: objectText(r.After), Outcome: r.Outcome, Detail: r.Detail,
 	}
 }
 
