Keep the ring of refused changes in order when it wraps

The page with the newest records also holds the oldest ones; they were listed among the newest. Records carry a number, and that page is read again at the end. go test -race ./service/configuration: ok.

--- a/service/configuration/audit.go
+++ b/service/configuration/audit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 
 	"azuredyke.dev/azuredyke/platform"
 )
@@ -55,27 +54,25 @@
 	}
 	c := &auditCursor{kv: s.kv}
 	if h.Revision > 0 {
-		for page := h.Revision / auditPage; page >= h.AuditFloor/auditPage; page-- {
-			c.pages = append(c.pages, auditPagePrefix(page))
+		for n := h.Revision / auditPage; n >= h.AuditFloor/auditPage; n-- {
+			c.pages = append(c.pages, page{prefix: auditPagePrefix(n)})
 		}
 	}
 	return c, nil
 }
 
-// refusedCursor reads the records of refused changes. The slots are a ring, whose newest page may hold the newest and
-// the oldest records; records of a page are ordered by time, and each slot is read once.
+// refusedCursor reads the records of refused changes. The slots are a ring, so the page with the newest records may also
+// hold the oldest ones, and is read again at the end for those.
 func (s store) refusedCursor(ctx context.Context) (*auditCursor, error) {
-	sequence, _, err := s.refusedHead(ctx)
+	count, _, err := s.refusedHead(ctx)
 	if err != nil {
 		return nil, err
 	}
-	c := &auditCursor{kv: s.kv, order: func(records []AuditRecord) []AuditRecord {
-		slices.SortStableFunc(records, func(a, b AuditRecord) int { return a.Time.Compare(b.Time) })
-		return records
-	}}
-	newest := sequence / auditPage
-	for page := newest; page >= 0 && newest-page < refusedSlots/auditPage; page-- {
-		c.pages = append(c.pages, refusedPagePrefix(page))
+	c := &auditCursor{kv: s.kv}
+	const pages = refusedSlots / auditPage
+	newest := count / auditPage
+	for n := newest; n >= 0 && n >= newest-pages; n-- {
+		c.pages = append(c.pages, page{prefix: refusedPagePrefix(n), from: n * auditPage, below: (n + 1) * auditPage})
 	}
 	return c, nil
 }
@@ -98,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	r.Sequence = sequence
 	slot, err := put(refusedKey(sequence), r)
 	if err != nil {
 		return err
--- a/service/configuration/audit_cursor.go
+++ b/service/configuration/audit_cursor.go
@@ -6,15 +6,20 @@
 	"azuredyke.dev/azuredyke/platform"
 )
 
+// page is one read of a cursor.
+type page struct {
+	prefix string
+	// from and below bound the sequence numbers of the records that belong to the page; below is 0 for no bound.
+	from, below int64
+}
+
 // auditCursor reads records from the newest to the oldest, a page at a time.
 type auditCursor struct {
 	kv platform.KV
-	// pages are the prefixes that are still to be read, newest first.
-	pages []string
+	// pages are still to be read, newest first.
+	pages []page
 	// records of the current page, oldest first.
 	records []AuditRecord
-	// order sorts the records of a page that was read, oldest first, and drops those that do not belong to it.
-	order func([]AuditRecord) []AuditRecord
 }
 
 // peek returns the newest record that was not taken, or nil at the end.
@@ -23,7 +28,8 @@
 		if len(c.pages) == 0 {
 			return nil, nil
 		}
-		result, err := c.kv.Range(ctx, c.pages[0])
+		p := c.pages[0]
+		result, err := c.kv.Range(ctx, p.prefix)
 		if err != nil {
 			return nil, err
 		}
@@ -33,10 +39,9 @@
 			if err != nil {
 				return nil, err
 			}
-			c.records = append(c.records, r)
-		}
-		if c.order != nil {
-			c.records = c.order(c.records)
+			if r.Sequence >= p.from && (p.below == 0 || r.Sequence < p.below) {
+				c.records = append(c.records, r)
+			}
 		}
 	}
 	return &c.records[len(c.records)-1], nil
--- a/service/configuration/audit_record.go
+++ b/service/configuration/audit_record.go
@@ -35,6 +35,8 @@
 	Outcome string
 	// Detail is the error of a refused change.
 	Detail string
+	// Sequence numbers the refused changes.
+	Sequence int64 `json:",omitempty"`
 }
 
 // newAuditRecord returns the record of an accepted change.
