Spread configuration between nodes by notices and pulls

Every node watched the key-value service and read the whole configuration after each change, which does not fit 1,500 nodes. Relays now watch and apply each transaction; other nodes learn of a revision from notices of peers and from pulls, which carry the difference where the peer's history reaches back.

--- /dev/null
+++ b/decision/config/caused_test.go
@@ -0,0 +1,53 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a problem that exists already and keeps operators from an unrelated change, such as taking a second data
+// centre out.
+func TestEvaluateIgnoresProblemsThatExisted(t *testing.T) {
+	s := NewSnapshot(5, []*Object{dataCentre("howrah", true), notes()})
+	rename := Change{Ref: Ref{KindModel, "m"}, Proposed: &Object{Ref: Ref{KindModel, "m"}, Model: &Model{Version: "1"}}}
+	_, warnings, err := Evaluate(s, rename)
+	assert.NilError(t, err)
+	assert.Equal(t, len(warnings), 0)
+}
+
+// Guards against an object whose own errors are accepted because they were there before.
+func TestEvaluateRefusesErrorsOfChangedObject(t *testing.T) {
+	broken := notes()
+	broken.Service.ColdLimit = 0
+	s := NewSnapshot(5, []*Object{broken})
+	again := notes()
+	again.Service.ColdLimit = 0
+	_, _, err := Evaluate(s, Change{Ref: again.Ref, Expected: AnyRevision, Proposed: again})
+	assert.ErrorContains(t, err, "cold_limit")
+}
+
+// Guards against objects too large for a value of the key-value service.
+func TestValidateBoundsListsAndTexts(t *testing.T) {
+	long := strings.Repeat("x", maxTextBytes+1)
+	for name, o := range map[string]*Object{
+		"region":   {Ref: Ref{KindDataCentre, "d"}, DataCentre: &DataCentre{Region: long}},
+		"version":  {Ref: Ref{KindModel, "m"}, Model: &Model{Version: long}},
+		"adapters": {Ref: Ref{KindModel, "m"}, Model: &Model{Adapters: make([]string, maxListItems+1)}},
+		"hashes":   {Ref: Ref{KindWorkspace, "w"}, Workspace: &Workspace{KeyHashes: make([]string, maxListItems+1)}},
+		"upper":    {Ref: Ref{KindWorkspace, "w"}, Workspace: &Workspace{KeyHashes: []string{strings.Repeat("AB", 32)}}},
+	} {
+		assert.Assert(t, len(Validate(NewSnapshot(1, []*Object{o}))) > 0, name)
+	}
+}
+
+// Guards against taking a data centre out with a stale copy of it, which would undo another operator's change.
+func TestSetOutKeepsOtherFields(t *testing.T) {
+	s := NewSnapshot(5, []*Object{dataCentre("howrah", false)})
+	out := true
+	next, _, err := Evaluate(s, Change{Ref: Ref{KindDataCentre, "howrah"}, Expected: AnyRevision, SetOut: &out})
+	assert.NilError(t, err)
+	assert.Assert(t, next.DataCentre("howrah").Out)
+	assert.Equal(t, next.DataCentre("howrah").Region, "bengal")
+}
--- a/service/configuration/faulty_kv_test.go
+++ b/service/configuration/faulty_kv_test.go
@@ -61,10 +61,28 @@
 	return e, err
 }
 
-// Watch implements platform.KV.
+// Watch implements platform.KV. An outage breaks it at the next event.
 func (k *faultyKV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
 	if err := k.check(); err != nil {
 		return nil, err
 	}
-	return k.KV.Watch(ctx, prefix, from)
+	in, err := k.KV.Watch(ctx, prefix, from)
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan platform.WatchBatch)
+	go func() {
+		defer close(out)
+		for batch := range in {
+			if k.down.Load() {
+				return
+			}
+			select {
+			case out <- batch:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
 }
--- /dev/null
+++ b/service/configuration/fleet_test.go
@@ -0,0 +1,181 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/platform/memory"
+)
+
+const (
+	// fleetSize is the number of nodes in the targets.
+	fleetSize = 16
+	// fleetRelays is the number of nodes that follow the key-value service.
+	fleetRelays = 3
+	// minDelay and maxDelay bound the one-way delay of a link; regions are tens of milliseconds apart.
+	minDelay = time.Millisecond
+	maxDelay = 80 * time.Millisecond
+)
+
+// fleet is 16 nodes' configuration tasks on one key-value service and links with delays and stalls.
+type fleet struct {
+	kv      *faultyKV
+	nodes   []*fleetNode
+	random  *rand.Rand
+	stalled [fleetSize][fleetSize]atomic.Bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// fleetNode is one node of a fleet. It implements Peers.
+type fleetNode struct {
+	fleet       *fleet
+	index       int
+	keeper      *Keeper
+	changer     *Changer
+	distributor *Distributor
+	members     *latest.Value[[]Member]
+	pulls       atomic.Int64
+	whole       atomic.Int64
+}
+
+// newFleet starts a fleet; end stops it. The nodes see the key-value service through wrap, unless it is nil.
+func newFleet(seed uint64, wrap func(platform.KV) platform.KV) *fleet {
+	store := memory.NewKV()
+	var kv platform.KV = store
+	if wrap != nil {
+		kv = wrap(kv)
+	}
+	f := &fleet{kv: &faultyKV{KV: kv}, random: rand.New(rand.NewPCG(seed, seed))}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.tasks.Go(func() { store.Run(f.ctx) })
+	for i := range fleetSize {
+		f.nodes = append(f.nodes, f.newNode(i))
+	}
+	for _, n := range f.nodes {
+		n.publishMembers(nil)
+		f.startNode(n)
+	}
+	return f
+}
+
+func (f *fleet) newNode(i int) *fleetNode {
+	log := zap.NewNop()
+	n := &fleetNode{fleet: f, index: i, keeper: NewKeeper(log), members: latest.New[[]Member](nil)}
+	n.changer = NewChanger(log, f.kv, n.keeper)
+	return n
+}
+
+// startNode runs the tasks of a node.
+func (f *fleet) startNode(n *fleetNode) {
+	watcher := NewRelayWatcher(zap.NewNop(), f.kv, n.keeper, latest.New(n.index < fleetRelays))
+	n.distributor = NewDistributor(zap.NewNop(), n.keeper, n, watcher, DistributorOptions{
+		Self: fmt.Sprint(n.index), Random: rand.New(rand.NewPCG(f.random.Uint64(), 1)),
+	})
+	for _, run := range []func(context.Context){n.keeper.Run, n.changer.Run, watcher.Run, n.distributor.Run} {
+		f.tasks.Go(func() { run(f.ctx) })
+	}
+}
+
+// publishMembers shows the node all others, with the given revisions.
+func (n *fleetNode) publishMembers(revisions map[int]int64) {
+	var members []Member
+	for i := range fleetSize {
+		if i != n.index {
+			members = append(members, Member{ID: fmt.Sprint(i), Address: fmt.Sprint(i), Revision: revisions[i]})
+		}
+	}
+	n.members.Publish(members)
+}
+
+// end stops the fleet and waits for its tasks.
+func (f *fleet) end() {
+	f.cancel()
+	f.tasks.Wait()
+}
+
+// stallHalf stalls each link with an even chance, in both directions.
+func (f *fleet) stallHalf() {
+	for i := range fleetSize {
+		for j := range i {
+			stalled := f.random.IntN(2) == 0
+			f.stalled[i][j].Store(stalled)
+			f.stalled[j][i].Store(stalled)
+		}
+	}
+}
+
+// cross waits for one way over a link, or until ctx ends when the link has stalled.
+func (n *fleetNode) cross(ctx context.Context, to int) error {
+	if n.fleet.stalled[n.index][to].Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(minDelay + rand.N(maxDelay-minDelay)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// target returns the node at an address.
+func (n *fleetNode) target(address string) *fleetNode {
+	for i, other := range n.fleet.nodes {
+		if fmt.Sprint(i) == address {
+			return other
+		}
+	}
+	return nil
+}
+
+// Members implements Peers.
+func (n *fleetNode) Members() *latest.Value[[]Member] { return n.members }
+
+// Pull implements Peers.
+func (n *fleetNode) Pull(ctx context.Context, address string, have int64) (PullReply, error) {
+	n.pulls.Add(1)
+	to := n.target(address)
+	if err := n.cross(ctx, to.index); err != nil {
+		return PullReply{}, err
+	}
+	reply := to.keeper.Pull(have)
+	if reply.Whole {
+		n.whole.Add(1)
+	}
+	return reply, n.cross(ctx, to.index)
+}
+
+// Notify implements Peers.
+func (n *fleetNode) Notify(address string, notice Notice) {
+	n.fleet.tasks.Go(func() {
+		to := n.target(address)
+		if n.cross(n.fleet.ctx, to.index) == nil {
+			to.distributor.Notice(notice)
+		}
+	})
+}
+
+// waitInForce returns the time until every node has a revision in force.
+func (f *fleet) waitInForce(revision int64) time.Duration {
+	start := time.Now()
+	for _, n := range f.nodes {
+		for {
+			s, changed := n.keeper.Current().Watch()
+			if s.Revision() >= revision {
+				break
+			}
+			<-changed
+		}
+	}
+	return time.Since(start)
+}
--- /dev/null
+++ b/service/configuration/leak_test.go
@@ -0,0 +1,43 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/platform/memory"
+)
+
+// noPeers is a node alone.
+type noPeers struct{}
+
+func (noPeers) Members() *latest.Value[[]Member]                       { return latest.New[[]Member](nil) }
+func (noPeers) Notify(string, Notice)                                  {}
+func (noPeers) Pull(context.Context, string, int64) (PullReply, error) { return PullReply{}, nil }
+
+// Guards against tasks, or goroutines of theirs, that do not end with their context.
+func TestTasksEndWithTheirContext(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	kv, log := memory.NewKV(), zap.NewNop()
+	keeper := NewKeeper(log)
+	changer := NewChanger(log, kv, keeper)
+	relay := latest.New(true)
+	watcher := NewRelayWatcher(log, kv, keeper, relay)
+	distributor := NewDistributor(log, keeper, noPeers{}, watcher, DistributorOptions{})
+	for _, run := range []func(context.Context){kv.Run, keeper.Run, changer.Run, watcher.Run, distributor.Run} {
+		tasks.Go(func() { run(ctx) })
+	}
+	if _, err := changer.Change(ctx, putWest("op", config.AnyRevision, "a")); err != nil {
+		t.Error(err)
+	}
+	relay.Publish(false)
+	cancel()
+	tasks.Wait()
+}
