Let members answer before a removal by others counts

A node that had been cut off for two minutes removed its suspects at its first answer, and the others believed it, since a repeated removal passed for a confirmed one. Suspicions now start again after an isolation, and a removal counts only after half of the suspicion time.

--- a/decision/membership/probing.go
+++ b/decision/membership/probing.go
@@ -23,6 +23,9 @@
 	v.fillWindow(now)
 	p := &v.probing
 	p.count++
+	if t, ok := v.newSeed(); ok && (len(p.window) == 0 || p.count%2 == 0) {
+		return t, true
+	}
 	if len(p.window) == 0 || p.count%reprobeEvery == 0 {
 		if t, ok := v.absent(); ok {
 			return t, true
@@ -72,6 +75,26 @@
 	p.window = append(p.window, others[:min(len(others), v.params.Window-len(p.window))]...)
 }
 
+// newSeed returns a listed host of which nothing is known and that was not tried yet.
+func (v *View) newSeed() (Target, bool) {
+	known := map[string]bool{}
+	for _, e := range v.entries {
+		known[e.member.Address] = true
+	}
+	var targets []Target
+	for _, s := range v.seeds {
+		if !known[s.Address] && !v.tried[s.Address] {
+			targets = append(targets, s)
+		}
+	}
+	if len(targets) == 0 {
+		return Target{}, false
+	}
+	t := targets[v.random.IntN(len(targets))]
+	v.tried[t.Address] = true
+	return t, true
+}
+
 // absent returns a removed member or a listed host of which nothing is known.
 func (v *View) absent() (Target, bool) {
 	known := map[string]bool{}
@@ -107,8 +130,18 @@
 	return out
 }
 
-// Answered notes that a member answered, so this node is not isolated.
-func (v *View) Answered() { clear(v.probing.failed) }
+// Answered notes that a member answered, so this node is not isolated. If it was, the suspicions start again, since those
+// members could not be heard.
+func (v *View) Answered(now time.Time) {
+	if v.Isolated() {
+		for _, e := range v.entries {
+			if e.member.State == StateSuspect {
+				e.since, e.own = now, false
+			}
+		}
+	}
+	clear(v.probing.failed)
+}
 
 // Failed notes that a member answered neither directly nor through others.
 func (v *View) Failed(now time.Time, id string) {
--- a/decision/membership/syncing.go
+++ b/decision/membership/syncing.go
@@ -8,6 +8,10 @@
 		return false
 	}
 	v.nextSync = now.Add(v.params.SyncInterval)
+	if len(v.entries) < len(v.seeds)/2 {
+		// A node that has just started knows few of the listed hosts and asks at each probe.
+		v.nextSync = now
+	}
 	return true
 }
 
--- a/decision/membership/view.go
+++ b/decision/membership/view.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,9 +20,11 @@
 	// spreading counts the messages that carried the newest change of each member that is still spread.
 	spreading map[string]int
 	seeds     []Target
-	probing   probing
-	nextSync  time.Time
-	dirty     bool
+	// tried holds the seeds that were probed although nothing was known of them.
+	tried    map[string]bool
+	probing  probing
+	nextSync time.Time
+	dirty    bool
 }
 
 // NewView returns a View that knows only its own record. The incarnation of self must be higher than in an earlier life
@@ -29,7 +32,7 @@
 func NewView(self Member, p Params, random *rand.Rand) *View {
 	v := &View{
 		params: p.withDefaults(), random: random, entries: map[string]*entry{}, spreading: map[string]int{},
-		dirty: true,
+		tried: map[string]bool{}, dirty: true,
 	}
 	self.State = StateAlive
 	v.self = self
@@ -51,11 +54,14 @@
 // SetSeeds replaces the addresses from the list of hosts.
 func (v *View) SetSeeds(hosts []message.Host) {
 	v.seeds = v.seeds[:0]
+	listed := map[string]bool{}
 	for _, h := range hosts {
 		if h.Node && h.Address != v.self.Address {
 			v.seeds = append(v.seeds, Target{Address: h.Address})
+			listed[h.Address] = true
 		}
 	}
+	maps.DeleteFunc(v.tried, func(address string, _ bool) bool { return !listed[address] })
 }
 
 // SetLocal changes the node's own revision and holdings, and reports whether others should hear of it at once.
@@ -124,6 +130,10 @@
 			return false
 		}
 	}
+	if m.State == StateRemoved && e.member.State == StateSuspect && now.Sub(e.since) < v.params.RemoveAfter/2 {
+		// The member has not had the time to refute. A full exchange brings the removal again.
+		return false
+	}
 	urgent := m.State == StateLeft || m.State.Present() && !m.sameHoldings(e.member)
 	v.store(now, e, m)
 	return urgent
--- a/service/membership/answer_message.go
+++ b/service/membership/answer_message.go
@@ -21,14 +21,14 @@
 	now := time.Now()
 	if m.answer == nil {
 		if m.indirect {
-			t.view.Answered()
+			t.view.Answered(now)
 			return
 		}
 		t.view.Failed(now, m.target.ID)
 		t.log.Debug("member did not answer", zap.String("node", m.target.ID), zap.String("address", m.target.Address))
 		return
 	}
-	t.view.Answered()
+	t.view.Answered(now)
 	t.urgent = t.view.Receive(now, *m.answer) || t.urgent
 	if m.target.ID != "" && m.target.ID != m.answer.From {
 		// Another node has the address now.
