Ask the owners of cells on other nodes, and report grants to them

A node could only place requests in its own cells. The router now chooses between the owners by distance, load and prefix, tries another cell after a refusal for lack of room, and has grants returned whose reply was late or lost. Ends of grants are delivered in order with retries until the cell has a newer owner.

go test -race -count=3 ./service/router passes.

--- /dev/null
+++ b/decision/routing/book.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+const (
+	// halfLife is the time in which what is known of a cell loses half of its weight, so that a cell that was busy is
+	// asked again.
+	halfLife = 2 * time.Second
+	// failurePressure is the pressure of a cell that did not answer.
+	failurePressure = 1
+	// affinityMargin is how much busier the cell that a prefix prefers may be than the other choice. Pressures are below 1.
+	affinityMargin = 0.3
+	// maxCells bounds the cells that are remembered; forgetAfter is when one may be forgotten.
+	maxCells    = 1024
+	forgetAfter = time.Minute
+)
+
+// Book remembers how busy the cells are. It belongs to one task.
+type Book struct {
+	random *rand.Rand
+	cells  map[string]*cellLoad
+}
+
+// cellLoad is what is known of one cell.
+type cellLoad struct {
+	summary message.CellSummary
+	at      time.Time
+	failed  bool
+	// asked is the number of requests sent since the summary.
+	asked int
+}
+
+// NewBook returns a Book that knows no cell.
+func NewBook(random *rand.Rand) *Book { return &Book{random: random, cells: map[string]*cellLoad{}} }
+
+// Observe keeps the newest summary of a cell.
+func (b *Book) Observe(now time.Time, cell string, s message.CellSummary) {
+	*b.load(now, cell) = cellLoad{summary: s, at: now}
+}
+
+// Failed notes that a cell could not be asked.
+func (b *Book) Failed(now time.Time, cell string) {
+	*b.load(now, cell) = cellLoad{at: now, failed: true}
+}
+
+// Asked notes that a request was sent to a cell.
+func (b *Book) Asked(now time.Time, cell string) { b.load(now, cell).asked++ }
+
+func (b *Book) load(now time.Time, cell string) *cellLoad {
+	if l, ok := b.cells[cell]; ok {
+		return l
+	}
+	if len(b.cells) >= maxCells {
+		maps.DeleteFunc(b.cells, func(_ string, l *cellLoad) bool { return now.Sub(l.at) > forgetAfter })
+	}
+	l := &cellLoad{at: now}
+	b.cells[cell] = l
+	return l
+}
+
+// Pressure returns how busy a cell is believed to be, from 0 (free or unknown) to 1.
+func (b *Book) Pressure(now time.Time, cell string) float64 {
+	l, ok := b.cells[cell]
+	if !ok {
+		return 0
+	}
+	p := float64(failurePressure)
+	if !l.failed {
+		waiting := float64(l.summary.Queued + l.asked)
+		p = waiting / (waiting + float64(l.summary.Free) + 1)
+	}
+	return p * math.Exp2(-float64(now.Sub(l.at))/float64(halfLife))
+}
+
+// Pick returns the index of the candidate to ask; there must be one. It compares two random candidates, and prefers the
+// cell of the prefix if it is not much busier. A prefix of 0 means that there is none.
+func (b *Book) Pick(now time.Time, candidates []Candidate, prefix uint64) int {
+	cost := func(i int) float64 {
+		return b.Pressure(now, candidates[i].Cell) + candidates[i].Distance.penalty()
+	}
+	best := b.sample(candidates, -1)
+	if len(candidates) > 1 {
+		if other := b.sample(candidates, best); cost(other) < cost(best) {
+			best = other
+		}
+	}
+	if prefix != 0 {
+		if i := preferred(candidates, prefix); cost(i) <= cost(best)+affinityMargin {
+			return i
+		}
+	}
+	return best
+}
+
+// sample draws a candidate by the weight of its distance, other than the given one.
+func (b *Book) sample(candidates []Candidate, except int) int {
+	total := 0.0
+	for i, c := range candidates {
+		if i != except {
+			total += c.Distance.weight()
+		}
+	}
+	at := b.random.Float64() * total
+	last := 0
+	for i, c := range candidates {
+		if i == except {
+			continue
+		}
+		last = i
+		if at -= c.Distance.weight(); at < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// preferred returns the candidate with the highest rendezvous hash among those of this region, so that all nodes of a
+// region prefer the same cell, or among all if the region has none.
+func preferred(candidates []Candidate, prefix uint64) int {
+	key := strconv.FormatUint(prefix, 16) + "\x00"
+	indices := make([]int, 0, len(candidates))
+	for i, c := range candidates {
+		if c.Distance <= SameRegion {
+			indices = append(indices, i)
+		}
+	}
+	if len(indices) == 0 {
+		for i := range candidates {
+			indices = append(indices, i)
+		}
+	}
+	return slices.MaxFunc(indices, func(x, y int) int {
+		return cmp.Or(
+			cmp.Compare(xxh3.HashString(key+candidates[x].Cell), xxh3.HashString(key+candidates[y].Cell)),
+			cmp.Compare(candidates[x].Cell, candidates[y].Cell))
+	})
+}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -50,6 +50,8 @@
 	hosts      *hosts.Poller
 	ownership  *ownership.Keeper
 	dispatch   *dispatcher.Dispatcher
+	router     *router.Router
+	reception  *router.Reception
 	limits     *limits.Keeper
 	retries    *retries.Keeper
 	quarantine *quarantine.Keeper
@@ -108,7 +110,11 @@
 	n.dispatch = dispatcher.New(logging.For(n.root, logging.Dispatcher), s.Dispatch, n.client, n.keeper.Current(),
 		n.hosts.Current(), n.ownership.Current(), dispatcher.WithMetrics(n.metrics.Scope),
 		dispatcher.WithFenceObserver(fences{log: n.log, keeper: n.ownership}))
-	route := router.New(logging.For(n.root, logging.Router), n.keeper.Current(), n.dispatch.Cells())
+	routerLog := logging.For(n.root, logging.Router)
+	n.router = router.New(routerLog, router.Options{
+		DataCentre: s.Node.DataCentre, Region: s.Node.Region, Hub: n.hub, Members: n.members.Current(),
+	}, n.keeper.Current(), n.dispatch.Cells())
+	n.reception = router.NewReception(routerLog, n.dispatch.Cells())
 	n.limits = limits.NewKeeper(n.keeper.Current(), n.roster.count)
 	n.retries = retries.NewKeeper()
 	n.quarantine = quarantine.NewKeeper(logging.For(n.root, logging.Gateway),
@@ -118,7 +124,7 @@
 		NodeID: s.Node.ID, Limits: s.Limits, StallAfter: s.Dispatch.StallAfter,
 		FirstTokenTimeout: s.Dispatch.SuspectAfter, ClaimTimeout: s.Claims.Timeout,
 	}, gateway.Dependencies{
-		Config: n.keeper.Current(), Placer: route, Claimer: claims.Unavailable{}, Limiter: n.limits, Retries: n.retries,
+		Config: n.keeper.Current(), Placer: n.router, Claimer: claims.Unavailable{}, Limiter: n.limits, Retries: n.retries,
 		Quarantine: n.quarantine, Client: n.client, Hosts: n.hosts.Current(), Detached: n.detached,
 		Handover: handover{hub: n.hub, table: n.members.Current(), local: n.detached},
 	}, n.metrics.Scope)
@@ -128,6 +134,7 @@
 // handlePeers registers what other nodes may ask of this one.
 func (n *Node) handlePeers() {
 	membership.RegisterHandlers(n.hub, n.members)
+	router.RegisterHandlers(n.hub, n.reception)
 	handleQuarantine(n.hub, n.quarantine)
 	handleTakeOver(n.hub, n.detached)
 }
--- a/service/node/stop.go
+++ b/service/node/stop.go
@@ -12,6 +12,8 @@
 	stopReportInterval = 5 * time.Second
 	// leaveTimeout bounds the announcement that the node leaves.
 	leaveTimeout = 2 * time.Second
+	// flushTimeout bounds the delivery of the last reports to the owners of cells.
+	flushTimeout = 5 * time.Second
 )
 
 // stop ends the node's work in the order that cuts nothing: readiness fails, new requests are refused, cells and claim
@@ -33,6 +35,7 @@
 	s.callers.stop(ctx)
 	done()
 	<-reported
+	n.flush()
 	n.leave()
 	s.operators.stop(ctx)
 	s.peers.close()
@@ -70,6 +73,15 @@
 	}
 }
 
+// flush delivers the ends of grants to the owners of their cells.
+func (n *Node) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := n.router.Flush(ctx); err != nil {
+		n.log.Warn("some ends of requests not reported to their cells", zap.Error(err))
+	}
+}
+
 // leave tells the other nodes.
 func (n *Node) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- /dev/null
+++ b/service/router/begin_message.go
@@ -0,0 +1,28 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/verdict"
+)
+
+// beginMessage starts a question. The reply is nil if it may be placed; its channel has room for one.
+type beginMessage struct {
+	token uint64
+	stop  context.CancelFunc
+	reply chan<- *message.Refusal
+}
+
+func (m beginMessage) apply(r *Reception) {
+	switch q, known := r.questions[m.token]; {
+	case known && q.cancelled:
+		m.reply <- &message.Refusal{Reason: verdict.ReasonCancelled, Detail: "the request was withdrawn"}
+	case known || len(r.questions) >= maxQuestions:
+		m.reply <- &message.Refusal{Reason: verdict.ReasonBusy, Detail: "too many placements", RetryAfter: time.Second}
+	default:
+		r.questions[m.token] = &question{stop: m.stop}
+		m.reply <- nil
+	}
+}
--- /dev/null
+++ b/service/router/cancel_message.go
@@ -0,0 +1,30 @@
+package router
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// cancelMessage withdraws a question. The reply is the grant that must be returned, or nil; its channel has room for one.
+type cancelMessage struct {
+	token uint64
+	reply chan<- *message.Grant
+}
+
+func (m cancelMessage) apply(r *Reception) {
+	q := r.questions[m.token]
+	if q == nil {
+		// The question may still arrive on the old link.
+		q = &question{}
+		if len(r.questions) < maxQuestions {
+			r.questions[m.token] = q
+		}
+	}
+	q.cancelled, q.forgetAt = true, time.Now().Add(rememberFor)
+	if q.stop != nil {
+		q.stop()
+	}
+	// The grant stays known, since the caller repeats the message if the grant could not be returned.
+	m.reply <- q.grant
+}
--- /dev/null
+++ b/service/router/choose_message.go
@@ -0,0 +1,21 @@
+package router
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/routing"
+)
+
+// chooseMessage asks which candidate to ask. The reply is an index; its channel has room for one.
+type chooseMessage struct {
+	candidates []routing.Candidate
+	prefix     uint64
+	reply      chan<- int
+}
+
+func (m chooseMessage) apply(r *Router) {
+	now := time.Now()
+	i := r.book.Pick(now, m.candidates, m.prefix)
+	r.book.Asked(now, m.candidates[i].Cell)
+	m.reply <- i
+}
--- /dev/null
+++ b/service/router/helper_test.go
@@ -0,0 +1,169 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap/zaptest"
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/decision/membership"
+	"azuredyke.dev/azuredyke/transport/peer"
+)
+
+// longWait bounds what a test waits for; it is never a condition of success.
+const longWait = 30 * time.Second
+
+const (
+	cellOne = "cells/notes/one/0-of-1"
+	cellTwo = "cells/notes/two/0-of-1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeCell answers placements with a function and keeps the reports.
+type fakeCell struct {
+	answer  func(ctx context.Context, r message.PlaceRequest) (message.PlaceReply, error)
+	reports chan message.GrantReport
+}
+
+func newFakeCell(answer func(context.Context, message.PlaceRequest) (message.PlaceReply, error)) *fakeCell {
+	return &fakeCell{answer: answer, reports: make(chan message.GrantReport, 10_000)}
+}
+
+func (c *fakeCell) Place(ctx context.Context, r message.PlaceRequest) (message.PlaceReply, error) {
+	return c.answer(ctx, r)
+}
+
+func (c *fakeCell) Report(_ context.Context, r message.GrantReport) error {
+	c.reports <- r
+	return nil
+}
+
+func (c *fakeCell) next(t *testing.T) message.GrantReport {
+	t.Helper()
+	select {
+	case r := <-c.reports:
+		return r
+	case <-time.After(longWait):
+		t.Fatal("no report arrived")
+		return message.GrantReport{}
+	}
+}
+
+func granting(_ context.Context, r message.PlaceRequest) (message.PlaceReply, error) {
+	return message.PlaceReply{Grant: &message.Grant{
+		Cell: r.Cell, Number: 7, Fence: 1, StartWithin: time.Second, Endpoint: message.Endpoint{ID: "e"},
+	}}, nil
+}
+
+func refusing(reason verdict.Reason) func(context.Context, message.PlaceRequest) (message.PlaceReply, error) {
+	return func(context.Context, message.PlaceRequest) (message.PlaceReply, error) {
+		return refused(reason, "test"), nil
+	}
+}
+
+// fixedCells is a cells function for a map that may be replaced.
+func fixedCells(current *latest.Value[map[string]cell]) cells {
+	return func() (func(string) (cell, bool), <-chan struct{}) {
+		byName, changed := current.Watch()
+		return func(name string) (cell, bool) {
+			c, ok := byName[name]
+			return c, ok
+		}, changed
+	}
+}
+
+func snapshot() *latest.Value[*config.Snapshot] {
+	return latest.New(config.NewSnapshot(1, []*config.Object{
+		{Ref: config.Ref{Kind: config.KindDataCentre, Name: "one"}, DataCentre: &config.DataCentre{Region: "bengal"}},
+		{Ref: config.Ref{Kind: config.KindDataCentre, Name: "two"}, DataCentre: &config.DataCentre{Region: "bengal"}},
+		{Ref: config.Ref{Kind: config.KindService, Name: "notes"}, Service: &config.Service{Cells: 1}},
+	}))
+}
+
+// ownerNode is a node that owns cells and serves routers.
+type ownerNode struct {
+	address string
+	cells   *latest.Value[map[string]cell]
+	stop    func()
+}
+
+// startOwner listens on the address, or on a free port if it is empty.
+func startOwner(t *testing.T, address string, own map[string]cell) *ownerNode {
+	t.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	n := &ownerNode{address: listener.Addr().String(), cells: latest.New(own)}
+	hub := peer.NewHub(zaptest.NewLogger(t), peer.Options{NodeID: n.address})
+	reception := newReception(zaptest.NewLogger(t), fixedCells(n.cells))
+	RegisterHandlers(hub, reception)
+	server := &http.Server{Handler: hub.Handler()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	running.Go(func() { hub.Run(ctx) })
+	running.Go(func() { reception.Run(ctx) })
+	n.stop = sync.OnceFunc(func() {
+		_ = server.Close()
+		cancel()
+		running.Wait()
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+// table returns a member table in which each address owns one cell with a fence of 1.
+func table(owners map[string]string) *membership.Table {
+	v := membership.NewView(membership.Member{ID: "self", Address: "self", Incarnation: 1}, membership.Params{},
+		rand.New(rand.NewPCG(1, 2)))
+	for name, address := range owners {
+		v.Receive(time.Now(), membership.Message{Updates: []membership.Member{{
+			ID: address, Address: address, Incarnation: 1, Holdings: []message.Holding{{Resource: name, Fence: 1}},
+		}}})
+	}
+	return v.Table()
+}
+
+// startRouter runs a router in data centre one.
+func startRouter(t *testing.T, own map[string]cell, members *latest.Value[*membership.Table]) *Router {
+	t.Helper()
+	hub := peer.NewHub(zaptest.NewLogger(t), peer.Options{NodeID: "self", MaxBackoff: 200 * time.Millisecond})
+	r := newRouter(zaptest.NewLogger(t), Options{DataCentre: "one", Region: "bengal", Hub: hub, Members: members},
+		snapshot(), fixedCells(latest.New(own)))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { hub.Run(ctx) })
+	running.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return r
+}
+
+func request() message.PlaceRequest {
+	return message.PlaceRequest{RequestID: "r", Attempt: 1, Service: "notes", MaxWait: longWait}
+}
+
+func place(t *testing.T, r *Router, req message.PlaceRequest) message.PlaceReply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), req.MaxWait)
+	defer cancel()
+	reply, err := r.Place(ctx, req)
+	assert.NilError(t, err)
+	return reply
+}
--- /dev/null
+++ b/service/router/outcome_message.go
@@ -0,0 +1,22 @@
+package router
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// outcomeMessage says how a cell answered.
+type outcomeMessage struct {
+	cell    string
+	failed  bool
+	summary message.CellSummary
+}
+
+func (m outcomeMessage) apply(r *Router) {
+	if m.failed {
+		r.book.Failed(time.Now(), m.cell)
+		return
+	}
+	r.book.Observe(time.Now(), m.cell, m.summary)
+}
--- /dev/null
+++ b/service/router/report_batch.go
@@ -0,0 +1,10 @@
+package router
+
+import "azuredyke.dev/azuredyke/common/message"
+
+// reportBatch is the body of a place.report. It may arrive more than once.
+type reportBatch struct {
+	Reports []message.GrantReport `cbor:"1,keyasint,omitempty"`
+	// Cancels holds the tokens of questions whose grants are returned unused.
+	Cancels []uint64 `cbor:"2,keyasint,omitempty"`
+}
--- a/service/router/router.go
+++ b/service/router/router.go
@@ -1,78 +1,88 @@
-// Package router finds the owner of a cell that can place a request.
 package router
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"sync"
 
+	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/message"
-	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/decision/ownership"
+	"azuredyke.dev/azuredyke/decision/membership"
+	"azuredyke.dev/azuredyke/decision/routing"
 	"azuredyke.dev/azuredyke/service/dispatcher"
 )
 
+// Error is the class of the errors of this package.
+var Error = errs.Class("router")
+
+// routerCapacity bounds the waiting messages of a Router; further placements wait, further summaries are dropped.
+const routerCapacity = 4096
+
 // Router sends placement requests and reports of grants to the owners of cells.
 type Router struct {
-	log    *zap.Logger
-	config *latest.Value[*config.Snapshot]
-	cells  *latest.Value[map[string]*dispatcher.Cell]
+	log      *zap.Logger
+	options  Options
+	config   *latest.Value[*config.Snapshot]
+	cells    cells
+	messages mailbox.Mailbox[routerMessage]
+	// outlets holds the outlet of each owner's address.
+	outlets *latest.Value[map[string]*outlet]
+
+	ctx    context.Context
+	book   *routing.Book
+	owners map[string]message.Holding
+	tasks  sync.WaitGroup
 }
 
-// New returns a Router.
-func New(log *zap.Logger, current *latest.Value[*config.Snapshot], cells *latest.Value[map[string]*dispatcher.Cell]) *Router {
-	return &Router{log: log, config: current, cells: cells}
+// New returns a Router. It works while Run runs.
+func New(log *zap.Logger, o Options, current *latest.Value[*config.Snapshot],
+	own *latest.Value[map[string]*dispatcher.Cell],
+) *Router {
+	return newRouter(log, o, current, ownCells(own))
 }
 
-// Place asks the owner of a cell for a grant. The reply is a refusal when no cell can be asked.
-func (r *Router) Place(ctx context.Context, req message.PlaceRequest) (message.PlaceReply, error) {
-	candidates := r.candidates(req)
-	if len(candidates) == 0 {
-		return refused(verdict.ReasonNoEndpoint, "no data centre is open for this work"), nil
+func newRouter(log *zap.Logger, o Options, current *latest.Value[*config.Snapshot], own cells) *Router {
+	if o.Members == nil {
+		alone := membership.NewView(membership.Member{}, membership.Params{}, nil)
+		o.Members = latest.New(alone.Table())
+	}
+	return &Router{
+		log: log, options: o, config: current, cells: own, messages: mailbox.New[routerMessage](routerCapacity),
+		outlets: latest.New(map[string]*outlet{}), owners: map[string]message.Holding{},
+		book: routing.NewBook(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+}
+
+// Run handles messages until ctx ends. The reports that were not delivered by then are lost.
+func (r *Router) Run(ctx context.Context) {
+	r.ctx = ctx
+	defer r.tasks.Wait()
 	for {
-		cells, changed := r.cells.Watch()
-		for _, i := range rand.Perm(len(candidates)) {
-			if cell, ok := cells[candidates[i]]; ok {
-				req.Cell = candidates[i]
-				return cell.Place(ctx, req)
-			}
-		}
 		select {
-		case <-changed:
 		case <-ctx.Done():
-			return refused(verdict.ReasonNoOwner, "no cell of this service has an owner"), nil
+			return
+		case m := <-r.messages.Receive():
+			m.apply(r)
 		}
 	}
 }
 
-// Report tells the owner of a cell what happened to a grant.
-func (r *Router) Report(ctx context.Context, report message.GrantReport) error {
-	if cell, ok := r.cells.Load()[report.Cell]; ok {
-		return cell.Report(ctx, report)
+// outletTo returns the outlet to an owner and starts it if needed.
+func (r *Router) outletTo(owner message.Holding) *outlet {
+	current := r.outlets.Load()
+	if o, ok := current[owner.Address]; ok {
+		return o
 	}
-	return nil
-}
-
-// candidates returns the cells in the data centres where the request may run.
-func (r *Router) candidates(req message.PlaceRequest) []string {
-	snapshot := r.config.Load()
-	service := snapshot.Service(req.Service)
-	if service == nil {
-		return nil
-	}
-	var names []string
-	for _, dataCentre := range snapshot.DataCentresFor(req.Service, req.Workspace) {
-		for i := range service.Cells {
-			names = append(names, ownership.CellName(req.Service, dataCentre, i, service.Cells))
-		}
-	}
-	return names
-}
-
-func refused(reason verdict.Reason, detail string) message.PlaceReply {
-	return message.PlaceReply{Refusal: &message.Refusal{Reason: reason, Detail: detail}}
+	o := newOutlet(r, owner)
+	next := maps.Clone(current)
+	next[owner.Address] = o
+	r.outlets.Publish(next)
+	r.tasks.Go(func() { o.run(r.ctx) })
+	return o
 }
--- a/transport/peer/hub.go
+++ b/transport/peer/hub.go
@@ -45,7 +45,7 @@
 // NewHub returns a Hub without links.
 func NewHub(log *zap.Logger, o Options) *Hub {
 	o = o.withDefaults()
-	scope := o.Scope.SubScope("peer")
+	scope := o.Scope
 	return &Hub{
 		log: log, options: o, handlers: map[string]*handler{}, messages: newInbox(hubCapacity),
 		client: &http.Client{Transport: &http.Transport{
