--- a/service/node/fleet.go
+++ b/service/node/fleet.go
@@ -13,15 +13,21 @@
 
 // Nodes implements operator.Fleet.
 func (f *fleet) Nodes(context.Context) ([]*operatorv1.Node, error) {
-	n := f.node
-	self := &operatorv1.Node{
-		Id: n.settings.Node.ID, Address: n.settings.Listen.PeersAdvertised, DataCentre: n.settings.Node.DataCentre,
-		State: "alive", ConfigRevision: n.keeper.Current().Load().Revision(),
-	}
-	for resource := range n.ownership.Current().Load().ByResource {
-		self.Holdings = append(self.Holdings, resource)
+	var out []*operatorv1.Node
+	table := f.node.members.Current().Load()
+	for _, m := range table.Present() {
+		n := &operatorv1.Node{
+			Id: m.ID, Address: m.Address, DataCentre: m.DataCentre, State: m.State.String(), ConfigRevision: m.ConfigRevision,
+		}
+		if m.ID == table.Self().ID {
+			n.ConfigRevision = f.node.keeper.Current().Load().Revision()
+		}
+		for _, h := range m.Holdings {
+			n.Holdings = append(n.Holdings, h.Resource)
+		}
+		out = append(out, n)
 	}
-	return []*operatorv1.Node{self}, nil
+	return out, nil
 }
 
 // Endpoints implements operator.Fleet.
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -34,30 +34,31 @@
 
 // Node is one assembled node.
 type Node struct {
-	root       *zap.Logger
-	log        *zap.Logger
-	settings   settings.Settings
-	kv         platform.KV
-	metrics    *metrics.Registry
-	listeners  listeners
-	client     *engine.Client
-	hub        *peer.Hub
-	roster     *roster
-	members    *membership.Task
-	keeper     *configuration.Keeper
-	watcher    *configuration.Watcher
-	changer    *configuration.Changer
-	hosts      *hosts.Poller
-	ownership  *ownership.Keeper
-	dispatch   *dispatcher.Dispatcher
-	router     *router.Router
-	reception  *router.Reception
-	limits     *limits.Keeper
-	retries    *retries.Keeper
-	quarantine *quarantine.Keeper
-	detached   *gateway.Detached
-	gateway    *gateway.Server
-	operator   *operator.Server
+	root        *zap.Logger
+	log         *zap.Logger
+	settings    settings.Settings
+	kv          platform.KV
+	metrics     *metrics.Registry
+	listeners   listeners
+	client      *engine.Client
+	hub         *peer.Hub
+	roster      *roster
+	members     *membership.Task
+	keeper      *configuration.Keeper
+	watcher     *configuration.Watcher
+	changer     *configuration.Changer
+	distributor *configuration.Distributor
+	hosts       *hosts.Poller
+	ownership   *ownership.Keeper
+	dispatch    *dispatcher.Dispatcher
+	router      *router.Router
+	reception   *router.Reception
+	limits      *limits.Keeper
+	retries     *retries.Keeper
+	quarantine  *quarantine.Keeper
+	detached    *gateway.Detached
+	gateway     *gateway.Server
+	operator    *operator.Server
 	// stopping is set once the readiness check must fail.
 	stopping atomic.Bool
 }
@@ -91,7 +92,10 @@
 	s := n.settings
 	configLog := logging.For(n.root, logging.Configuration)
 	n.keeper = configuration.NewKeeper(configLog)
-	n.watcher = configuration.NewWatcher(configLog, n.kv, n.keeper)
+	n.watcher = configuration.NewRelayWatcher(configLog, n.kv, n.keeper, n.roster.relay)
+	n.distributor = configuration.NewDistributor(configLog, n.keeper,
+		configPeers{hub: n.hub, members: n.roster.others}, n.watcher,
+		configuration.DistributorOptions{Self: s.Listen.PeersAdvertised})
 	n.changer = configuration.NewChanger(configLog, n.kv, n.keeper)
 	n.hosts = hosts.NewPoller(logging.For(n.root, logging.Membership), list, s.Platform.HostList.Interval)
 	n.ownership = ownership.NewKeeper(logging.For(n.root, logging.Ownership), n.kv, ownership.Options{
@@ -137,6 +141,7 @@
 	router.RegisterHandlers(n.hub, n.reception)
 	handleQuarantine(n.hub, n.quarantine)
 	handleTakeOver(n.hub, n.detached)
+	handleConfig(n.hub, n.keeper, n.distributor)
 }
 
 // readSecret reads the shared secret of the links between nodes; no file is an empty secret.
