--- a/decision/admission/cell_cold_test.go
+++ b/decision/admission/cell_cold_test.go
@@ -71,6 +71,23 @@
 	assert.Equal(t, len(b.dispatch(full)), 1)
 }
 
+// Guards against late reports of work on the process before raising the limit of the one that replaced it.
+func TestWorkOfTheLastIncarnationDoesNotRaiseTheLimit(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.enqueue(3)
+	grants := b.dispatch(full)
+	assert.Equal(t, len(grants), 3)
+	b.load.Incarnation = "b"
+	b.advance(time.Second)
+	b.report(0)
+	for _, g := range grants {
+		b.event(g.Number, message.GrantCompleted, 10)
+	}
+	assert.Equal(t, b.view().Limit, 1)
+	assert.Equal(t, b.view().State, Cold)
+}
+
 // Guards against an endpoint that another owner loads as well receiving up to the whole limit from this one.
 func TestReportBoundsTheExcessOfTwoOwners(t *testing.T) {
 	b := newBench(t)
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -115,7 +115,9 @@
 func (c *Cell) grant(now time.Time, e *endpoint, w Waiting) Decision {
 	c.number++
 	c.counts.Grants++
-	opened := &grant{request: w.Request, at: now, heard: now, probe: e.state == Suspect}
+	opened := &grant{
+		request: w.Request, at: now, heard: now, incarnation: e.load.Incarnation, probe: e.state == Suspect,
+	}
 	e.grants[c.number] = opened
 	e.sinceReport++
 	if w.Request.Alone {
--- a/decision/admission/cell_leaving_test.go
+++ b/decision/admission/cell_leaving_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// Guards against requests that wait until their deadline in a cell whose endpoints are all leaving, and against refusals
+// before a new owner has heard of its endpoints.
+func TestRequestsAreRefusedWhenAllEndpointsLeave(t *testing.T) {
+	b := newBench(t)
+	b.cell.activeFrom = b.now.Add(time.Second)
+	b.cell.SetEndpoints(b.now, nil, nil)
+	b.enqueue(2)
+	assert.Equal(t, len(b.cell.Dispatch(b.now, full)), 0)
+	b.advance(time.Second)
+	decisions := b.cell.Dispatch(b.now, full)
+	assert.Equal(t, len(decisions), 2)
+	assert.Equal(t, decisions[0].Reply.Refusal.Reason, verdict.ReasonNoEndpoint)
+}
+
 // Guards against an endpoint that was taken off the list and came back being loaded as if it were warm.
 func TestEndpointThatComesBackIsCold(t *testing.T) {
 	b := newBench(t)
--- a/decision/admission/cell_report.go
+++ b/decision/admission/cell_report.go
@@ -69,7 +69,9 @@
 	c.lengths.Grew(g.request.Workspace, g.tokens, tokens)
 	g.tokens = tokens
 	e.replaceMemory(g, c.forecast(&g.request, tokens, e))
-	e.sawToken(c.params)
+	if g.incarnation == e.load.Incarnation {
+		e.sawToken(c.params)
+	}
 }
 
 // late makes the endpoint of a stalled grant suspect, and a failed probe wait longer.
@@ -99,6 +101,9 @@
 	case message.GrantCompleted:
 		e.ends = append(e.ends, ended{granted: g.at, ended: now})
 		c.learnLength(g, r.Tokens)
+		if g.incarnation != e.load.Incarnation {
+			return // Work of a process that has ended says nothing about the present one.
+		}
 		e.sawToken(c.params)
 		if c.inTime(r) {
 			e.creditCompleted(1, c.params)
--- a/decision/admission/grant.go
+++ b/decision/admission/grant.go
@@ -21,6 +21,8 @@
 	tokens int
 	// memory is the part of the endpoint's forecast that this grant makes up.
 	memory placement.Forecast
+	// incarnation is that of the endpoint when the grant was made, as far as it was known.
+	incarnation string
 	// probe is set when the grant was made to a suspect endpoint.
 	probe bool
 }
