--- a/decision/membership/view_test.go
+++ b/decision/membership/view_test.go
@@ -208,7 +208,7 @@
 	a.merge(start, member("member-0", 1, StateRemoved))
 	clear(a.spreading)
 	clear(b.spreading)
-	rounds := 0
+	rounds, more := 0, false
 	for a.digest() != b.digest() {
 		rounds++
 		now := start.Add(time.Duration(rounds) * time.Second)
@@ -220,10 +220,12 @@
 			size += m.size()
 		}
 		assert.Assert(t, size <= DefaultSyncBytes, "%d bytes", size)
+		more = more || reply.More
 		lacking, _ := a.FinishSync(now, reply)
 		b.Receive(now, Message{From: "a", Updates: lacking})
 		a.nextSync = now
 	}
+	assert.Assert(t, more, "a reply that is cut off says so")
 	// Both know all 1,000 and each other, and the removal was not undone.
 	assert.Equal(t, len(a.Table().Present()), 1001)
 	assert.Equal(t, a.stateOf("member-0"), "removed 1")
--- a/transport/peer/hub.go
+++ b/transport/peer/hub.go
@@ -49,8 +49,8 @@
 	return &Hub{
 		log: log, options: o, handlers: map[string]*handler{}, messages: newInbox(hubCapacity),
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-			TLSClientConfig: o.TLS, TLSHandshakeTimeout: o.DialTimeout, DisableKeepAlives: true,
+			DialContext:    (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+			DialTLSContext: dialTLS(o), DisableKeepAlives: true,
 		}},
 		current: latest.New(map[string]*link{}), done: make(chan struct{}),
 		links: map[string]*link{}, backoffs: map[string]backoff{},
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -13,8 +13,9 @@
 	NodeID string
 	// Secret is shared by all nodes. An empty secret is accepted only on loopback addresses.
 	Secret []byte
-	// TLS configures outgoing links; nil means plain text.
-	TLS *tls.Config
+	// TLS returns the configuration of the next outgoing link, so that certificates and CAs can change; nil means plain
+	// text. The server name is set to the host that is dialled.
+	TLS func() *tls.Config
 	// Scope receives the counters; nil means none.
 	Scope tally.Scope
 	// DialTimeout bounds connecting and authenticating.
