Choose cells by load instead of by queue alone

Cause: a router compared queues only, so a data centre that came back got no work while the near one had room: TestColdLimitHoldsWhenDataCentreReturns timed out, and a trial of two data centres showed the returned one at cold, in flight 0, for 12 s. Change: a cell's summary carries its load (requests against limits, expected memory against its size), and the router compares that before the queue.

--- a/decision/admission/cell_view.go
+++ b/decision/admission/cell_view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/decision/placement"
 	"azuredyke.dev/azuredyke/decision/queue"
 )
 
@@ -25,10 +26,29 @@
 	if now.Before(c.activeFrom) || c.out || c.stale {
 		return s
 	}
+	open := 0
 	for _, e := range c.endpoints {
+		if !e.takesWork() {
+			continue
+		}
+		open++
+		s.Load += c.load(e)
 		if e.admits(now, true) {
 			s.Free += max(1, e.limit-e.inFlight())
 		}
 	}
+	if open > 0 {
+		s.Load /= float64(open)
+	}
 	return s
 }
+
+// load returns how full an endpoint is, from 0 to 1.
+func (c *Cell) load(e *endpoint) float64 {
+	load := float64(e.inFlight()) / float64(max(1, e.limit))
+	if c.params.Policy != placement.LeastOutstanding && c.params.Policy != placement.RoundRobin && e.candidate.Capacity > 0 {
+		var nothing placement.Forecast
+		load = max(load, (e.candidate.Other+e.candidate.Memory.PeakWith(&nothing))/e.candidate.Capacity)
+	}
+	return min(1, load)
+}
--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -148,3 +148,6 @@
 	}
 	e.limit = min(max(e.limit, p.coldLimit()), p.MaxConcurrency)
 }
+
+// takesWork reports whether the endpoint's state lets it receive new work once its limit has room.
+func (e *endpoint) takesWork() bool { return e.state == Cold || e.state == Warming || e.state == Warm }
--- a/decision/routing/book.go
+++ b/decision/routing/book.go
@@ -18,9 +18,11 @@
 	// halfLife is the time in which what is known of a cell loses half of its weight, so that a cell that was busy is
 	// asked again.
 	halfLife = 2 * time.Second
-	// failurePressure is the pressure of a cell that did not answer.
-	failurePressure = 1
-	// affinityMargin is how much busier the cell that a prefix prefers may be than the other choice. Pressures are below 1.
+	// failurePressure is the pressure of a cell that did not answer; it is the highest there is.
+	failurePressure = 2
+	// queueScale is the length of a queue that counts half as much as an endless one.
+	queueScale = 16
+	// affinityMargin is how much busier the cell that a prefix prefers may be than the other choice.
 	affinityMargin = 0.3
 	// maxCells bounds the cells that are remembered; forgetAfter is when one may be forgotten.
 	maxCells    = 1024
@@ -70,7 +72,7 @@
 	return l
 }
 
-// Pressure returns how busy a cell is believed to be, from 0 (free or unknown) to 1.
+// Pressure returns how busy a cell is believed to be, from 0 (free or unknown) to 2. Above 1, requests wait.
 func (b *Book) Pressure(now time.Time, cell string) float64 {
 	l, ok := b.cells[cell]
 	if !ok {
@@ -78,12 +80,21 @@
 	}
 	p := float64(failurePressure)
 	if !l.failed {
-		waiting := float64(l.summary.Queued + l.asked)
-		p = waiting / (waiting + float64(l.summary.Free) + 1)
+		p = l.pressure()
 	}
 	return p * math.Exp2(-float64(now.Sub(l.at))/float64(halfLife))
 }
 
+// pressure is the load of the cell while it has room for another request, and above 1 by its queue otherwise.
+func (l *cellLoad) pressure() float64 {
+	s := l.summary
+	if room := s.Free - l.asked; room > 0 && s.Queued == 0 {
+		return s.Load + (1-s.Load)*float64(l.asked)/float64(s.Free)
+	}
+	waiting := float64(s.Queued + max(0, l.asked-s.Free))
+	return 1 + waiting/(waiting+queueScale)
+}
+
 // Pick returns the index of the candidate to ask; there must be one. It compares two random candidates, and prefers the
 // cell of the prefix if it is not much busier. A prefix of 0 means that there is none.
 func (b *Book) Pick(now time.Time, candidates []Candidate, prefix uint64) int {
--- a/decision/routing/candidate.go
+++ b/decision/routing/candidate.go
@@ -9,7 +9,7 @@
 }
 
 // suspectPenalty exceeds the pressure and the distance of any other cell.
-const suspectPenalty = 2
+const suspectPenalty = 4
 
 func (c Candidate) weight() float64 {
 	if c.Suspect {
