Report gauges of busy cells and summarise the cell after its decisions

Cause: gauges and pollers were brought up to date only when the cell's timer fired, which a busy cell never let happen; the summary in a reply counted the requests that were granted at the same moment as waiting. Change: a ticker for gauges and pollers; one summary for all replies of a decision.

--- a/decision/admission/cell.go
+++ b/decision/admission/cell.go
@@ -31,7 +31,9 @@
 	number   uint64
 	out      bool
 	stale    bool
-	counts   Counts
+	// confirmed is that of the last decision.
+	confirmed bool
+	counts    Counts
 	// changed is set when something happened that may let a waiting request start; scanned is when the queue was last
 	// looked at, and scannedWith the authority of that moment.
 	changed     bool
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -10,7 +10,22 @@
 )
 
 // Dispatch grants what may start now and refuses what has waited too long. The authority must be that of the same moment.
+// Each reply carries the summary of the cell after all decisions.
 func (c *Cell) Dispatch(now time.Time, a Authority) []Decision {
+	decisions := c.decide(now, a)
+	if len(decisions) == 0 {
+		return nil
+	}
+	summary := c.summary(now)
+	for i := range decisions {
+		decisions[i].Reply.Summary = summary
+	}
+	return decisions
+}
+
+// decide makes the decisions that are due.
+func (c *Cell) decide(now time.Time, a Authority) []Decision {
+	c.confirmed = a.Confirmed
 	c.setOut(a.Out)
 	switch {
 	case !a.Owned || c.stale:
@@ -131,5 +146,5 @@
 		Cell: c.id, Number: c.number, Fence: c.fence, Endpoint: e.Endpoint,
 		StartWithin: now.Sub(w.Since) + c.params.StartWithin, TokenInterval: e.steps.Predict(e.inFlight()),
 	}
-	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g, Summary: c.summary(now)}}
+	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g}}
 }
--- a/decision/admission/cell_queue.go
+++ b/decision/admission/cell_queue.go
@@ -27,6 +27,7 @@
 	if !refused.Full {
 		d = c.refuse(w, verdict.ReasonQueueTimeout, "the request would wait past its time")
 	}
+	d.Reply.Summary = c.summary(now)
 	d.Reply.Refusal.RetryAfter = refused.RetryAfter
 	return d
 }
@@ -70,6 +71,5 @@
 func (c *Cell) refuse(w Waiting, reason verdict.Reason, detail string) *Decision {
 	return &Decision{Ticket: w.Ticket, Reply: message.PlaceReply{
 		Refusal: &message.Refusal{Reason: reason, Detail: detail, RetryAfter: busyRetryAfter},
-		Summary: message.CellSummary{Queued: c.queue.Len()},
 	}}
 }
--- a/decision/admission/cell_view.go
+++ b/decision/admission/cell_view.go
@@ -26,7 +26,7 @@
 		return s
 	}
 	for _, e := range c.endpoints {
-		if e.admits(now, true) {
+		if e.admits(now, c.confirmed) && e.alone == 0 && e != c.placer.reservation.endpoint {
 			s.Free += max(1, e.limit-e.inFlight())
 		}
 	}
--- a/service/dispatcher/cell.go
+++ b/service/dispatcher/cell.go
@@ -20,6 +20,8 @@
 	cellCapacity = 4096
 	// idleInterval is the longest wait between two looks at the queue.
 	idleInterval = time.Second
+	// tidyInterval is how often the pollers and the gauges are brought up to date.
+	tidyInterval = time.Second
 )
 
 // Cell is the task that admits requests to the endpoints of one cell.
@@ -97,6 +99,8 @@
 	defer close(c.ended)
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
+	ticker := time.NewTicker(tidyInterval)
+	defer ticker.Stop()
 	defer c.stop()
 	for {
 		select {
@@ -105,6 +109,7 @@
 		case m := <-c.messages.Receive():
 			m.apply(c)
 		case <-timer.C:
+		case <-ticker.C:
 			c.pollEndpoints()
 			c.meter.gauges(c.decisions.View())
 		}
--- a/service/dispatcher/cell_test.go
+++ b/service/dispatcher/cell_test.go
@@ -14,6 +14,15 @@
 	"azuredyke.dev/azuredyke/decision/ownership"
 )
 
+// started reports the start of a granted request.
+func started(t *testing.T, c *Cell, reply message.PlaceReply) {
+	t.Helper()
+	assert.Assert(t, reply.Grant != nil)
+	assert.NilError(t, c.Report(t.Context(), message.GrantReport{
+		Cell: testCell, Fence: testFence, Number: reply.Grant.Number, Event: message.GrantStarted,
+	}))
+}
+
 // Guards against a request that is neither granted nor refused, and against a cell that exceeds the cold limits.
 func TestCellGrantsToTheColdLimitAndRefusesLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -25,9 +34,7 @@
 			reply, err := c.Place(t.Context(), request(time.Minute))
 			assert.NilError(t, err)
 			granted[reply.Grant.Endpoint.ID]++
-			assert.NilError(t, c.Report(t.Context(), message.GrantReport{
-				Cell: testCell, Fence: testFence, Number: reply.Grant.Number, Event: message.GrantStarted,
-			}))
+			started(t, c, reply)
 		}
 		assert.DeepEqual(t, granted, map[string]int{"e1": 1, "e2": 1})
 		asked := time.Now()
@@ -196,10 +203,13 @@
 		s := startSite(t, WithMetrics(scope))
 		defer s.stop()
 		c := s.cell()
-		for range 3 {
-			_, err := c.Place(t.Context(), request(100*time.Millisecond))
+		for range 2 {
+			reply, err := c.Place(t.Context(), request(100*time.Millisecond))
 			assert.NilError(t, err)
+			started(t, c, reply)
 		}
+		_, err := c.Place(t.Context(), request(100*time.Millisecond))
+		assert.NilError(t, err)
 		time.Sleep(2 * idleInterval)
 		tags := "+cell=" + testCell
 		counters, gauges := scope.Snapshot().Counters(), scope.Snapshot().Gauges()
@@ -210,3 +220,21 @@
 		assert.Equal(t, gauges["cell.endpoints"+tags+",state=cold"].Value(), 2.0)
 	})
 }
+
+// Guards against gauges and pollers that stand still in a cell that always has a message to handle.
+func TestBusyCellReportsMetrics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		s := startSite(t, WithMetrics(scope))
+		defer s.stop()
+		c := s.cell()
+		reply, err := c.Place(t.Context(), request(100*time.Millisecond))
+		assert.NilError(t, err)
+		started(t, c, reply)
+		for range 200 {
+			assert.NilError(t, c.Report(t.Context(), message.GrantReport{Cell: testCell, Fence: testFence}))
+			time.Sleep(tidyInterval / 100)
+		}
+		assert.Equal(t, scope.Snapshot().Gauges()["cell.in_flight+cell="+testCell].Value(), 1.0)
+	})
+}
