Count only work that began after an endpoint became cold towards its limit

Change: an endpoint keeps when it became cold; grants and load reports from before raise no limit. The model no longer makes an allowance for completions whose reports are on their way.

--- a/decision/admission/cell.go
+++ b/decision/admission/cell.go
@@ -82,7 +82,7 @@
 	}
 	slices.SortFunc(c.endpoints, func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
 	for _, e := range c.endpoints {
-		e.updateLeaving(c.params)
+		e.updateLeaving(now, c.params)
 	}
 	c.forgetGone(now)
 }
--- a/decision/admission/cell_cold_test.go
+++ b/decision/admission/cell_cold_test.go
@@ -76,11 +76,12 @@
 	b := newBench(t)
 	b.warm()
 	b.enqueue(3)
+	b.advance(time.Second)
 	grants := b.dispatch(full)
 	assert.Equal(t, len(grants), 3)
 	b.load.Incarnation = "b"
-	b.advance(time.Second)
-	b.report(0)
+	b.advance(500 * time.Millisecond)
+	b.report(700 * time.Millisecond) // Taken at this moment or later, so perhaps after the grants.
 	for _, g := range grants {
 		b.event(g.Number, message.GrantCompleted, 10)
 	}
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -26,7 +26,7 @@
 // decide makes the decisions that are due.
 func (c *Cell) decide(now time.Time, a Authority) []Decision {
 	c.confirmed = a.Confirmed
-	c.setOut(a.Out)
+	c.setOut(now, a.Out)
 	switch {
 	case !a.Owned || c.stale:
 		return c.refuseAll(now, verdict.ReasonNoOwner, "the cell is changing its owner")
@@ -115,11 +115,11 @@
 }
 
 // setOut takes the data centre out or back in. On its return every endpoint is cold.
-func (c *Cell) setOut(out bool) {
+func (c *Cell) setOut(now time.Time, out bool) {
 	if c.out && !out {
 		for _, e := range c.endpoints {
 			if e.state != Unknown && e.state != Leaving {
-				e.becomeCold(c.params)
+				e.becomeCold(now, c.params)
 			}
 		}
 	}
--- a/decision/admission/cell_leaving_test.go
+++ b/decision/admission/cell_leaving_test.go
@@ -88,3 +88,29 @@
 	assert.Equal(t, b.view().State, Cold)
 	assert.Equal(t, b.view().Limit, 1)
 }
+
+// Guards against work from before an outage of the data centre raising limits after it.
+func TestWorkFromBeforeTheReturnDoesNotRaiseTheLimit(t *testing.T) {
+	b := newBench(t)
+	b.load.Running, b.load.CompletedTotal = 1, 5
+	b.report(0)
+	b.load.Running, b.load.CompletedTotal = 0, 6
+	b.advance(time.Second)
+	out := full
+	out.Out = true
+	b.dispatch(out)
+	b.dispatch(full)
+	b.report(0)
+	assert.Equal(t, b.view().State, Cold)
+	assert.Equal(t, b.view().Limit, 1, "inherited work")
+
+	b = newBench(t)
+	b.report(0)
+	b.enqueue(1)
+	g := b.dispatch(full)[0]
+	b.advance(time.Second)
+	b.dispatch(out)
+	b.dispatch(full)
+	b.event(g.Number, message.GrantCompleted, 10)
+	assert.Equal(t, b.view().Limit, 1, "own work")
+}
--- a/decision/admission/cell_report.go
+++ b/decision/admission/cell_report.go
@@ -25,7 +25,7 @@
 	}
 	if r.Leaving {
 		e.refused = true
-		e.updateLeaving(c.params)
+		e.updateLeaving(now, c.params)
 	}
 	g.heard = now
 	state := e.state
@@ -105,7 +105,7 @@
 			return // Work of a process that has ended says nothing about the present one.
 		}
 		e.sawToken(c.params)
-		if c.inTime(r) {
+		if c.inTime(r) && !g.at.Before(e.coldSince) {
 			e.creditCompleted(1, c.params)
 		}
 	case message.GrantCancelled:
--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -20,6 +20,8 @@
 	inherited int
 	// completed counts the requests finished at the present limit.
 	completed int
+	// coldSince is when the endpoint became cold. Work from before raises no limit, even if it is reported later.
+	coldSince time.Time
 
 	// candidate is the endpoint as placement sees it; steps is its model of the step time.
 	candidate placement.Candidate
@@ -83,21 +85,21 @@
 func (e *endpoint) isLeaving() bool { return e.absent || e.listed || e.reported || e.refused }
 
 // updateLeaving enters or leaves the state Leaving. An endpoint that stays after all is cold.
-func (e *endpoint) updateLeaving(p Params) {
+func (e *endpoint) updateLeaving(now time.Time, p Params) {
 	switch {
 	case e.isLeaving() && e.state != Gone:
 		e.state = Leaving
 	case e.state == Leaving:
 		e.state = Unknown
 		if !e.taken.IsZero() {
-			e.becomeCold(p)
+			e.becomeCold(now, p)
 		}
 	}
 }
 
 // becomeCold starts the endpoint from the cold limit.
-func (e *endpoint) becomeCold(p Params) {
-	e.state, e.limit, e.completed = Cold, p.coldLimit(), 0
+func (e *endpoint) becomeCold(now time.Time, p Params) {
+	e.state, e.limit, e.completed, e.coldSince = Cold, p.coldLimit(), 0, now
 }
 
 // becomeSuspect stops new work until a token arrives or a probe succeeds. Unknown and leaving endpoints get no work
--- a/decision/admission/endpoint_load.go
+++ b/decision/admission/endpoint_load.go
@@ -16,7 +16,7 @@
 	if !e.taken.IsZero() && !taken.After(e.taken) {
 		return
 	}
-	before := e.load
+	before, beforeTaken := e.load, e.taken
 	restarted := !e.taken.IsZero() && before.Incarnation != load.Incarnation
 	if restarted {
 		e.refused, e.samples = false, nil
@@ -24,7 +24,7 @@
 	}
 	e.reported = load.Leaving
 	if taken.Before(activeFrom) {
-		e.updateLeaving(p)
+		e.updateLeaving(now, p)
 		return
 	}
 	first := e.taken.IsZero()
@@ -33,28 +33,28 @@
 	switch {
 	case first:
 		e.inherited = load.Running + load.Waiting
-		e.firstState(now, load, p)
+		e.firstState(now, taken, load, p)
 	case restarted:
 		if e.state != Unknown && e.state != Leaving {
-			e.becomeCold(p)
+			e.becomeCold(taken, p)
 		}
 	}
 	e.steps.Observe(load.Running, load.StepTime)
 	fell := e.settle(now, p)
 	e.measureMemory()
-	if !first && !restarted {
+	if !first && !restarted && !beforeTaken.Before(e.coldSince) {
 		e.creditInherited(fell, load.CompletedTotal-before.CompletedTotal, p)
 	}
-	e.updateLeaving(p)
+	e.updateLeaving(now, p)
 }
 
 // firstState sets the state at the first report after this owner may admit. Completed work of the present incarnation
 // shows that the endpoint is not in a cold start, but not that it still works, so it is probed at once.
-func (e *endpoint) firstState(now time.Time, load message.LoadReport, p Params) {
+func (e *endpoint) firstState(now, taken time.Time, load message.LoadReport, p Params) {
 	if e.state == Leaving {
 		return
 	}
-	e.becomeCold(p)
+	e.becomeCold(taken, p)
 	if load.CompletedTotal > 0 {
 		e.state, e.suspectSince, e.nextProbe, e.backoff = Suspect, now, now, firstProbe
 	}
--- a/decision/admission/property_test.go
+++ b/decision/admission/property_test.go
@@ -373,12 +373,11 @@
 	}
 }
 
-// setOut takes the data centre out or back in. After its return, only work whose completion the owners have yet to hear
-// of raises limits.
+// setOut takes the data centre out or back in. Work that was completed before its return raises no limits.
 func (m *model) setOut(out bool) {
 	if m.out && !out {
 		for _, e := range m.endpoints {
-			e.base = e.completed - m.unheard(e)
+			e.base = e.completed
 			m.outdate(e)
 		}
 	}
@@ -397,20 +396,6 @@
 	}
 }
 
-// unheard counts the completions of an endpoint whose reports are on their way.
-func (m *model) unheard(e *modelEndpoint) int {
-	n := 0
-	for _, r := range m.reports {
-		if r.report.Event != message.GrantCompleted {
-			continue
-		}
-		if at := r.owner.cell.byGrant[r.report.Number]; at != nil && at.ID == e.id {
-			n++
-		}
-	}
-	return min(n, e.completed)
-}
-
 // settle lets everything end and checks that no place is lost: the newest owner charges nothing, and work starts again on
 // every endpoint.
 func (m *model) settle() {
