Apply watched changes only when they are whole, and test the operator API

A replaced configuration file is reported as one batch without its deletions, which would have been applied as a change. Batches that are not one change with its audit record now cause a new read.

--- a/service/configuration/watcher.go
+++ b/service/configuration/watcher.go
@@ -131,7 +131,7 @@
 			if !ok {
 				return Error.New("watch closed")
 			}
-			if snapshot, err = applyBatch(snapshot, batch); err != nil {
+			if snapshot, err = w.next(ctx, snapshot, batch); err != nil {
 				return err
 			}
 			if err := w.keeper.Offer(ctx, Offer{Snapshot: snapshot}); err != nil {
@@ -145,6 +145,16 @@
 	}
 }
 
+// next returns the snapshot after a batch.
+func (w *Watcher) next(ctx context.Context, s *config.Snapshot, batch platform.WatchBatch) (*config.Snapshot, error) {
+	next, err := applyBatch(s, batch)
+	if errReadAgain.Has(err) {
+		current, err := w.load(ctx)
+		return current.snapshot, err
+	}
+	return next, err
+}
+
 // load reads the whole configuration and compares it with the revision that was in force before the read.
 func (w *Watcher) load(ctx context.Context) (stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- /dev/null
+++ b/service/operator/rig_test.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/settings"
+	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
+	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
+	"azuredyke.dev/azuredyke/platform/memory"
+	"azuredyke.dev/azuredyke/service/configuration"
+)
+
+// rig serves the operator API on real configuration tasks. Its tokens are "op" and "view".
+type rig struct {
+	operatorv1connect.OperatorServiceClient
+	server *httptest.Server
+}
+
+// startRig runs a rig until the test ends.
+func startRig(t *testing.T) *rig {
+	t.Helper()
+	log, kv := zap.NewNop(), memory.NewKV()
+	keeper := configuration.NewKeeper(log)
+	changer := configuration.NewChanger(log, kv, keeper)
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	for _, run := range []func(context.Context){kv.Run, keeper.Run, changer.Run} {
+		tasks.Go(func() { run(ctx) })
+	}
+	server := httptest.NewServer(NewServer(log, changer, keeper.Current(), emptyFleet{}).Handler([]settings.OperatorToken{
+		{Name: "ann", Role: settings.RoleOperator, Hash: hash("op")},
+		{Name: "vic", Role: settings.RoleViewer, Hash: hash("view")},
+	}))
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		tasks.Wait()
+	})
+	return &rig{server: server, OperatorServiceClient: operatorv1connect.NewOperatorServiceClient(server.Client(), server.URL)}
+}
+
+func hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// as returns a request with a token.
+func as[M any](token string, message *M) *connect.Request[M] {
+	req := connect.NewRequest(message)
+	if token != "" {
+		req.Header().Set("Authorization", "Bearer "+token)
+	}
+	return req
+}
+
+// emptyFleet has no nodes.
+type emptyFleet struct{}
+
+func (emptyFleet) Nodes(context.Context) ([]*operatorv1.Node, error) { return nil, nil }
+func (emptyFleet) Endpoints(context.Context, string) ([]*operatorv1.Endpoint, error) {
+	return nil, nil
+}
+func (emptyFleet) Cells(context.Context) ([]*operatorv1.Cell, error) { return nil, nil }
