Test that a load is of one revision and that histories share nothing

Both were found by changing the code on a scratch copy: no test failed without the rule. go test -race ./service/configuration ./decision/config: ok.

--- a/decision/config/history_test.go
+++ b/decision/config/history_test.go
@@ -52,3 +52,14 @@
 	_, ok = h.Since(2*maxHistory - 1)
 	assert.Assert(t, ok)
 }
+
+// Guards against two histories that share memory, so that one changes what readers of the other see.
+func TestHistoriesDoNotShareDeltas(t *testing.T) {
+	h := NewHistory(NewSnapshot(0, nil))
+	for i := range int64(3) {
+		h = h.Advance(NewSnapshot(i+1, nil))
+	}
+	first := h.Advance(NewSnapshot(4, nil))
+	h.Advance(NewSnapshot(5, nil))
+	assert.Equal(t, first.deltas[3].To, int64(4))
+}
--- a/service/configuration/faulty_kv_test.go
+++ b/service/configuration/faulty_kv_test.go
@@ -14,6 +14,8 @@
 	commit atomic.Pointer[func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error)]
 	// afterGet is called after each Get.
 	afterGet func(key string)
+	// afterRange is called after each Range.
+	afterRange func(prefix string)
 	down     atomic.Bool
 	ranges   atomic.Int64
 }
@@ -46,7 +48,11 @@
 	if err := k.check(); err != nil {
 		return platform.RangeResult{}, err
 	}
-	return k.KV.Range(ctx, prefix)
+	result, err := k.KV.Range(ctx, prefix)
+	if k.afterRange != nil {
+		k.afterRange(prefix)
+	}
+	return result, err
 }
 
 // Get implements platform.KV.
