--- a/cmd/azuredykectl/change.go
+++ b/cmd/azuredykectl/change.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/spf13/cobra"
 
@@ -12,9 +14,13 @@
 
 // change sends one change. The operation id is in the error, so that the change can be run again with it.
 func change[Req any](ctx context.Context, a *app, m method[Req, operatorv1.ChangeResponse], req *Req, operationID string) (*operatorv1.ChangeResponse, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	resp, err := call(ctx, a, m, req)
 	if err != nil {
-		return nil, &commandError{err: err, changes: true, operationID: operationID}
+		return nil, &commandError{err: err, changes: true, unsent: !connected.Load(), operationID: operationID}
 	}
 	return resp, nil
 }
--- a/cmd/azuredykectl/command_error.go
+++ b/cmd/azuredykectl/command_error.go
@@ -5,6 +5,8 @@
 	err error
 	// changes is set when the command asks for a change, so that a lost answer leaves the outcome unknown.
 	changes bool
+	// unsent is set when no connection was made, so that a change had no effect.
+	unsent bool
 	// operationID is set when a change was sent.
 	operationID string
 }
--- a/cmd/azuredykectl/exit_code.go
+++ b/cmd/azuredykectl/exit_code.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"context"
 	"errors"
-	"net"
 
 	"connectrpc.com/connect"
 	"github.com/zeebo/errs"
@@ -48,7 +46,7 @@
 	if !errors.As(failed.err, &rpc) {
 		return exitFailed
 	}
-	if failed.changes && outcomeLost(failed.err) {
+	if failed.changes && !failed.unsent && outcomeLost(failed.err) {
 		return exitUnknown
 	}
 	switch rpc.Code() {
@@ -62,30 +60,19 @@
 		return exitPermission
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeFailedPrecondition:
 		return exitUnavailable
-	case connect.CodeUnknown:
-		if failed.changes {
-			return exitUnknown
-		}
-		return exitFailed
 	default:
 		return exitFailed
 	}
 }
 
-// outcomeLost reports whether a change may have been sent without a definite answer. Only an answer of the server itself
-// and a connection that was never made are definite.
+// outcomeLost reports whether a change that was sent got no definite answer. Only the server itself gives those.
 func outcomeLost(err error) bool {
-	if connect.IsWireError(err) {
-		code := connect.CodeOf(err)
-		return code == connect.CodeUnknown || code == connect.CodeDeadlineExceeded || code == connect.CodeCanceled ||
-			code == connect.CodeInternal
-	}
-	var network *net.OpError
-	if errors.As(err, &network) && network.Op == "dial" {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnknown, connect.CodeDeadlineExceeded, connect.CodeCanceled, connect.CodeInternal:
+		return true
+	case connect.CodeUnavailable:
+		return !connect.IsWireError(err)
+	default:
 		return false
 	}
-	code := connect.CodeOf(err)
-	return code == connect.CodeUnavailable || code == connect.CodeUnknown || code == connect.CodeInternal ||
-		code == connect.CodeDeadlineExceeded || code == connect.CodeCanceled ||
-		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
--- a/cmd/azuredykectl/site_test.go
+++ b/cmd/azuredykectl/site_test.go
@@ -76,6 +76,12 @@
 	shown := h.mustCtl(t, "service", "show", "tickets", "-o", "yaml")
 	r := h.ctlInput(t, shown, "service", "apply", "-f", "-", "--reason", "copy")
 	assert.Equal(t, r.code, exitOK, r.errOut)
+	r = h.ctlInput(t, strings.Replace(shown, "cold_limit: 1", "cold_limit: 3", 1), "service", "edit", "tickets", "-f", "-", "--reason", "more")
+	assert.Equal(t, r.code, exitConflict, "the revision in the document is that before the copy")
+	r = h.ctlInput(t, "spec: {cold_limit: 3}", "service", "edit", "tickets", "-f", "-", "--reason", "more")
+	assert.Equal(t, r.code, exitOK, r.errOut)
+	edited := h.mustCtl(t, "service", "show", "tickets", "-o", "yaml")
+	assert.Assert(t, strings.Contains(edited, "cold_limit: 3") && strings.Contains(edited, "path_prefix: /book"), edited)
 	r = h.ctlInput(t, shown, "model", "apply", "-f", "-", "--reason", "wrong kind")
 	assert.Equal(t, r.code, exitUsage)
 }
--- a/service/configuration/faulty_kv_test.go
+++ b/service/configuration/faulty_kv_test.go
@@ -16,8 +16,8 @@
 	afterGet func(key string)
 	// afterRange is called after each Range.
 	afterRange func(prefix string)
-	down     atomic.Bool
-	ranges   atomic.Int64
+	down       atomic.Bool
+	ranges     atomic.Int64
 }
 
 func (k *faultyKV) nextCommit(f func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error)) {
