--- a/service/configuration/distributor.go
+++ b/service/configuration/distributor.go
@@ -143,10 +143,11 @@
 
 // hearMembers looks for members that are ahead, and no longer avoids peers whose time is up.
 
-// catchUp pulls at once when this node is behind, and hurries the next pull, since this one may stall.
+// catchUp pulls at once when this node is behind, and hurries the next pull, since this one may stall. Several peers tell
+// of the same revision, which is pulled from one of them.
 
 func (d *Distributor) catchUp(ctx context.Context, next *time.Timer) {
-	if d.behind() && d.pull(ctx, d.choose(), false) {
+	if d.behind() && !d.asking() && d.pull(ctx, d.choose(), false) {
 		next.Reset(d.nextPull())
 	}
 }
--- a/service/configuration/distributor_choice.go
+++ b/service/configuration/distributor_choice.go
@@ -74,3 +74,8 @@
 func (d *Distributor) forget(address string) {
 	d.source = slices.DeleteFunc(d.source, func(a string) bool { return a == address })
 }
+
+// asking reports whether a peer that is known to be ahead is being asked.
+func (d *Distributor) asking() bool {
+	return slices.ContainsFunc(d.source, func(a string) bool { return d.pulling[a] })
+}
