Refuse changes on a restored service also on nodes that are behind

A node that was behind compared the key-value service only with its own revision, and could have made a second, different change under a revision that its peers have in force. Revisions heard of from peers now count as well. go test -race ./service/configuration: ok; the new test fails without the rule.

--- a/cmd/azuredykectl/connection.go
+++ b/cmd/azuredykectl/connection.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
 	"github.com/zeebo/errs"
 
@@ -28,6 +29,8 @@
 	defaultTimeout = 20 * time.Second
 	// dialTimeout bounds making a connection, in TCP and in TLS each.
 	dialTimeout = 5 * time.Second
+	// maxAnswerBytes bounds an answer; a listing of 10,000 objects is a few megabytes.
+	maxAnswerBytes = 64 << 20
 )
 
 // connection holds the flags that say how to reach the operator API.
@@ -70,7 +73,8 @@
 		// A redirect would send the token elsewhere.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return operatorv1connect.NewOperatorServiceClient(httpClient, c.url()), transport.CloseIdleConnections, nil
+	client = operatorv1connect.NewOperatorServiceClient(httpClient, c.url(), connect.WithReadMaxBytes(maxAnswerBytes))
+	return client, transport.CloseIdleConnections, nil
 }
 
 // url returns the base URL of the server.
--- a/service/configuration/attempt.go
+++ b/service/configuration/attempt.go
@@ -55,7 +55,7 @@
 // try makes one try. It is not done without an error when the head moved, and with one when the outcome is unknown.
 func (a *attempt) try(ctx context.Context) (Accepted, bool, error) {
 	// Read before the store is, so that a lower revision there cannot come from a change made in between.
-	inForce := a.changer.keeper.Current().Load().Revision()
+	floor := a.changer.keeper.floor()
 	base, err := a.changer.store.load(ctx)
 	if err != nil {
 		return a.failed(err)
@@ -66,8 +66,8 @@
 	if err != nil {
 		return a.failed(err)
 	}
-	if base.snapshot.Revision() < inForce {
-		return a.failed(&config.RestoredError{InForce: inForce, Stored: base.snapshot.Revision()})
+	if base.snapshot.Revision() < floor {
+		return a.failed(&config.RestoredError{InForce: floor, Stored: base.snapshot.Revision()})
 	}
 	if op.Revision != 0 {
 		return a.repeated(ctx, base, op)
--- a/service/configuration/distributor.go
+++ b/service/configuration/distributor.go
@@ -53,7 +53,6 @@
 }
 
 // NewDistributor returns a Distributor.
-
 func NewDistributor(log *zap.Logger, keeper *Keeper, peers Peers, reader Reader, o DistributorOptions) *Distributor {
 	random := o.Random
 	if random == nil {
@@ -67,17 +66,13 @@
 }
 
 // Started holds true once this node has asked peers and the key-value service and has the newest revision that they
-
 // know in force. Until then it should not say that it is ready.
-
 func (d *Distributor) Started() *latest.Value[bool] { return d.started }
 
 // Notice hands over a notice of a peer; it returns at once.
-
 func (d *Distributor) Notice(n Notice) { d.notices.TrySend(n) }
 
 // Run spreads revisions until ctx ends.
-
 func (d *Distributor) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer d.calls.Wait()
@@ -120,12 +115,7 @@
 	}
 }
 
-// start asks some peers and the key-value service.
-
-// read reads the key-value service in a goroutine of its own.
-
-// readWhenIsolated reads the key-value service when no peer has answered for some time.
-
+// tell notifies random peers that are not known to have the revision.
 func (d *Distributor) tell(revision int64) {
 	told := 0
 	for _, m := range d.shuffled() {
@@ -139,25 +129,15 @@
 	}
 }
 
-// hear remembers who has the highest revision heard of.
-
-// hearMembers looks for members that are ahead, and no longer avoids peers whose time is up.
-
 // catchUp pulls at once when this node is behind, and hurries the next pull, since this one may stall. Several peers tell
 // of the same revision, which is pulled from one of them.
-
 func (d *Distributor) catchUp(ctx context.Context, next *time.Timer) {
 	if d.behind() && !d.asking() && d.pull(ctx, d.choose(), false) {
 		next.Reset(d.nextPull())
 	}
 }
 
-// choose returns the peer to ask next: one that is known to be ahead, unless it is being asked already, else a random one.
-
-// shuffled returns the members in random order, those that did not answer lately last.
-
-// pull asks a peer in a goroutine of its own, and reports whether it did.
-
+// pull in step. It is short while this node is behind and while no peer answers, since links may have stalled.
 func (d *Distributor) pull(ctx context.Context, address string, starting bool) bool {
 	if address == "" || d.pulling[address] || len(d.pulling) >= maxPulls {
 		return false
@@ -175,7 +155,6 @@
 }
 
 // take offers what was pulled to the keeper.
-
 func (d *Distributor) take(ctx context.Context, r pullResult) {
 	if r.address != "" {
 		delete(d.pulling, r.address)
@@ -202,10 +181,7 @@
 	}
 }
 
-// forget no longer prefers a peer that did not answer or is not ahead.
-
 // offer puts what was pulled in force, if it is newer, and waits for that.
-
 func (d *Distributor) offer(ctx context.Context, r pullResult) {
 	snapshot := r.snapshot
 	if r.address != "" {
--- a/service/configuration/distributor_choice.go
+++ b/service/configuration/distributor_choice.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// nextPull returns the time to the next pull, drawn from half to one and a half of the interval, so that nodes do not
 func (d *Distributor) nextPull() time.Duration {
 	interval := pullInterval
 	if d.unanswered || (d.behind() && time.Now().Before(d.hurryUntil)) {
@@ -18,7 +19,11 @@
 
 func (d *Distributor) behind() bool { return d.wanted > d.inForce() }
 
+// hear remembers who has the highest revision heard of.
 func (d *Distributor) hear(revision int64, address string) {
+	if revision > d.keeper.heard.Load() {
+		d.keeper.heard.Publish(revision)
+	}
 	switch {
 	case revision > d.wanted:
 		d.wanted, d.source = revision, []string{address}
@@ -28,6 +33,7 @@
 	}
 }
 
+// hearMembers looks for members that are ahead, and no longer avoids peers whose time is up.
 func (d *Distributor) hearMembers() {
 	inForce, now := d.inForce(), time.Now()
 	maps.DeleteFunc(d.silent, func(_ string, until time.Time) bool { return now.After(until) })
@@ -38,6 +44,7 @@
 	}
 }
 
+// choose returns the peer to ask next: one that is known to be ahead, unless it is being asked already, else a random one.
 func (d *Distributor) choose() string {
 	if d.behind() {
 		for _, i := range d.random.Perm(len(d.source)) {
@@ -54,6 +61,7 @@
 	return ""
 }
 
+// shuffled returns the members in random order, those that did not answer lately last.
 func (d *Distributor) shuffled() []Member {
 	members := slices.Clone(d.peers.Members().Load())
 	d.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
@@ -71,6 +79,7 @@
 	return members
 }
 
+// forget no longer prefers a peer that did not answer or is not ahead.
 func (d *Distributor) forget(address string) {
 	d.source = slices.DeleteFunc(d.source, func(a string) bool { return a == address })
 }
--- a/service/configuration/distributor_read.go
+++ b/service/configuration/distributor_read.go
@@ -5,6 +5,7 @@
 	"time"
 )
 
+// start asks some peers and the key-value service.
 func (d *Distributor) start(ctx context.Context) {
 	d.startOpen, d.heardAt = 1, time.Now()
 	d.read(ctx, true)
@@ -18,10 +19,7 @@
 	}
 }
 
-// nextPull returns the time to the next pull, drawn from half to one and a half of the interval, so that nodes do not
-
-// pull in step. It is short while this node is behind and while no peer answers, since links may have stalled.
-
+// read reads the key-value service in a goroutine of its own.
 func (d *Distributor) read(ctx context.Context, starting bool) {
 	d.reading = true
 	d.calls.Go(func() {
@@ -32,10 +30,9 @@
 	})
 }
 
+// readWhenIsolated reads the key-value service when no peer has answered for some time.
 func (d *Distributor) readWhenIsolated(ctx context.Context) {
 	if !d.reading && time.Since(d.heardAt) > isolatedTime {
 		d.read(ctx, false)
 	}
 }
-
-// tell notifies random peers that are not known to have the revision.
--- a/service/configuration/distributor_test.go
+++ b/service/configuration/distributor_test.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/platform"
 )
 
 // Targets of the design page, for 16 nodes.
@@ -167,3 +169,29 @@
 		assert.Equal(t, last.keeper.Current().Load().Revision(), accepted.Revision)
 	})
 }
+
+// Guards against a node that is behind and makes a change on top of a restored key-value service, since the service shows
+// more than the node has in force, but less than its peers have.
+func TestNodeBehindRefusesChangesOnRestoredService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(9, nil)
+		defer f.end()
+		time.Sleep(time.Second)
+		last := f.nodes[fleetSize-1]
+		for i := range fleetSize {
+			f.stalled[last.index][i].Store(true)
+			f.stalled[i][last.index].Store(true)
+		}
+		for n := range 3 {
+			_, err := f.nodes[0].changer.Change(t.Context(), putWest(fmt.Sprint("op-", n), config.AnyRevision, "a"))
+			assert.NilError(t, err)
+		}
+		_, err := f.kv.KV.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: headKey, Value: []byte(`{"Revision":2}`)}}})
+		assert.NilError(t, err)
+		last.publishMembers(map[int]int64{0: 3})
+		time.Sleep(time.Second)
+		_, err = last.changer.Change(t.Context(), putWest("late", config.AnyRevision, "b"))
+		var restored *config.RestoredError
+		assert.Assert(t, errors.As(err, &restored), "%v", err)
+	})
+}
--- a/service/configuration/history_model_test.go
+++ b/service/configuration/history_model_test.go
@@ -30,6 +30,7 @@
 	final []*config.Snapshot
 }
 
+// objectModel is one object as a register whose value is its revision: a change is accepted exactly when it was made
 // against that revision, and a conflict shows it.
 var objectModel = porcupine.Model{
 	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
@@ -53,6 +54,7 @@
 	},
 }
 
+// check returns what is wrong with a history.
 func (h *history) check() []string {
 	var problems []string
 	if !porcupine.CheckOperations(objectModel, h.operations) {
--- a/service/configuration/history_test.go
+++ b/service/configuration/history_test.go
@@ -16,12 +16,7 @@
 	"azuredyke.dev/azuredyke/platform"
 )
 
-// objectModel is one object as a register whose value is its revision: a change is accepted exactly when it was made
-
-// check returns what is wrong with a history.
-
 // race lets operators change few objects at random nodes while links stall, and returns what was seen.
-
 func race(t *testing.T, f *fleet) *history {
 	t.Helper()
 	h := &history{inForce: make([][]int64, fleetSize)}
@@ -75,9 +70,7 @@
 }
 
 // ask changes one object against the revision that the node has in force. A change of unknown outcome is sent again with
-
 // the same operation id, as operators are told to do.
-
 func ask(ctx context.Context, n *fleetNode, name, id string) (asked, answered, error) {
 	ref := config.Ref{Kind: config.KindDataCentre, Name: name}
 	in := asked{object: name}
@@ -108,14 +101,7 @@
 	}
 }
 
-// Commit implements platform.KV.
-
-// Commit implements platform.KV.
-
-// Commit implements platform.KV.
-
 // runRace races operators on a key-value service with faults and returns what the checker finds.
-
 func runRace(t *testing.T, wrap func(platform.KV) platform.KV) (h *history, problems []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -129,9 +115,7 @@
 }
 
 // Guards against a configuration that goes back on a node, an accepted change that is lost, and racing operators who get
-
 // answers that are not true, while answers of the key-value service are lost and half of the links are stalled.
-
 func TestRacingOperatorsGetTrueAnswers(t *testing.T) {
 	h, problems := runRace(t, func(kv platform.KV) platform.KV { return lossyKV{KV: kv, calls: newCalls()} })
 	assert.Equal(t, len(problems), 0, "%v", problems)
@@ -147,9 +131,7 @@
 }
 
 // Guards against a checker that sees nothing: it must find a service that loses what it said it wrote, one that ignores
-
 // conditions, and a node that goes back.
-
 func TestCheckerFindsPlantedFaults(t *testing.T) {
 	_, forgetful := runRace(t, func(kv platform.KV) platform.KV { return forgetfulKV{lossyKV{KV: kv, calls: newCalls()}} })
 	assert.Assert(t, len(forgetful) > 0)
@@ -165,5 +147,3 @@
 	}
 	assert.Equal(t, len(lost.check()), 1)
 }
-
-// Commit implements platform.KV.
--- a/service/configuration/keeper.go
+++ b/service/configuration/keeper.go
@@ -19,6 +19,8 @@
 	offers  mailbox.Mailbox[Offer]
 	current *latest.Value[*config.Snapshot]
 	history *latest.Value[*config.History]
+	// heard is the highest revision that peers have told of; the Distributor publishes it.
+	heard *latest.Value[int64]
 }
 
 // NewKeeper returns a Keeper with the empty configuration at revision 0.
@@ -29,12 +31,17 @@
 		offers:  mailbox.New[Offer](keeperCapacity),
 		current: latest.New(empty),
 		history: latest.New(config.NewHistory(empty)),
+		heard:   latest.New(int64(0)),
 	}
 }
 
 // Current holds the snapshot in force.
 func (k *Keeper) Current() *latest.Value[*config.Snapshot] { return k.current }
 
+// floor returns the lowest revision that the key-value service may show from now on: that in force, or a higher one that a
+// peer has in force. Both were durable.
+func (k *Keeper) floor() int64 { return max(k.current.Load().Revision(), k.heard.Load()) }
+
 // Offer hands a snapshot to the keeper, which puts it in force if it is newer. It returns the error of ctx.
 func (k *Keeper) Offer(ctx context.Context, o Offer) error { return k.offers.Send(ctx, o) }
 
--- a/service/configuration/planted_kv_test.go
+++ b/service/configuration/planted_kv_test.go
@@ -13,6 +13,7 @@
 	calls chan int
 }
 
+// Commit implements platform.KV.
 func (k lossyKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
 	n := <-k.calls
 	k.calls <- n + 1
@@ -30,6 +31,7 @@
 	lossyKV
 }
 
+// Commit implements platform.KV.
 func (k forgetfulKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
 	n := <-k.calls
 	k.calls <- n + 1
@@ -44,6 +46,7 @@
 	platform.KV
 }
 
+// Commit implements platform.KV.
 func (k carelessKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
 	txn.Conditions = nil
 	return k.KV.Commit(ctx, txn)
@@ -60,6 +63,7 @@
 	platform.KV
 }
 
+// Commit implements platform.KV.
 func (k slowKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
 	time.Sleep(5 * time.Millisecond)
 	return k.KV.Commit(ctx, txn)
--- a/service/configuration/watcher.go
+++ b/service/configuration/watcher.go
@@ -155,17 +155,17 @@
 	return next, err
 }
 
-// load reads the whole configuration and compares it with the revision that was in force before the read.
+// load reads the whole configuration and compares it with the floor from before the read.
 func (w *Watcher) load(ctx context.Context) (stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	inForce := w.keeper.Current().Load().Revision()
+	floor := w.keeper.floor()
 	current, err := w.store.load(ctx)
 	if err != nil {
 		return stored{}, err
 	}
-	if revision := current.snapshot.Revision(); revision < inForce {
-		return stored{}, &config.RestoredError{InForce: inForce, Stored: revision}
+	if revision := current.snapshot.Revision(); revision < floor {
+		return stored{}, &config.RestoredError{InForce: floor, Stored: revision}
 	}
 	return current, nil
 }
