--- a/service/configuration/watcher.go
+++ b/service/configuration/watcher.go
@@ -131,7 +131,7 @@
 			if !ok {
 				return Error.New("watch closed")
 			}
-			if snapshot, err = applyBatch(snapshot, batch); err != nil {
+			if snapshot, err = w.next(ctx, snapshot, batch); err != nil {
 				return err
 			}
 			if err := w.keeper.Offer(ctx, Offer{Snapshot: snapshot}); err != nil {
@@ -145,17 +145,27 @@
 	}
 }
 
-// load reads the whole configuration and compares it with the revision that was in force before the read.
+// next returns the snapshot after a batch.
+func (w *Watcher) next(ctx context.Context, s *config.Snapshot, batch platform.WatchBatch) (*config.Snapshot, error) {
+	next, err := applyBatch(s, batch)
+	if errReadAgain.Has(err) {
+		current, err := w.load(ctx)
+		return current.snapshot, err
+	}
+	return next, err
+}
+
+// load reads the whole configuration and compares it with the floor from before the read.
 func (w *Watcher) load(ctx context.Context) (stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	inForce := w.keeper.Current().Load().Revision()
+	floor := w.keeper.floor()
 	current, err := w.store.load(ctx)
 	if err != nil {
 		return stored{}, err
 	}
-	if revision := current.snapshot.Revision(); revision < inForce {
-		return stored{}, &config.RestoredError{InForce: inForce, Stored: revision}
+	if revision := current.snapshot.Revision(); revision < floor {
+		return stored{}, &config.RestoredError{InForce: floor, Stored: revision}
 	}
 	return current, nil
 }
