Add claim shards: grouped durable claims, takeover, merging and retention

Claims are recorded in batches by one transaction that compares the shard's owner record and creates the batch key. A batch whose answer was lost is read back and written again under the same key. A new owner reads the shard's batches. Small batches are merged into the last one's key, so that the order of the records stays.

--- /dev/null
+++ b/service/claims/claim_message.go
@@ -0,0 +1,46 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// claimMessage asks a shard for a claim.
+type claimMessage struct {
+	ctx     context.Context
+	request message.ClaimRequest
+	reply   chan<- message.ClaimReply
+}
+
+func (m claimMessage) apply(s *Shard) {
+	now := time.Now()
+	if m.ctx.Err() != nil {
+		// The gateway has given up, so a claim would stay without an end.
+		return
+	}
+	hold, confirmed := s.hold(now)
+	switch {
+	case !confirmed || hold.Releasing:
+		m.reply <- unavailable(retryAfter)
+		return
+	case s.set.Known(m.request.Key):
+	case s.failures > 0:
+		m.reply <- unavailable(retryAfter)
+		return
+	case s.set.Queued() >= maxQueued:
+		m.reply <- unavailable(busyRetryAfter)
+		return
+	}
+	answer := s.set.Claim(now, m.request)
+	if answer.Wait {
+		s.waiting[m.request.Key] = append(s.waiting[m.request.Key], m)
+		return
+	}
+	reply := message.ClaimReply{Status: answer.Status, Outcome: answer.Outcome}
+	if answer.Status == message.ClaimUnavailable {
+		reply.RetryAfter = busyRetryAfter
+	}
+	m.reply <- reply
+}
--- /dev/null
+++ b/service/claims/shards.go
@@ -0,0 +1,125 @@
+package claims
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/decision/ownership"
+	"azuredyke.dev/azuredyke/platform"
+)
+
+// Shards is the task that runs a Shard for each claim shard that the node owns.
+type Shards struct {
+	log      *zap.Logger
+	kv       platform.KV
+	options  Options
+	holdings *latest.Value[ownership.Holdings]
+	current  *latest.Value[map[string]*Shard]
+	running  map[string]runningShard
+	tasks    sync.WaitGroup
+}
+
+// runningShard is a started shard.
+type runningShard struct {
+	shard *Shard
+	stop  context.CancelFunc
+}
+
+// NewShards returns a Shards that runs none.
+func NewShards(log *zap.Logger, kv platform.KV, options Options, holdings *latest.Value[ownership.Holdings]) *Shards {
+	return &Shards{
+		log: log, kv: kv, options: options, holdings: holdings, current: latest.New(map[string]*Shard{}),
+		running: map[string]runningShard{},
+	}
+}
+
+// Run starts and stops shards until ctx ends, and returns when all of them have ended.
+func (s *Shards) Run(ctx context.Context) {
+	defer s.tasks.Wait()
+	for {
+		holdings, changed := s.holdings.Watch()
+		s.reconcile(ctx, holdings)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// reconcile makes the running shards match what the node owns.
+func (s *Shards) reconcile(ctx context.Context, h ownership.Holdings) {
+	for name, r := range s.running {
+		if hold, ok := h.ByResource[name]; !ok || hold.Fence != r.shard.fence {
+			r.stop()
+			delete(s.running, name)
+			s.log.Info("claim shard stopped", zap.String("shard", name))
+		}
+	}
+	for i := range ownership.ClaimShards {
+		name := ownership.ClaimShardName(i)
+		hold, owned := h.ByResource[name]
+		if _, ok := s.running[name]; ok || !owned {
+			continue
+		}
+		shardCtx, stop := context.WithCancel(ctx)
+		r := runningShard{shard: newShard(s.log, s.kv, s.options, name, hold.Fence, s.holdings), stop: stop}
+		s.running[name] = r
+		s.tasks.Go(func() { r.shard.run(shardCtx) })
+	}
+	current := make(map[string]*Shard, len(s.running))
+	for name, r := range s.running {
+		current[name] = r.shard
+	}
+	if !maps.Equal(current, s.current.Load()) {
+		s.current.Publish(current)
+	}
+}
+
+// Claim answers a claim that another node sends because it takes this node for the owner. It is refused when this node
+// does not own the shard with that fence.
+func (s *Shards) Claim(ctx context.Context, holding message.Holding, r message.ClaimRequest) message.ClaimReply {
+	shard, ok := s.current.Load()[holding.Resource]
+	if !ok || shard.fence != holding.Fence || holding.Resource != shardName(r.Key) {
+		return unavailable(busyRetryAfter)
+	}
+	return shard.Claim(ctx, r)
+}
+
+// Settle ends a claim for another node.
+func (s *Shards) Settle(ctx context.Context, holding message.Holding, c message.ClaimSettle) error {
+	shard, ok := s.current.Load()[holding.Resource]
+	if !ok || shard.fence != holding.Fence || holding.Resource != shardName(c.Key) {
+		return Error.New("the node does not own %s with fence %d", holding.Resource, holding.Fence)
+	}
+	return shard.Settle(ctx, c)
+}
+
+// Drain returns once the records that a shard has accepted are durable, so that a planned hand-over loses no outcome. It
+// returns at once for a shard that the node does not run.
+func (s *Shards) Drain(ctx context.Context, resource string) error {
+	shard, ok := s.current.Load()[resource]
+	if !ok {
+		return nil
+	}
+	done := make(chan struct{})
+	if err := shard.messages.Send(ctx, drainMessage{done: done}); err != nil {
+		return Error.Wrap(err)
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+// shardName returns the shard of a key, by its first byte.
+func shardName(key message.ClaimKey) string {
+	return ownership.ClaimShardName(int(key[0]) % ownership.ClaimShards)
+}
