--- /dev/null
+++ b/decision/claim/set_test.go
@@ -0,0 +1,174 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// model is the state of one key as the records say.
+type model struct {
+	kind    Kind
+	attempt string
+}
+
+func replay(records []Record) map[message.ClaimKey]model {
+	s := NewSet(time.Hour)
+	for _, r := range records {
+		s.Replay(r)
+	}
+	out := map[message.ClaimKey]model{}
+	for key, e := range s.entries {
+		out[key] = model{kind: e.record.Kind, attempt: e.record.Attempt}
+	}
+	return out
+}
+
+// drawLog drives a set with random calls and returns the records that became durable, in order.
+func drawLog(rt *rapid.T, s *Set) []Record {
+	now := time.UnixMilli(0)
+	var log []Record
+	for range rapid.IntRange(1, 60).Draw(rt, "calls") {
+		now = now.Add(time.Second)
+		key := message.ClaimKey{byte(rapid.IntRange(0, 2).Draw(rt, "key"))}
+		attempt := fmt.Sprint(rapid.IntRange(0, 200).Draw(rt, "attempt"))
+		if e, ok := s.entries[key]; ok && rapid.Bool().Draw(rt, "own attempt") {
+			attempt = e.record.Attempt
+		}
+		switch rapid.IntRange(0, 3).Draw(rt, "call") {
+		case 0:
+			s.Claim(now, message.ClaimRequest{Key: key, Attempt: attempt})
+		case 1:
+			s.Settle(now, message.ClaimSettle{Key: key, Attempt: attempt, Released: true})
+		case 2:
+			s.Settle(now, message.ClaimSettle{Key: key, Attempt: attempt, Outcome: &message.ClaimOutcome{}})
+		default:
+			log = append(log, s.Batch(1<<10)...)
+			s.Durable()
+		}
+	}
+	for s.Queued() > 0 {
+		log = append(log, s.Batch(1<<10)...)
+		s.Durable()
+	}
+	return log
+}
+
+// Guards against an owner that learns something else from the records than the owner before knew.
+func TestReplayGivesTheSameSet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := NewSet(time.Hour)
+		got := replay(drawLog(rt, s))
+		if len(got) != s.Len() {
+			rt.Fatalf("%d claims after replay, %d before", len(got), s.Len())
+		}
+		for key, e := range s.entries {
+			if got[key] != (model{kind: e.record.Kind, attempt: e.record.Attempt}) {
+				rt.Fatalf("key %x is %v after replay, %v before", key, got[key], e.record)
+			}
+		}
+	})
+}
+
+// Guards against a merge that changes what the records say, wherever in the log it is made.
+func TestMergeKeepsTheMeaning(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		log := drawLog(rt, NewSet(time.Hour))
+		from := rapid.IntRange(0, len(log)).Draw(rt, "from")
+		to := rapid.IntRange(from, len(log)).Draw(rt, "to")
+		var merged []Record
+		merged = append(merged, log[:from]...)
+		merged = append(merged, Merge(log[from:to], from == 0)...)
+		merged = append(merged, log[to:]...)
+		want, got := replay(log), replay(merged)
+		if len(want) != len(got) {
+			rt.Fatalf("%v after the merge, %v before", got, want)
+		}
+		for key := range want {
+			if want[key] != got[key] {
+				rt.Fatalf("key %x is %v after the merge, %v before", key, got[key], want[key])
+			}
+		}
+	})
+}
+
+// Guards against a claim that is granted before its record is durable.
+func TestClaimWaitsForItsRecord(t *testing.T) {
+	now := time.UnixMilli(0)
+	s := NewSet(time.Hour)
+	c := message.ClaimRequest{Key: message.ClaimKey{1}, Attempt: "a"}
+	assert.Assert(t, s.Claim(now, c).Wait)
+	assert.Equal(t, len(s.Batch(1)), 1, "a batch holds at least one record")
+	assert.Assert(t, s.Claim(now, c).Wait)
+	assert.Equal(t, len(s.Batch(1)), 0, "one batch is in flight at a time")
+	s.Durable()
+	assert.Equal(t, s.Claim(now, c).Status, message.ClaimGranted)
+	c.Attempt = "b"
+	assert.Equal(t, s.Claim(now, c).Status, message.ClaimHeld)
+	s.Settle(now, message.ClaimSettle{Key: c.Key, Attempt: "a", Released: true})
+	assert.Assert(t, s.Claim(now, c).Wait, "the release is not durable")
+	s.Batch(1)
+	s.Durable()
+	assert.Assert(t, s.Claim(now, c).Wait)
+	assert.Equal(t, s.Queued(), 1)
+}
+
+// Guards against claims that are forgotten before the retention has passed, or never.
+func TestExpire(t *testing.T) {
+	now := time.UnixMilli(0)
+	s := NewSet(time.Hour)
+	s.Replay(Record{Kind: KindClaimed, Key: message.ClaimKey{1}, Attempt: "a", At: now})
+	s.Replay(Record{Kind: KindFinished, Key: message.ClaimKey{1}, Attempt: "a", At: now.Add(time.Minute)})
+	s.Expire(now.Add(time.Hour + time.Second))
+	assert.Equal(t, s.Len(), 1, "the outcome is younger than the claim")
+	s.Expire(now.Add(time.Hour + time.Minute))
+	assert.Equal(t, s.Len(), 1)
+	s.Expire(now.Add(time.Hour + time.Minute + time.Millisecond))
+	assert.Equal(t, s.Len(), 0)
+}
+
+// Guards against a merged value that is larger than the key-value service takes, or a transaction with too many writes.
+func TestToMergeIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.UnixMilli(0).Add(time.Hour)
+		batches := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Batch {
+			return Batch{
+				Bytes:  rapid.IntRange(1, 80<<10).Draw(rt, "bytes"),
+				Newest: now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(rt, "age")) * time.Second),
+			}
+		}), 0, 300).Draw(rt, "batches")
+		from, to := ToMerge(batches, now)
+		total := 0
+		for _, b := range batches[from:to] {
+			total += b.Bytes
+			if now.Sub(b.Newest) < time.Minute {
+				rt.Fatal("a batch whose writes may still arrive is merged")
+			}
+		}
+		if total > 1_000_000 || to-from > 100 {
+			rt.Fatalf("%d bytes in %d batches", total, to-from)
+		}
+	})
+}
+
+// Guards against an old key that is accepted although its claim may be forgotten, and against refusing other keys.
+func TestTooOld(t *testing.T) {
+	const key = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f" // The example of RFC 9562, of 2022-02-22 19:22:22 UTC.
+	at, ok := KeyTime(key)
+	assert.Assert(t, ok)
+	assert.Equal(t, at.UTC(), time.Date(2022, 2, 22, 19, 22, 22, 0, time.UTC))
+	assert.Assert(t, !TooOld(key, time.Hour, at.Add(time.Hour)))
+	assert.Assert(t, TooOld(key, time.Hour, at.Add(time.Hour+time.Millisecond)))
+	for _, other := range []string{
+		"", "order-17", "017f22e2-79b0-4cc3-98c4-dc0c0c07398f", "017f22e2-79b0-7cc3-08c4-dc0c0c07398f",
+		"017f22e2x79b0-7cc3-98c4-dc0c0c07398f", "zz7f22e2-79b0-7cc3-98c4-dc0c0c07398f",
+	} {
+		_, ok := KeyTime(other)
+		assert.Assert(t, !ok, other)
+	}
+}
