--- a/decision/ownership/resource.go
+++ b/decision/ownership/resource.go
@@ -11,5 +11,8 @@
 	return fmt.Sprintf("cells/%s/%s/%d-of-%d", service, dataCentre, index, cells)
 }
 
+// ClaimShardPrefix starts the names of claim shards.
+const ClaimShardPrefix = "claims/"
+
 // ClaimShardName returns the name of a claim shard.
-func ClaimShardName(shard int) string { return fmt.Sprintf("claims/%02d", shard) }
+func ClaimShardName(shard int) string { return fmt.Sprintf("%s%02d", ClaimShardPrefix, shard) }
--- a/experiment/arrivals.go
+++ b/experiment/arrivals.go
@@ -12,11 +12,11 @@
 // resendAfter is the time after which a caller sends an unrepeatable call again.
 const resendAfter = 50 * time.Millisecond
 
-// Arrivals draws the requests of a workload, sorted by time. The same seed gives the same requests.
-func (w Workload) Arrivals(rate float64, seed uint64) []Arrival {
+// Arrivals draws the requests of a scenario, sorted by time. The same seed gives the same requests.
+func (s Scenario) Arrivals(seed uint64) []Arrival {
 	r := rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))
-	arrivals := w.completions(r, rate)
-	arrivals = append(arrivals, w.orders(r)...)
+	arrivals := s.Workload.completions(r, s.rate())
+	arrivals = append(arrivals, s.Workload.orders(r)...)
 	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return int(a.At - b.At) })
 	return arrivals
 }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -20,7 +20,7 @@
 		defer close(faults)
 		x.injectFaults(ctx)
 	}()
-	result := RunLoad(ctx, x.urls(), s.Workload, s.Workload.Arrivals(s.rate(), seed), progress)
+	result := RunLoad(ctx, x.urls(), s.Workload, s.Arrivals(seed), progress)
 	cancel()
 	<-faults
 	result.Policy, result.Seed = policy, seed
--- a/service/claims/shard.go
+++ b/service/claims/shard.go
@@ -27,6 +27,8 @@
 	upkeepInterval = time.Second
 	// busyRetryAfter is the advice to callers when the shard has too much waiting.
 	busyRetryAfter = time.Second
+	// retryAfter is the advice to callers whose claim could not be recorded, which lasts as long as a change of owner or an outage.
+	retryAfter = 5 * time.Second
 )
 
 // Shard is the task that owns the claims of one shard. A claim is granted only once its batch is known to be durable.
--- a/service/dispatcher/authority.go
+++ b/service/dispatcher/authority.go
@@ -23,7 +23,8 @@
 	h := a.holdings.Load()
 	hold, ok := h.ByResource[a.cell]
 	dc := a.config.Load().DataCentre(a.dataCentre)
+	owned := ok && hold.Fence == a.fence && !hold.Releasing
 	return admission.Authority{
-		Owned: ok && hold.Fence == a.fence, Confirmed: h.Confirmed(now), Out: dc == nil || dc.Out,
+		Owned: owned, Confirmed: h.Confirmed(now), Out: dc == nil || dc.Out,
 	}
 }
--- a/service/node/http_server.go
+++ b/service/node/http_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -18,20 +19,25 @@
 	server   *http.Server
 }
 
-func newHTTPServer(l net.Listener, h http.Handler, limits settings.Limits) *httpServer {
+func newHTTPServer(l net.Listener, h http.Handler, limits settings.Limits, tlsConfig *tls.Config) *httpServer {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(tlsConfig != nil)
 	return &httpServer{listener: l, server: &http.Server{
 		// A ReadTimeout would end the context of a request that runs longer, so the time to read a body is bounded where
 		// the body is read.
-		Handler: h, ReadHeaderTimeout: limits.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols,
+		Handler: h, ReadHeaderTimeout: limits.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols, TLSConfig: tlsConfig,
 	}}
 }
 
 // run serves until stop; a planned stop is not an error.
 func (s *httpServer) run() error {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	serve := func() error { return s.server.Serve(s.listener) }
+	if s.server.TLSConfig != nil {
+		serve = func() error { return s.server.ServeTLS(s.listener, "", "") }
+	}
+	if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -34,31 +34,33 @@
 
 // Node is one assembled node.
 type Node struct {
-	root        *zap.Logger
-	log         *zap.Logger
-	settings    settings.Settings
-	kv          platform.KV
-	metrics     *metrics.Registry
-	listeners   listeners
-	client      *engine.Client
-	hub         *peer.Hub
-	roster      *roster
-	members     *membership.Task
-	keeper      *configuration.Keeper
-	watcher     *configuration.Watcher
-	changer     *configuration.Changer
-	distributor *configuration.Distributor
-	hosts       *hosts.Poller
-	ownership   *ownership.Keeper
-	dispatch    *dispatcher.Dispatcher
-	router      *router.Router
-	reception   *router.Reception
-	limits      *limits.Keeper
-	retries     *retries.Keeper
-	quarantine  *quarantine.Keeper
-	detached    *gateway.Detached
-	gateway     *gateway.Server
-	operator    *operator.Server
+	root         *zap.Logger
+	log          *zap.Logger
+	settings     settings.Settings
+	kv           platform.KV
+	metrics      *metrics.Registry
+	listeners    listeners
+	certificates certificates
+	client       *engine.Client
+	hub          *peer.Hub
+	roster       *roster
+	members      *membership.Task
+	keeper       *configuration.Keeper
+	watcher      *configuration.Watcher
+	changer      *configuration.Changer
+	distributor  *configuration.Distributor
+	hosts        *hosts.Poller
+	ownership    *ownership.Keeper
+	dispatch     *dispatcher.Dispatcher
+	router       *router.Router
+	reception    *router.Reception
+	shards       *claims.Shards
+	limits       *limits.Keeper
+	retries      *retries.Keeper
+	quarantine   *quarantine.Keeper
+	detached     *gateway.Detached
+	gateway      *gateway.Server
+	operator     *operator.Server
 	// stopping is set once the readiness check must fail.
 	stopping atomic.Bool
 }
@@ -70,15 +72,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.certificates, err = newCertificates(n.log, s.TLS); err != nil {
+		return nil, err
+	}
 	if err := n.listeners.open(s.Listen); err != nil {
 		return nil, err
 	}
 	s.Listen = n.listeners.addresses(s.Listen)
 	s.Node.ID = orAddress(s.Node.ID, s.Listen.PeersAdvertised)
 	n.settings = s
-	n.client = engine.NewClient(s.Dispatch.ConnectTimeout, nil)
+	n.client = engine.NewClient(s.Dispatch.ConnectTimeout, n.certificates.endpoints)
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
-		NodeID: s.Node.ID, Secret: secret, Scope: n.metrics.Scope.SubScope("peer"),
+		NodeID: s.Node.ID, Secret: secret, TLS: n.certificates.dialPeersNow(), Scope: n.metrics.Scope.SubScope("peer"),
 	})
 	n.roster = newRoster(s.Node.ID)
 	n.assembleControl(list)
@@ -101,7 +106,7 @@
 	n.ownership = ownership.NewKeeper(logging.For(n.root, logging.Ownership), n.kv, ownership.Options{
 		NodeID: s.Node.ID, Address: s.Listen.PeersAdvertised, LeaseTTL: s.Dispatch.LeaseTTL,
 		RenewInterval: s.Dispatch.RenewInterval, StartWithin: s.Dispatch.StartWithin,
-		CallTimeout: s.Platform.KeyValue.Timeout, Members: n.roster.ids,
+		CallTimeout: s.Platform.KeyValue.Timeout, Members: n.roster.ids, Drained: n.drained,
 	}, n.keeper.Current())
 	n.members = membership.New(logging.For(n.root, logging.Membership), membership.Options{Self: decision.Member{
 		ID: s.Node.ID, Address: s.Listen.PeersAdvertised, DataCentre: s.Node.DataCentre, Region: s.Node.Region,
@@ -119,6 +124,10 @@
 		DataCentre: s.Node.DataCentre, Region: s.Node.Region, Hub: n.hub, Members: n.members.Current(),
 	}, n.keeper.Current(), n.dispatch.Cells())
 	n.reception = router.NewReception(routerLog, n.dispatch.Cells())
+	claimsLog := logging.For(n.root, logging.Claims)
+	n.shards = claims.NewShards(claimsLog, n.kv, claims.Options{
+		Retention: s.Claims.Retention, WritesPerSecond: s.Claims.WritesPerSecond, CallTimeout: s.Platform.KeyValue.Timeout,
+	}, n.ownership.Current())
 	n.limits = limits.NewKeeper(n.keeper.Current(), n.roster.count)
 	n.retries = retries.NewKeeper()
 	n.quarantine = quarantine.NewKeeper(logging.For(n.root, logging.Gateway),
@@ -128,7 +137,7 @@
 		NodeID: s.Node.ID, Limits: s.Limits, StallAfter: s.Dispatch.StallAfter,
 		FirstTokenTimeout: s.Dispatch.SuspectAfter, ClaimTimeout: s.Claims.Timeout,
 	}, gateway.Dependencies{
-		Config: n.keeper.Current(), Placer: n.router, Claimer: claims.Unavailable{}, Limiter: n.limits, Retries: n.retries,
+		Config: n.keeper.Current(), Placer: n.router, Claimer: claims.NewClient(n.shards, claimPeers{hub: n.hub, table: n.members.Current()}), Limiter: n.limits, Retries: n.retries,
 		Quarantine: n.quarantine, Client: n.client, Hosts: n.hosts.Current(), Detached: n.detached,
 		Handover: handover{hub: n.hub, table: n.members.Current(), local: n.detached},
 	}, n.metrics.Scope)
@@ -141,6 +150,7 @@
 	router.RegisterHandlers(n.hub, n.reception)
 	handleQuarantine(n.hub, n.quarantine)
 	handleTakeOver(n.hub, n.detached)
+	handleClaims(n.hub, n.shards)
 	handleConfig(n.hub, n.keeper, n.distributor)
 }
 
--- a/service/node/servers.go
+++ b/service/node/servers.go
@@ -9,10 +9,10 @@
 func (n *Node) servers() servers {
 	l := n.settings.Limits
 	return servers{
-		callers:   newHTTPServer(n.listeners.callers, n.gateway.Handler(), l),
-		operators: newHTTPServer(n.listeners.operators, n.operator.Handler(n.settings.Operators), l),
-		peers:     newHTTPServer(n.listeners.peers, n.hub.Handler(), l),
-		metrics:   newHTTPServer(n.listeners.metrics, n.healthHandler(), l),
+		callers:   newHTTPServer(n.listeners.callers, n.gateway.Handler(), l, n.certificates.callers),
+		operators: newHTTPServer(n.listeners.operators, n.operator.Handler(n.settings.Operators), l, n.certificates.operators),
+		peers:     newHTTPServer(n.listeners.peers, n.hub.Handler(), l, n.certificates.peers),
+		metrics:   newHTTPServer(n.listeners.metrics, n.healthHandler(), l, nil),
 	}
 }
 
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -30,8 +30,9 @@
 	scheme    string
 }
 
-// NewClient returns a client. A nil tlsConfig means plain text. The connect timeout bounds each dial, TLS included.
-func NewClient(connectTimeout time.Duration, tlsConfig *tls.Config) *Client {
+// NewClient returns a client. A nil tlsConfig means plain text; otherwise it is asked for each new connection, so that
+// renewed certificates are used. The connect timeout bounds each dial, TLS included.
+func NewClient(connectTimeout time.Duration, tlsConfig func() *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	c := &Client{scheme: "http", transport: &http.Transport{
 		MaxIdleConnsPerHost: idlePerEndpoint,
@@ -49,8 +50,8 @@
 	}}
 	if tlsConfig != nil {
 		c.scheme = "https"
-		tlsDialer := &tls.Dialer{NetDialer: dialer, Config: tlsConfig}
 		c.transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			tlsDialer := &tls.Dialer{NetDialer: dialer, Config: tlsConfig()}
 			conn, err := tlsDialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
