Tell work before and after a cold start apart by a count, and bound the ends that a cell keeps

Change: a grant keeps how often its endpoint had become cold; reports of the same time count in their order; ended grants are counted as they come, at most 4,096 between two reports.

--- a/decision/admission/cell_cold_test.go
+++ b/decision/admission/cell_cold_test.go
@@ -71,6 +71,21 @@
 	assert.Equal(t, len(b.dispatch(full)), 1)
 }
 
+// Guards against a restart that is missed because two reports carry the same time, and against an older report that
+// replaces a newer one.
+func TestReportsOfTheSameTimeCountInTheirOrder(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.advance(5 * time.Second)
+	b.report(0)
+	b.load.Incarnation = "b"
+	b.report(0)
+	assert.Equal(t, b.view().State, Cold)
+	b.load.Incarnation = "a"
+	b.report(time.Second)
+	assert.Equal(t, b.view().Load.Incarnation, "b")
+}
+
 // Guards against late reports of work on the process before raising the limit of the one that replaced it.
 func TestWorkOfTheLastIncarnationDoesNotRaiseTheLimit(t *testing.T) {
 	b := newBench(t)
@@ -82,11 +97,32 @@
 	b.load.Incarnation = "b"
 	b.advance(500 * time.Millisecond)
 	b.report(700 * time.Millisecond) // Taken at this moment or later, so perhaps after the grants.
+	b.event(grants[0].Number, message.GrantCompleted, 10)
+	assert.Equal(t, b.view().Limit, 1)
+	assert.Equal(t, b.view().State, Cold)
+	for range 3 {
+		b.cell.LoadFailed(b.now, "e1")
+	}
+	b.event(grants[1].Number, message.GrantProgress, 10)
+	b.event(grants[2].Number, message.GrantCompleted, 10)
+	assert.Equal(t, b.view().State, Suspect, "only the present process can show that it works")
+}
+
+// Guards against places that stay taken until the next load report although their requests have completed.
+func TestCompletedWorkFreesItsPlaceAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.enqueue(4)
+	grants := b.dispatch(full)
+	assert.Equal(t, len(grants), 4)
+	b.advance(time.Second)
+	b.load.Running = 4
+	b.report(500 * time.Millisecond)
 	for _, g := range grants {
 		b.event(g.Number, message.GrantCompleted, 10)
 	}
-	assert.Equal(t, b.view().Limit, 1)
-	assert.Equal(t, b.view().State, Cold)
+	b.enqueue(5)
+	assert.Equal(t, len(b.dispatch(full)), 4)
 }
 
 // Guards against an endpoint that another owner loads as well receiving up to the whole limit from this one.
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -131,7 +131,8 @@
 	c.number++
 	c.counts.Grants++
 	opened := &grant{
-		request: w.Request, at: now, heard: now, incarnation: e.load.Incarnation, probe: e.state == Suspect,
+		request: w.Request, at: now, heard: now, incarnation: e.load.Incarnation, coldStarts: e.coldStarts,
+		probe: e.state == Suspect,
 	}
 	e.grants[c.number] = opened
 	e.sinceReport++
--- a/decision/admission/cell_leaving_test.go
+++ b/decision/admission/cell_leaving_test.go
@@ -108,7 +108,6 @@
 	b.report(0)
 	b.enqueue(1)
 	g := b.dispatch(full)[0]
-	b.advance(time.Second)
 	b.dispatch(out)
 	b.dispatch(full)
 	b.event(g.Number, message.GrantCompleted, 10)
--- a/decision/admission/cell_report.go
+++ b/decision/admission/cell_report.go
@@ -99,17 +99,17 @@
 	c.remove(now, e, g, r.Number)
 	switch r.Event {
 	case message.GrantCompleted:
-		e.ends = append(e.ends, ended{granted: g.at, ended: now})
+		e.noteEnd(ended{granted: g.at, ended: now})
 		c.learnLength(g, r.Tokens)
 		if g.incarnation != e.load.Incarnation {
 			return // Work of a process that has ended says nothing about the present one.
 		}
 		e.sawToken(c.params)
-		if c.inTime(r) && !g.at.Before(e.coldSince) {
+		if c.inTime(r) && g.coldStarts == e.coldStarts {
 			e.creditCompleted(1, c.params)
 		}
 	case message.GrantCancelled:
-		e.ends = append(e.ends, ended{granted: g.at, ended: now})
+		e.noteEnd(ended{granted: g.at, ended: now})
 	}
 }
 
--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -20,8 +20,10 @@
 	inherited int
 	// completed counts the requests finished at the present limit.
 	completed int
-	// coldSince is when the endpoint became cold. Work from before raises no limit, even if it is reported later.
-	coldSince time.Time
+	// coldSince is when the endpoint became cold, and coldStarts how often it did. Work from before raises no limit, even
+	// if it is reported later.
+	coldSince  time.Time
+	coldStarts int
 
 	// candidate is the endpoint as placement sees it; steps is its model of the step time.
 	candidate placement.Candidate
@@ -32,8 +34,9 @@
 	taken time.Time
 	// samples are the reports that were too new to tell own work from other work.
 	samples []sample
-	// ends are the grants that ended after the newest report was taken.
-	ends []ended
+	// ends are the grants that ended after the newest report was taken; endedOfReport counts those that it counted.
+	ends          []ended
+	endedOfReport int
 	// sinceReport counts the open grants that were made after the newest report was taken.
 	sinceReport int
 	// failures counts the failed load reports in a row.
@@ -55,12 +58,7 @@
 // newest report counted, corrected by what began and ended since it was taken. The report bounds the excess when another
 // owner sends work too.
 func (e *endpoint) inFlight() int {
-	counted := e.load.Running + e.load.Waiting + e.sinceReport
-	for _, x := range e.ends {
-		if x.granted.Before(e.taken) {
-			counted--
-		}
-	}
+	counted := e.load.Running + e.load.Waiting + e.sinceReport - e.endedOfReport
 	return max(len(e.grants)+e.inherited, counted)
 }
 
@@ -100,6 +98,7 @@
 // becomeCold starts the endpoint from the cold limit.
 func (e *endpoint) becomeCold(now time.Time, p Params) {
 	e.state, e.limit, e.completed, e.coldSince = Cold, p.coldLimit(), 0, now
+	e.coldStarts++
 }
 
 // becomeSuspect stops new work until a token arrives or a probe succeeds. Unknown and leaving endpoints get no work
--- a/decision/admission/endpoint_load.go
+++ b/decision/admission/endpoint_load.go
@@ -10,10 +10,13 @@
 // interval of 200 ms three times over.
 const maxSamples = 16
 
+// maxEnds bounds the ends that are kept between two load reports.
+const maxEnds = 4096
+
 // applyLoad takes a report into account whose figures were taken at the given moment or later.
 func (e *endpoint) applyLoad(now, taken time.Time, load message.LoadReport, activeFrom time.Time, p Params) {
 	e.failures = 0
-	if !e.taken.IsZero() && !taken.After(e.taken) {
+	if taken.Before(e.taken) {
 		return
 	}
 	before, beforeTaken := e.load, e.taken
@@ -68,8 +71,12 @@
 			kept = append(kept, x)
 		}
 	}
-	e.ends = kept
-	e.sinceReport = 0
+	e.ends, e.endedOfReport, e.sinceReport = kept, 0, 0
+	for _, x := range kept {
+		if x.granted.Before(taken) {
+			e.endedOfReport++
+		}
+	}
 	for _, g := range e.grants {
 		if !g.at.Before(taken) {
 			e.sinceReport++
@@ -77,6 +84,18 @@
 	}
 }
 
+// noteEnd keeps the end of a grant until a report is newer. Beyond the bound, ends are not kept, and the newest report
+// goes on counting their requests.
+func (e *endpoint) noteEnd(x ended) {
+	if len(e.ends) >= maxEnds {
+		return
+	}
+	e.ends = append(e.ends, x)
+	if x.granted.Before(e.taken) {
+		e.endedOfReport++
+	}
+}
+
 // settle releases charges that reports show to be gone, and returns by how much the inherited work fell. The newest
 // report bounds them by all work that it counted. A report that is older than reportLag also tells own work from other
 // work: a grant that was reported as started before the report was taken, and has not ended since, was part of the count.
--- a/decision/admission/grant.go
+++ b/decision/admission/grant.go
@@ -23,6 +23,8 @@
 	memory placement.Forecast
 	// incarnation is that of the endpoint when the grant was made, as far as it was known.
 	incarnation string
+	// coldStarts is how often the endpoint had become cold.
+	coldStarts int
 	// probe is set when the grant was made to a suspect endpoint.
 	probe bool
 }
