--- /dev/null
+++ b/decision/admission/model_steps_test.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// drawRunning returns an endpoint with running work and the position of one of its requests.
+func (m *model) drawRunning(t *rapid.T) (*modelEndpoint, int) {
+	e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
+	if len(e.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	return e, rapid.IntRange(0, len(e.running)-1).Draw(t, "request")
+}
+
+// steps are the events of the model. Those that let work start and end occur several times, so that they are drawn more
+// often than faults.
+func (m *model) steps() map[string]func(*rapid.T) {
+	steps := m.faults()
+	for name, step := range m.work() {
+		for i := range 4 {
+			steps[fmt.Sprint(name, " ", i)] = step
+		}
+	}
+	return steps
+}
+
+// work are the events of normal operation.
+func (m *model) work() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"place": func(t *rapid.T) {
+			o := m.owner()
+			if rapid.IntRange(0, 9).Draw(t, "old owner") == 0 {
+				o = rapid.SampledFrom(m.owners).Draw(t, "owner")
+			}
+			for range rapid.IntRange(1, 5).Draw(t, "requests") {
+				m.ticket++
+				o.cell.Enqueue(m.now, Waiting{Ticket: m.ticket, Deadline: m.now.Add(10 * time.Second)})
+			}
+			m.dispatch(o)
+		},
+		"dispatch": func(*rapid.T) {
+			for _, o := range m.owners {
+				m.dispatch(o)
+			}
+		},
+		"start": func(t *rapid.T) {
+			n := rapid.IntRange(0, len(m.grants)).Draw(t, "grants")
+			starting := m.grants[:n]
+			m.grants = m.grants[n:]
+			for _, g := range starting {
+				m.start(g)
+			}
+		},
+		"fresh load reports": func(*rapid.T) {
+			for _, e := range m.endpoints {
+				m.deliver(m.load(e))
+			}
+		},
+		"progress": func(t *rapid.T) {
+			e, i := m.drawRunning(t)
+			if r := e.running[i]; !r.silent {
+				r.tokens += 5
+				m.report(r, message.GrantProgress)
+			}
+		},
+		"finish": func(t *rapid.T) {
+			e, i := m.drawRunning(t)
+			m.finish(e, i)
+		},
+		"finish all": func(*rapid.T) {
+			for _, e := range m.endpoints {
+				for len(e.running) > 0 {
+					m.finish(e, 0)
+				}
+			}
+		},
+		"lease confirmed":  func(*rapid.T) { m.confirmed = true },
+		"data centre back": func(*rapid.T) { m.setOut(false) },
+		"advance": func(t *rapid.T) {
+			m.advance(time.Duration(rapid.SampledFrom([]int{1, 200, 1000}).Draw(t, "ms")) * time.Millisecond)
+		},
+	}
+}
+
+// faults are the events that go wrong.
+func (m *model) faults() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"lose reply": func(t *rapid.T) {
+			if len(m.grants) == 0 {
+				t.Skip("no grants")
+			}
+			m.grants = m.grants[1:]
+		},
+		"stall": func(t *rapid.T) {
+			e, i := m.drawRunning(t)
+			if r := e.running[i]; !r.silent {
+				m.report(r, message.GrantStalled)
+			}
+		},
+		"break connection": func(t *rapid.T) {
+			e, i := m.drawRunning(t)
+			if r := e.running[i]; !r.silent {
+				r.silent = true
+				m.report(r, message.GrantFailed)
+			}
+		},
+		"gateway dies": func(t *rapid.T) {
+			e, i := m.drawRunning(t)
+			e.running[i].silent = true
+		},
+		"restart endpoint": func(t *rapid.T) {
+			e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
+			for _, r := range e.running {
+				if !r.silent {
+					m.report(r, message.GrantFailed)
+				}
+			}
+			e.running, e.completed, e.base = nil, 0, 0
+			e.incarnation++
+			m.outdate(e)
+		},
+		"take load report": func(t *rapid.T) {
+			m.loads = append(m.loads, m.load(rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")))
+		},
+		"deliver load report": func(t *rapid.T) {
+			if len(m.loads) == 0 {
+				t.Skip("no reports")
+			}
+			for _, l := range m.loads {
+				m.deliver(l)
+			}
+			m.loads = nil
+		},
+		"load reports fail": func(t *rapid.T) {
+			e := rapid.SampledFrom(m.endpoints).Draw(t, "endpoint")
+			for range defaultLoadFailures {
+				m.owner().cell.LoadFailed(m.now, e.id)
+			}
+		},
+		"long wait": func(t *rapid.T) {
+			m.advance(time.Duration(rapid.SampledFrom([]int{2, 5, 15}).Draw(t, "s")) * time.Second)
+		},
+		"take over": func(t *rapid.T) {
+			if len(m.owners) == 3 || rapid.IntRange(0, 4).Draw(t, "chance") > 0 {
+				t.Skip("no takeover")
+			}
+			m.takeOver()
+		},
+		"lease in doubt":  func(*rapid.T) { m.confirmed = false },
+		"data centre out": func(*rapid.T) { m.setOut(true) },
+	}
+}
