Count a full cell as busy, and draw cells by their room

A cell without free places and without a queue counted as idle, and a data centre that had just returned got too few requests: the integration test TestColdLimitHoldsWhenDataCentreReturns did not reach 30 starts in a minute. Cells are now drawn by distance and room. Records that a full exchange brings to a new node are no longer spread by it.

--- a/decision/membership/syncing.go
+++ b/decision/membership/syncing.go
@@ -52,7 +52,12 @@
 	theirs := make(map[string]Member, len(r.Updates))
 	for _, m := range r.Updates {
 		theirs[m.ID] = m
+		_, known := v.entries[m.ID]
 		urgent = v.merge(now, m) || urgent
+		if !known {
+			// The others know a member that is only new to this node, which may have just started.
+			delete(v.spreading, m.ID)
+		}
 	}
 	if r.More {
 		v.nextSync = now
--- a/decision/membership/view.go
+++ b/decision/membership/view.go
@@ -93,7 +93,7 @@
 	v.dirty = true
 }
 
-// merge applies a record and reports whether it should be passed on at once.
+// merge applies a record, spreads it if it is new, and reports whether it should be passed on at once.
 func (v *View) merge(now time.Time, m Member) bool {
 	if m.ID == v.self.ID {
 		v.refute(m.Incarnation, m.State)
--- a/decision/routing/book.go
+++ b/decision/routing/book.go
@@ -22,6 +22,10 @@
 	failurePressure = 1
 	// affinityMargin is how much busier the cell that a prefix prefers may be than the other choice. Pressures are below 1.
 	affinityMargin = 0.3
+	// longQueue is the number of waiting requests that counts as half of the most.
+	longQueue = 16
+	// leastRoom keeps a chance for cells that are believed to be full.
+	leastRoom = 0.001
 	// maxCells bounds the cells that are remembered; forgetAfter is when one may be forgotten.
 	maxCells    = 1024
 	forgetAfter = time.Minute
@@ -70,7 +74,7 @@
 	return l
 }
 
-// Pressure returns how busy a cell is believed to be, from 0 (free or unknown) to 1.
+// Pressure returns how busy a cell is believed to be, from 0 (unknown, or much is free) over 0.5 (nothing is free) to 1.
 func (b *Book) Pressure(now time.Time, cell string) float64 {
 	l, ok := b.cells[cell]
 	if !ok {
@@ -78,52 +82,50 @@
 	}
 	p := float64(failurePressure)
 	if !l.failed {
-		waiting := float64(l.summary.Queued + l.asked)
-		p = waiting / (waiting + float64(l.summary.Free) + 1)
+		free := max(0, l.summary.Free-l.asked)
+		waiting := float64(l.summary.Queued + max(0, l.asked-l.summary.Free))
+		p = 0.5/float64(free+1) + 0.5*waiting/(waiting+longQueue)
 	}
 	return p * math.Exp2(-float64(now.Sub(l.at))/float64(halfLife))
 }
 
-// Pick returns the index of the candidate to ask; there must be one. It compares two random candidates, and prefers the
-// cell of the prefix if it is not much busier. A prefix of 0 means that there is none.
+// Pick returns the index of the candidate to ask; there must be one. It draws two candidates, which may be the same, by
+// distance and room, takes the better one, and prefers the cell of the prefix if that is not much busier. A prefix of 0
+// means that there is none.
 func (b *Book) Pick(now time.Time, candidates []Candidate, prefix uint64) int {
-	cost := func(i int) float64 {
-		return b.Pressure(now, candidates[i].Cell) + candidates[i].penalty()
-	}
-	best := b.sample(candidates, -1)
-	if len(candidates) > 1 {
-		if other := b.sample(candidates, best); cost(other) < cost(best) {
-			best = other
+	reachable := slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Suspect })
+	costs, weights, total := make([]float64, len(candidates)), make([]float64, len(candidates)), 0.0
+	for i, c := range candidates {
+		pressure := b.Pressure(now, c.Cell)
+		costs[i] = pressure + c.penalty()
+		if c.Suspect && reachable {
+			continue
 		}
+		// The cube leaves little to a cell with a queue, which would otherwise be drawn twice too often.
+		weights[i] = c.Distance.weight() * (leastRoom + math.Pow(1-min(1, pressure), 3))
+		total += weights[i]
+	}
+	best, other := b.draw(weights, total), b.draw(weights, total)
+	if costs[other] < costs[best] {
+		best = other
 	}
 	if prefix != 0 {
-		if i := preferred(candidates, prefix); cost(i) <= cost(best)+affinityMargin {
+		if i := preferred(candidates, prefix); costs[i] <= costs[best]+affinityMargin {
 			return i
 		}
 	}
 	return best
 }
 
-// sample draws a candidate by the weight of its distance, other than the given one.
-func (b *Book) sample(candidates []Candidate, except int) int {
-	total := 0.0
-	for i, c := range candidates {
-		if i != except {
-			total += c.weight()
-		}
-	}
+// draw returns a random index by weight.
+func (b *Book) draw(weights []float64, total float64) int {
 	at := b.random.Float64() * total
-	last := 0
-	for i, c := range candidates {
-		if i == except {
-			continue
-		}
-		last = i
-		if at -= c.weight(); at < 0 {
-			break
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return i
 		}
 	}
-	return last
+	return len(weights) - 1
 }
 
 // preferred returns the candidate with the highest rendezvous hash among those of this region, so that all nodes of a
--- a/decision/routing/candidate.go
+++ b/decision/routing/candidate.go
@@ -11,13 +11,6 @@
 // suspectPenalty exceeds the pressure and the distance of any other cell.
 const suspectPenalty = 2
 
-func (c Candidate) weight() float64 {
-	if c.Suspect {
-		return c.Distance.weight() / 100
-	}
-	return c.Distance.weight()
-}
-
 func (c Candidate) penalty() float64 {
 	if c.Suspect {
 		return c.Distance.penalty() + suspectPenalty
--- a/decision/routing/distance.go
+++ b/decision/routing/distance.go
@@ -11,8 +11,8 @@
 )
 
 // weight is the relative chance of a cell at this distance to be one of the two that are compared.
-func (d Distance) weight() float64 { return [...]float64{1, 0.25, 0.02}[min(d, OtherRegion)] }
+func (d Distance) weight() float64 { return [...]float64{1, 0.5, 0.02}[min(d, OtherRegion)] }
 
 // penalty is added to the pressure of a cell at this distance. Data centres of a region are about 1 ms apart, so a nearer
 // cell is preferred only while it is about as busy.
-func (d Distance) penalty() float64 { return [...]float64{0, 0.05, 0.5}[min(d, OtherRegion)] }
+func (d Distance) penalty() float64 { return [...]float64{0, 0.02, 0.5}[min(d, OtherRegion)] }
