--- a/decision/admission/cell.go
+++ b/decision/admission/cell.go
@@ -31,7 +31,9 @@
 	number   uint64
 	out      bool
 	stale    bool
-	counts   Counts
+	// confirmed is that of the last decision.
+	confirmed bool
+	counts    Counts
 	// changed is set when something happened that may let a waiting request start; scanned is when the queue was last
 	// looked at, and scannedWith the authority of that moment.
 	changed     bool
@@ -80,7 +82,7 @@
 	}
 	slices.SortFunc(c.endpoints, func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
 	for _, e := range c.endpoints {
-		e.updateLeaving(c.params)
+		e.updateLeaving(now, c.params)
 	}
 	c.forgetGone(now)
 }
--- a/decision/admission/cell_cold_test.go
+++ b/decision/admission/cell_cold_test.go
@@ -71,6 +71,24 @@
 	assert.Equal(t, len(b.dispatch(full)), 1)
 }
 
+// Guards against late reports of work on the process before raising the limit of the one that replaced it.
+func TestWorkOfTheLastIncarnationDoesNotRaiseTheLimit(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.enqueue(3)
+	b.advance(time.Second)
+	grants := b.dispatch(full)
+	assert.Equal(t, len(grants), 3)
+	b.load.Incarnation = "b"
+	b.advance(500 * time.Millisecond)
+	b.report(700 * time.Millisecond) // Taken at this moment or later, so perhaps after the grants.
+	for _, g := range grants {
+		b.event(g.Number, message.GrantCompleted, 10)
+	}
+	assert.Equal(t, b.view().Limit, 1)
+	assert.Equal(t, b.view().State, Cold)
+}
+
 // Guards against an endpoint that another owner loads as well receiving up to the whole limit from this one.
 func TestReportBoundsTheExcessOfTwoOwners(t *testing.T) {
 	b := newBench(t)
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -10,8 +10,23 @@
 )
 
 // Dispatch grants what may start now and refuses what has waited too long. The authority must be that of the same moment.
+// Each reply carries the summary of the cell after all decisions.
 func (c *Cell) Dispatch(now time.Time, a Authority) []Decision {
-	c.setOut(a.Out)
+	decisions := c.decide(now, a)
+	if len(decisions) == 0 {
+		return nil
+	}
+	summary := c.summary(now)
+	for i := range decisions {
+		decisions[i].Reply.Summary = summary
+	}
+	return decisions
+}
+
+// decide makes the decisions that are due.
+func (c *Cell) decide(now time.Time, a Authority) []Decision {
+	c.confirmed = a.Confirmed
+	c.setOut(now, a.Out)
 	switch {
 	case !a.Owned || c.stale:
 		return c.refuseAll(now, verdict.ReasonNoOwner, "the cell is changing its owner")
@@ -100,11 +115,11 @@
 }
 
 // setOut takes the data centre out or back in. On its return every endpoint is cold.
-func (c *Cell) setOut(out bool) {
+func (c *Cell) setOut(now time.Time, out bool) {
 	if c.out && !out {
 		for _, e := range c.endpoints {
 			if e.state != Unknown && e.state != Leaving {
-				e.becomeCold(c.params)
+				e.becomeCold(now, c.params)
 			}
 		}
 	}
@@ -115,7 +130,9 @@
 func (c *Cell) grant(now time.Time, e *endpoint, w Waiting) Decision {
 	c.number++
 	c.counts.Grants++
-	opened := &grant{request: w.Request, at: now, heard: now, probe: e.state == Suspect}
+	opened := &grant{
+		request: w.Request, at: now, heard: now, incarnation: e.load.Incarnation, probe: e.state == Suspect,
+	}
 	e.grants[c.number] = opened
 	e.sinceReport++
 	if w.Request.Alone {
@@ -129,5 +146,5 @@
 		Cell: c.id, Number: c.number, Fence: c.fence, Endpoint: e.Endpoint,
 		StartWithin: now.Sub(w.Since) + c.params.StartWithin, TokenInterval: e.steps.Predict(e.inFlight()),
 	}
-	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g, Summary: c.summary(now)}}
+	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g}}
 }
--- a/decision/routing/candidate.go
+++ b/decision/routing/candidate.go
@@ -9,7 +9,14 @@
 }
 
 // suspectPenalty exceeds the pressure and the distance of any other cell.
-const suspectPenalty = 2
+const suspectPenalty = 4
+
+func (c Candidate) weight() float64 {
+	if c.Suspect {
+		return c.Distance.weight() / 100
+	}
+	return c.Distance.weight()
+}
 
 func (c Candidate) penalty() float64 {
 	if c.Suspect {
