--- a/service/node/certificates.go
+++ b/service/node/certificates.go
@@ -48,11 +48,3 @@
 	}
 	return c, nil
 }
-
-// dialPeersNow returns the configuration of links to other nodes as it is now, or nil for plain text.
-func (c certificates) dialPeersNow() *tls.Config {
-	if c.dialPeers == nil {
-		return nil
-	}
-	return c.dialPeers()
-}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -83,7 +83,7 @@
 	n.settings = s
 	n.client = engine.NewClient(s.Dispatch.ConnectTimeout, n.certificates.endpoints)
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
-		NodeID: s.Node.ID, Secret: secret, TLS: n.certificates.dialPeersNow(), Scope: n.metrics.Scope.SubScope("peer"),
+		NodeID: s.Node.ID, Secret: secret, TLS: n.certificates.dialPeers, Scope: n.metrics.Scope.SubScope("peer"),
 	})
 	n.roster = newRoster(s.Node.ID)
 	n.assembleControl(list)
