--- a/cmd/azuredykectl/harness_test.go
+++ b/cmd/azuredykectl/harness_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -15,6 +16,9 @@
 	"azuredyke.dev/azuredyke/service/development"
 )
 
+// startTimeout ends a test whose site does not start; it is far above what a loaded machine needs.
+const startTimeout = 2 * time.Minute
+
 // harness runs command lines against a server.
 type harness struct {
 	server, token string
@@ -73,6 +77,6 @@
 			return poll.Continue("status %d", resp.StatusCode)
 		}
 		return poll.Success()
-	})
+	}, poll.WithTimeout(startTimeout))
 	return h
 }
--- a/cmd/azuredykectl/wait.go
+++ b/cmd/azuredykectl/wait.go
@@ -17,26 +17,26 @@
 )
 
 // waitInForce waits until every node that is alive has a revision in force. Failed looks are tried again until the
-// timeout, since the change itself was accepted.
+// timeout, since the change itself was accepted. There is always one whole look, however short the timeout is.
 func (a *app) waitInForce(ctx context.Context, revision int64, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	last := ""
-	for {
-		progress, done := a.lookInForce(ctx, revision)
-		if progress != last {
-			fmt.Fprintln(a.errOut, progress)
-			last = progress
-		}
-		if done {
-			return nil
-		}
+	progress, done := a.lookInForce(ctx, revision)
+	fmt.Fprintln(a.errOut, progress)
+	for !done {
 		select {
-		case <-ctx.Done():
-			return errNotInForce.New("revision %d was accepted; %s after %s", revision, last, timeout)
+		case <-limited.Done():
+			return errNotInForce.New("revision %d was accepted; %s after %s", revision, progress, timeout)
 		case <-time.After(waitInterval):
 		}
+		var next string
+		next, done = a.lookInForce(limited, revision)
+		if limited.Err() == nil && next != progress {
+			progress = next
+			fmt.Fprintln(a.errOut, progress)
+		}
 	}
+	return nil
 }
 
 // lookInForce returns a progress line and whether all nodes that are alive have the revision.
--- a/service/operator/server_test.go
+++ b/service/operator/server_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
@@ -50,7 +51,7 @@
 			}
 		}
 		return poll.Success()
-	})
+	}, poll.WithTimeout(time.Minute))
 }
 
 // assertError is an unexpected outcome.
