--- a/decision/admission/cell_view.go
+++ b/decision/admission/cell_view.go
@@ -33,7 +33,7 @@
 		}
 		open++
 		s.Load += c.load(e)
-		if e.admits(now, true) {
+		if e.admits(now, c.confirmed) && e.alone == 0 && e != c.placer.reservation.endpoint {
 			s.Free += max(1, e.limit-e.inFlight())
 		}
 	}
