Check the history of requests that may not be repeated

The same key is sent to two nodes at once, while answers of the key-value service and of the plain service are lost. The history of the callers is checked against a model in which a key runs once.

--- /dev/null
+++ b/test/integration/history_test.go
@@ -0,0 +1,121 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/fake/kvserver"
+	"azuredyke.dev/azuredyke/fake/plainservice"
+	"azuredyke.dev/azuredyke/test/harness"
+)
+
+// reserveOutput is what a caller learnt from one call with a key.
+type reserveOutput struct {
+	verdict string
+	// run names the run whose answer the caller has; empty when it has none.
+	run string
+}
+
+// unknownRun is the state of a key that may have run without an answer.
+const unknownRun = "?"
+
+// onceModel says that a key runs at most once: all callers who have an answer have that of the same run, and a key that
+// was never claimed may be refused or run. The state is the run, or empty.
+var onceModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[any][]porcupine.Operation{}
+		for _, o := range history {
+			byKey[o.Input] = append(byKey[o.Input], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, _, output any) []any {
+		run, out := state.(string), output.(reserveOutput)
+		switch {
+		case out.run != "" && (run == "" || run == unknownRun || run == out.run):
+			return []any{out.run}
+		case out.run != "":
+			return nil
+		case out.verdict == verdict.NotRun.String() || run != "":
+			return []any{run}
+		default:
+			return []any{"", unknownRun}
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// Guards against a key that runs twice, or whose callers see two runs, while nodes race for it, answers of the key-value
+// service are lost after the write, and answers of the service are lost after the run.
+func TestKeysRunOnceWhileAnswersAreLost(t *testing.T) {
+	t.Parallel()
+	s := harness.Start(t, harness.Options{
+		Plains: 2, ColdLimit: 16, MaxConcurrency: 64, Plain: plainservice.Options{Latency: 20 * time.Millisecond},
+	})
+	const (
+		keys    = 24
+		callers = 4
+		calls   = 3
+	)
+	began := time.Now()
+	history := make(chan porcupine.Operation, keys*callers*calls)
+	var running sync.WaitGroup
+	for key := range keys {
+		for caller := range callers {
+			running.Go(func() {
+				for range calls {
+					name := fmt.Sprint("unit-", key)
+					o := porcupine.Operation{ClientId: key*callers + caller, Input: name, Call: int64(time.Since(began))}
+					o.Output = outputOf(s.Post(requestContext(t), s.Nodes[caller%len(s.Nodes)], "/reserve", name, name))
+					o.Return = int64(time.Since(began))
+					history <- o
+				}
+			})
+		}
+	}
+	for i := range 6 {
+		s.KV.LoseAnswers(2, []kvserver.Loss{kvserver.LossReset, kvserver.LossSilence}[i%2])
+		s.Plains[i%2].Fail(1, plainservice.FailAfter)
+		time.Sleep(100 * time.Millisecond)
+	}
+	running.Wait()
+	close(history)
+	var all []porcupine.Operation
+	answered := 0
+	for o := range history {
+		all = append(all, o)
+		if o.Output.(reserveOutput).run != "" {
+			answered++
+		}
+	}
+	assert.Assert(t, answered > 0, "no caller has an answer")
+	assert.Assert(t, porcupine.CheckOperations(onceModel.ToModel(), all), "the answers are not those of one run for each key")
+	for i, p := range s.Plains {
+		for key, runs := range p.Stats().Runs {
+			other := s.Plains[1-i].Stats().Runs[key]
+			assert.Equal(t, runs+other, 1, "key %s", key)
+		}
+	}
+}
+
+// outputOf reads the run from the answer of the service.
+func outputOf(a harness.PlainAnswer) reserveOutput {
+	out := reserveOutput{verdict: a.Verdict}
+	var call plainservice.Call
+	if a.Status == 200 && json.Unmarshal([]byte(a.Body), &call) == nil {
+		out.run = call.RequestID
+	}
+	return out
+}
