--- a/decision/admission/cell_leaving_test.go
+++ b/decision/admission/cell_leaving_test.go
@@ -95,7 +95,6 @@
 	b.load.Running, b.load.CompletedTotal = 1, 5
 	b.report(0)
 	b.load.Running, b.load.CompletedTotal = 0, 6
-	b.advance(time.Second)
 	out := full
 	out.Out = true
 	b.dispatch(out)
@@ -104,6 +103,17 @@
 	assert.Equal(t, b.view().State, Cold)
 	assert.Equal(t, b.view().Limit, 1, "inherited work")
 
+	b = newBench(t)
+	b.load.Running, b.load.CompletedTotal = 1, 5
+	b.report(0)
+	b.dispatch(out)
+	b.dispatch(full)
+	b.report(0)
+	b.load.Running, b.load.CompletedTotal = 0, 6
+	b.advance(time.Millisecond)
+	b.report(0)
+	assert.Equal(t, b.view().Limit, 1, "the report before may be from before the return")
+
 	b = newBench(t)
 	b.report(0)
 	b.enqueue(1)
--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -24,6 +24,8 @@
 	// if it is reported later.
 	coldSince  time.Time
 	coldStarts int
+	// baseline is set when load was taken after coldSince, so that what the next report counts more was done since.
+	baseline bool
 
 	// candidate is the endpoint as placement sees it; steps is its model of the step time.
 	candidate placement.Candidate
@@ -99,6 +101,7 @@
 func (e *endpoint) becomeCold(now time.Time, p Params) {
 	e.state, e.limit, e.completed, e.coldSince = Cold, p.coldLimit(), 0, now
 	e.coldStarts++
+	e.baseline = false
 }
 
 // becomeSuspect stops new work until a token arrives or a probe succeeds. Unknown and leaving endpoints get no work
--- a/decision/admission/endpoint_load.go
+++ b/decision/admission/endpoint_load.go
@@ -19,7 +19,7 @@
 	if taken.Before(e.taken) {
 		return
 	}
-	before, beforeTaken := e.load, e.taken
+	before := e.load
 	restarted := !e.taken.IsZero() && before.Incarnation != load.Incarnation
 	if restarted {
 		e.refused, e.samples = false, nil
@@ -45,9 +45,10 @@
 	e.steps.Observe(load.Running, load.StepTime)
 	fell := e.settle(now, p)
 	e.measureMemory()
-	if !first && !restarted && !beforeTaken.Before(e.coldSince) {
+	if !first && !restarted && e.baseline {
 		e.creditInherited(fell, load.CompletedTotal-before.CompletedTotal, p)
 	}
+	e.baseline = first || restarted || taken.After(e.coldSince)
 	e.updateLeaving(now, p)
 }
 
