Test a placement over a link that stalls

Guards the way back of a grant whose reply was on a stalled link, and measures the cost of membership after the start of the fleet has spread.

--- a/service/membership/cost_test.go
+++ b/service/membership/cost_test.go
@@ -36,6 +36,10 @@
 // changeInterval is the time between two configuration changes at 15,000 a day.
 const changeInterval = 5760 * time.Millisecond
 
+// settleTime is the time for each member in which the changes of the start have spread: about 12 messages carry a record
+// of about 100 bytes, and two messages of DefaultMessageBytes are sent a second.
+const settleTime = 700 * time.Millisecond
+
 // countingListener counts the bytes of the connections that it accepts. Each connection is accepted once, so the sum over
 // all listeners is what all nodes have sent.
 type countingListener struct {
@@ -138,7 +142,7 @@
 
 // TestCost reports the bytes and the CPU time of one node at several sizes of the fleet. Bytes are those in the
 // connections, without TCP and IP headers. It guards against a cost that grows with the fleet: the limits are the ones for
-// 1,500 nodes. It runs for about four minutes.
+// 1,500 nodes. It runs for about five minutes.
 func TestCost(t *testing.T) {
 	if os.Getenv(measureEnv) == "" {
 		t.Skip(measureEnv + " is not set")
@@ -147,7 +151,7 @@
 	for _, n := range []int{8, 16, 32, 64, 128} {
 		f := startFleet(t, n)
 		f.settle(t)
-		time.Sleep(10 * time.Second)
+		time.Sleep(max(10*time.Second, time.Duration(n)*settleTime))
 		bytes, cpu, begin := f.bytes.Load(), cpuTime(t), time.Now()
 		changes := time.NewTicker(changeInterval)
 		for revision := int64(2); time.Since(begin) < period; revision++ {
--- a/service/router/helper_test.go
+++ b/service/router/helper_test.go
@@ -141,7 +141,9 @@
 // startRouter runs a router in data centre one.
 func startRouter(t *testing.T, own map[string]cell, members *latest.Value[*membership.Table]) *Router {
 	t.Helper()
-	hub := peer.NewHub(zaptest.NewLogger(t), peer.Options{NodeID: "self", MaxBackoff: 200 * time.Millisecond})
+	hub := peer.NewHub(zaptest.NewLogger(t), peer.Options{
+		NodeID: "self", MaxBackoff: 200 * time.Millisecond, PingAfter: 50 * time.Millisecond, DeadAfter: time.Second,
+	})
 	r := newRouter(zaptest.NewLogger(t), Options{DataCentre: "one", Region: "bengal", Hub: hub, Members: members},
 		snapshot(), fixedCells(latest.New(own)))
 	ctx, cancel := context.WithCancel(context.Background())
