--- a/transport/peer/envelope_test.go
+++ b/transport/peer/envelope_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +41,19 @@
 	assert.Equal(t, waitMillis(1500*time.Microsecond), uint32(2))
 	assert.Equal(t, waitMillis(1<<62), uint32(1<<32-1))
 }
+
+// Guards against frames that two nodes could read differently, and against frames that claim more than they hold.
+func TestMalformedFramesAreRefused(t *testing.T) {
+	for name, frame := range map[string]string{
+		"empty": "", "truncated": "\xa3\x01\x64echo\x02", "duplicate key": "\xa2\x01\x61a\x01\x61b",
+		"length beyond the frame": "\xa2\x01\x61a\x04\x9b\xff\xff\xff\xff\xff\xff\xff\xff", "reply without id": "\xa1\x03\xf5",
+		"request without kind": "\xa1\x02\x01", "deep nesting": "\xa2\x01\x61a\x04" + strings.Repeat("\x81", 40) + "\x00",
+		"indefinite length": "\xbf\x01\x61a\xff", "long kind": "\xa1\x01\x78\x50" + strings.Repeat("k", 0x50),
+	} {
+		_, err := decodeEnvelope([]byte(frame))
+		assert.Assert(t, err != nil, name)
+	}
+	e, err := decodeEnvelope([]byte("\xa3\x01\x61a\x02\x01\x18\x63\x01"))
+	assert.NilError(t, err, "a field of a later version")
+	assert.Equal(t, e.Kind, "a")
+}
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -151,3 +152,34 @@
 	_, err := Call[int, int](waitCtx(t), client.hub, server.address, "wait", 1)
 	assert.Assert(t, ErrNotDelivered.Has(err))
 }
+
+// Guards against memory that grows while a link does not take frames, and against callers that wait for room.
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	// The listener completes connections and never answers.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	address := listener.Addr().String()
+	client := startNode(t, Options{QueueSize: 4, DialTimeout: longWait}, nil)
+	accepted := 0
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if Notify(client.hub, address, "note", 1) {
+			accepted++
+			return poll.Continue("%d accepted", accepted)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(longWait), poll.WithDelay(time.Millisecond))
+	_, err = Call[int, int](waitCtx(t), client.hub, address, "echo", 1)
+	assert.Assert(t, ErrNotDelivered.Has(err))
+	assert.ErrorContains(t, err, "full")
+}
+
+// Guards against links without bound that other nodes open.
+func TestIncomingLinksAreBounded(t *testing.T) {
+	server := startNode(t, Options{MaxIncoming: 1}, echo)
+	first, second := startNode(t, Options{}, nil), startNode(t, Options{}, nil)
+	_, err := Call[string, string](waitCtx(t), first.hub, server.address, "echo", "x")
+	assert.NilError(t, err)
+	_, err = Call[string, string](waitCtx(t), second.hub, server.address, "echo", "x")
+	assert.Assert(t, ErrNotDelivered.Has(err), "%v", err)
+}
