Keep releases of earlier claims when batches are merged; test claims with faults

Cause: a merge kept only the last record of a key. When a run held the release of an earlier claim followed by another claim and its release, the first release was lost and the key stayed held.

--- a/decision/claim/merge.go
+++ b/decision/claim/merge.go
@@ -1,24 +1,41 @@
 package claim
 
-import "azuredyke.dev/azuredyke/common/message"
+import (
+	"slices"
 
-// Merge returns the records that have the same effect as the given ones: the last of each key, in order. A release is
-// dropped when no record before the given ones exists, which oldest says, since it has nothing to end then.
+	"azuredyke.dev/azuredyke/common/message"
+)
+
+// Merge returns the records that have the same effect as the given ones, in order: the last claim or outcome of each key
+// that was not released, and the releases that end a claim from before the given records. There are none of the latter
+// when oldest says that no earlier records exist.
 func Merge(records []Record, oldest bool) []Record {
-	last := make(map[message.ClaimKey]int, len(records))
+	live := make(map[message.ClaimKey]int, len(records))
+	earlier := map[message.ClaimKey][]int{}
 	for i, r := range records {
-		if at, ok := last[r.Key]; ok && r.Kind == KindReleased && records[at].Attempt != r.Attempt {
-			// A release of another attempt than the one that holds the claim has no effect.
-			continue
+		at, ok := live[r.Key]
+		switch {
+		case r.Kind != KindReleased:
+			live[r.Key] = i
+		case ok && records[at].Attempt == r.Attempt:
+			delete(live, r.Key)
+		case !ok && !oldest:
+			earlier[r.Key] = append(earlier[r.Key], i)
 		}
-		last[r.Key] = i
 	}
-	merged := make([]Record, 0, len(last))
-	for i, r := range records {
-		if last[r.Key] != i || oldest && r.Kind == KindReleased {
-			continue
+	var kept []int
+	for _, i := range live {
+		kept = append(kept, i)
+	}
+	for key, releases := range earlier {
+		if _, ok := live[key]; !ok {
+			kept = append(kept, releases...)
 		}
-		merged = append(merged, r)
+	}
+	slices.Sort(kept)
+	merged := make([]Record, 0, len(kept))
+	for _, i := range kept {
+		merged = append(merged, records[i])
 	}
 	return merged
 }
--- a/decision/claim/set_test.go
+++ b/decision/claim/set_test.go
@@ -110,6 +110,8 @@
 	assert.Equal(t, s.Claim(now, c).Status, message.ClaimGranted)
 	c.Attempt = "b"
 	assert.Equal(t, s.Claim(now, c).Status, message.ClaimHeld)
+	s.Settle(now, message.ClaimSettle{Key: c.Key, Attempt: "other", Released: true})
+	assert.Equal(t, s.Queued(), 0, "only the attempt that holds a claim releases it")
 	s.Settle(now, message.ClaimSettle{Key: c.Key, Attempt: "a", Released: true})
 	assert.Assert(t, s.Claim(now, c).Wait, "the release is not durable")
 	s.Batch(1)
--- a/service/claims/shard_test.go
+++ b/service/claims/shard_test.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -83,6 +84,32 @@
 	})
 }
 
+// Guards against a grant by an owner that was paused while it wrote, after another owner has granted the same key.
+func TestWriteOfPausedOwnerIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, defaultOptions())
+		key := keyOf(1, 1)
+		old := s.owner(key)
+		old.kv.mode.Store(int32(faultStall))
+		late := make(chan message.ClaimReply, 1)
+		go func() {
+			reply, err := old.client.Claim(context.Background(), message.ClaimRequest{Key: key, Attempt: "late"})
+			if err == nil {
+				late <- reply
+			}
+		}()
+		time.Sleep(pauseFor - time.Second)
+		now := s.owner(key)
+		assert.Assert(t, now != nil && now != old)
+		assert.Equal(t, now.claim(key, "a").Status, message.ClaimGranted)
+		assert.Assert(t, (<-late).Status != message.ClaimGranted)
+		time.Sleep(2 * pauseFor)
+		result, err := s.kv.Range(t.Context(), shardName(key)+"/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(result.Entries), 1)
+	})
+}
+
 // Guards against a hand-over that loses outcomes which were accepted.
 func TestDrainWaitsForOutcomes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
