--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -20,6 +20,10 @@
 	inherited int
 	// completed counts the requests finished at the present limit.
 	completed int
+	// coldSince is when the endpoint became cold, and coldStarts how often it did. Work from before raises no limit, even
+	// if it is reported later.
+	coldSince  time.Time
+	coldStarts int
 
 	// candidate is the endpoint as placement sees it; steps is its model of the step time.
 	candidate placement.Candidate
@@ -30,8 +34,9 @@
 	taken time.Time
 	// samples are the reports that were too new to tell own work from other work.
 	samples []sample
-	// ends are the grants that ended after the newest report was taken.
-	ends []ended
+	// ends are the grants that ended after the newest report was taken; endedOfReport counts those that it counted.
+	ends          []ended
+	endedOfReport int
 	// sinceReport counts the open grants that were made after the newest report was taken.
 	sinceReport int
 	// failures counts the failed load reports in a row.
@@ -53,12 +58,7 @@
 // newest report counted, corrected by what began and ended since it was taken. The report bounds the excess when another
 // owner sends work too.
 func (e *endpoint) inFlight() int {
-	counted := e.load.Running + e.load.Waiting + e.sinceReport
-	for _, x := range e.ends {
-		if x.granted.Before(e.taken) {
-			counted--
-		}
-	}
+	counted := e.load.Running + e.load.Waiting + e.sinceReport - e.endedOfReport
 	return max(len(e.grants)+e.inherited, counted)
 }
 
@@ -83,21 +83,22 @@
 func (e *endpoint) isLeaving() bool { return e.absent || e.listed || e.reported || e.refused }
 
 // updateLeaving enters or leaves the state Leaving. An endpoint that stays after all is cold.
-func (e *endpoint) updateLeaving(p Params) {
+func (e *endpoint) updateLeaving(now time.Time, p Params) {
 	switch {
 	case e.isLeaving() && e.state != Gone:
 		e.state = Leaving
 	case e.state == Leaving:
 		e.state = Unknown
 		if !e.taken.IsZero() {
-			e.becomeCold(p)
+			e.becomeCold(now, p)
 		}
 	}
 }
 
 // becomeCold starts the endpoint from the cold limit.
-func (e *endpoint) becomeCold(p Params) {
-	e.state, e.limit, e.completed = Cold, p.coldLimit(), 0
+func (e *endpoint) becomeCold(now time.Time, p Params) {
+	e.state, e.limit, e.completed, e.coldSince = Cold, p.coldLimit(), 0, now
+	e.coldStarts++
 }
 
 // becomeSuspect stops new work until a token arrives or a probe succeeds. Unknown and leaving endpoints get no work
@@ -148,3 +149,6 @@
 	}
 	e.limit = min(max(e.limit, p.coldLimit()), p.MaxConcurrency)
 }
+
+// takesWork reports whether the endpoint's state lets it receive new work once its limit has room.
+func (e *endpoint) takesWork() bool { return e.state == Cold || e.state == Warming || e.state == Warm }
--- a/decision/admission/grant.go
+++ b/decision/admission/grant.go
@@ -21,6 +21,10 @@
 	tokens int
 	// memory is the part of the endpoint's forecast that this grant makes up.
 	memory placement.Forecast
+	// incarnation is that of the endpoint when the grant was made, as far as it was known.
+	incarnation string
+	// coldStarts is how often the endpoint had become cold.
+	coldStarts int
 	// probe is set when the grant was made to a suspect endpoint.
 	probe bool
 }
--- a/decision/membership/probing.go
+++ b/decision/membership/probing.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -23,6 +22,11 @@
 	v.fillWindow(now)
 	p := &v.probing
 	p.count++
+	if len(p.window) == 0 || p.count%2 == 0 {
+		if t, ok := v.newSeed(); ok {
+			return t, true
+		}
+	}
 	if len(p.window) == 0 || p.count%reprobeEvery == 0 {
 		if t, ok := v.absent(); ok {
 			return t, true
@@ -72,6 +76,26 @@
 	p.window = append(p.window, others[:min(len(others), v.params.Window-len(p.window))]...)
 }
 
+// newSeed returns a listed host of which nothing is known and that was not tried yet.
+func (v *View) newSeed() (Target, bool) {
+	known := map[string]bool{}
+	for _, e := range v.entries {
+		known[e.member.Address] = true
+	}
+	var targets []Target
+	for _, s := range v.seeds {
+		if !known[s.Address] && !v.tried[s.Address] {
+			targets = append(targets, s)
+		}
+	}
+	if len(targets) == 0 {
+		return Target{}, false
+	}
+	t := targets[v.random.IntN(len(targets))]
+	v.tried[t.Address] = true
+	return t, true
+}
+
 // absent returns a removed member or a listed host of which nothing is known.
 func (v *View) absent() (Target, bool) {
 	known := map[string]bool{}
@@ -107,8 +131,18 @@
 	return out
 }
 
-// Answered notes that a member answered, so this node is not isolated.
-func (v *View) Answered() { clear(v.probing.failed) }
+// Answered notes that a member answered, so this node is not isolated. If it was, the suspicions start again, since those
+// members could not be heard.
+func (v *View) Answered(now time.Time) {
+	if v.Isolated() {
+		for _, e := range v.entries {
+			if e.member.State == StateSuspect {
+				e.since, e.own = now, false
+			}
+		}
+	}
+	clear(v.probing.failed)
+}
 
 // Failed notes that a member answered neither directly nor through others.
 func (v *View) Failed(now time.Time, id string) {
@@ -136,8 +170,7 @@
 
 // Tick removes members whose suspicion was not refuted and forgets old ones.
 func (v *View) Tick(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(v.entries)) {
-		e := v.entries[id]
+	for id, e := range v.entries {
 		age := now.Sub(e.since)
 		switch {
 		case e.member.State == StateSuspect && !v.Isolated():
--- a/transport/peer/hub.go
+++ b/transport/peer/hub.go
@@ -45,12 +45,12 @@
 // NewHub returns a Hub without links.
 func NewHub(log *zap.Logger, o Options) *Hub {
 	o = o.withDefaults()
-	scope := o.Scope.SubScope("peer")
+	scope := o.Scope
 	return &Hub{
 		log: log, options: o, handlers: map[string]*handler{}, messages: newInbox(hubCapacity),
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-			TLSClientConfig: o.TLS, TLSHandshakeTimeout: o.DialTimeout, DisableKeepAlives: true,
+			DialContext:    (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+			DialTLSContext: dialTLS(o), DisableKeepAlives: true,
 		}},
 		current: latest.New(map[string]*link{}), done: make(chan struct{}),
 		links: map[string]*link{}, backoffs: map[string]backoff{},
