Set the test latency atomically in the claim tests

The race detector reported the plain field: tasks already run when TestWritesForClaimRate sets it. go test -race -count=5 ./service/claims ./decision/claim: ok

--- a/service/claims/faulty_kv_test.go
+++ b/service/claims/faulty_kv_test.go
@@ -39,8 +39,8 @@
 	mode atomic.Int32
 	// spareLease exempts the calls about leases.
 	spareLease atomic.Bool
-	// latency delays each call.
-	latency time.Duration
+	// latency delays each call, in nanoseconds.
+	latency atomic.Int64
 	// writes counts the calls that write.
 	writes *atomic.Int64
 }
@@ -49,7 +49,7 @@
 
 func (f *faultyKV) write(ctx context.Context, apply func(ctx context.Context) error) error {
 	f.writes.Add(1)
-	time.Sleep(f.latency)
+	time.Sleep(time.Duration(f.latency.Load()))
 	switch f.fault() {
 	case faultRefuse:
 		return platform.ErrUnavailable.New("fault")
--- a/service/claims/shard_test.go
+++ b/service/claims/shard_test.go
@@ -178,7 +178,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, nodes, defaultOptions())
 		for _, n := range s.nodes {
-			n.kv.latency = 5 * time.Millisecond
+			n.kv.latency.Store(int64(5 * time.Millisecond))
 		}
 		var (
 			callers sync.WaitGroup
