Release cells of removed services

Cause: a keeper held the cells of a service or data centre that was removed until it stopped. They are now handed back like any released resource.

--- a/service/ownership/decide.go
+++ b/service/ownership/decide.go
@@ -26,6 +26,7 @@
 	candidate := slices.Contains(k.candidates, k.options.NodeID)
 	k.keepFollowing(ctx, candidate || len(k.held) > 0)
 	wake := now.Add(idleInterval)
+	k.releaseUnwanted(ctx, wanted)
 	due := k.due(wanted, candidate, now, &wake)
 	needed := len(k.held) > 0 || len(due) > 0 || k.running() > 0
 	earliest(&wake, k.keepLease(ctx, needed, now))
@@ -83,6 +84,15 @@
 	return due
 }
 
+// releaseUnwanted hands back the cells of services and data centres that were removed.
+func (k *Keeper) releaseUnwanted(ctx context.Context, wanted []string) {
+	for resource := range k.held {
+		if !slices.Contains(wanted, resource) {
+			k.beginRelease(ctx, resource)
+		}
+	}
+}
+
 // keepHeld starts the call that a held resource needs.
 func (k *Keeper) keepHeld(ctx context.Context, resource string, h *held, now time.Time, wake *time.Time) {
 	fence, revision := h.Fence, h.Revision
--- a/service/ownership/site_test.go
+++ b/service/ownership/site_test.go
@@ -21,6 +21,7 @@
 	id     string
 	kv     *faultyKV
 	keeper *Keeper
+	config *latest.Value[*config.Snapshot]
 	cancel context.CancelFunc
 }
 
@@ -57,11 +58,13 @@
 }
 
 func (s *testSite) add(drained func(ctx context.Context, resource string) error) *testNode {
-	n := &testNode{id: fmt.Sprintf("node-%d", len(s.nodes)), kv: &faultyKV{KV: s.kv}}
+	n := &testNode{
+		id: fmt.Sprintf("node-%d", len(s.nodes)), kv: &faultyKV{KV: s.kv}, config: latest.New(config.NewSnapshot(0, nil)),
+	}
 	n.keeper = NewKeeper(zap.NewNop(), n.kv, Options{
 		NodeID: n.id, LeaseTTL: 6 * time.Second, RenewInterval: 2 * time.Second, StartWithin: time.Second,
 		CallTimeout: 2 * time.Second, Members: s.members, Drained: drained,
-	}, latest.New(config.NewSnapshot(0, nil)))
+	}, n.config)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	s.nodes = append(s.nodes, n)
