--- a/cmd/azuredyked/serve.go
+++ b/cmd/azuredyked/serve.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	kv, err := openKV(context.WithoutCancel(cmd.Context()), s)
+	kv, err := openKV(context.WithoutCancel(cmd.Context()), log, s)
 	if err != nil {
 		return err
 	}
--- a/common/settings/platform.go
+++ b/common/settings/platform.go
@@ -14,7 +14,8 @@
 	KeyValueEtcd = "etcd"
 	// KeyValueMemory keeps everything in this process; for development only.
 	KeyValueMemory = "memory"
-	// KeyValueFile reads a fixed configuration from a file; nothing can be changed or claimed.
+	// KeyValueFile reads a fixed configuration from a file, for a site with a single node; nothing can be changed or
+	// claimed.
 	KeyValueFile = "file"
 )
 
--- a/service/gateway/claimed_call.go
+++ b/service/gateway/claimed_call.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/claim"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
 
@@ -17,6 +19,11 @@
 
 // claimed records the request before it is sent, and its outcome afterwards.
 func (c *plainCall) claimed(caller, detached context.Context) (engine.Answer, *verdict.Error) {
+	if claim.TooOld(c.key, c.server.options.ClaimRetention, time.Now()) {
+		return engine.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonClaimExpired,
+			"the key is older than %s, for which claims are kept", c.server.options.ClaimRetention).
+			WithField(headerIdempotencyKey)
+	}
 	key := claimKey(c.workspaceName, c.serviceName, c.key)
 	claimCtx, cancel := context.WithTimeout(caller, c.server.options.ClaimTimeout)
 	defer cancel()
--- a/service/gateway/options.go
+++ b/service/gateway/options.go
@@ -17,4 +17,6 @@
 	FirstTokenTimeout time.Duration
 	// ClaimTimeout is the longest time that a caller waits for a claim.
 	ClaimTimeout time.Duration
+	// ClaimRetention is how long a claim is kept. A key that carries an older time is refused.
+	ClaimRetention time.Duration
 }
--- a/service/gateway/plain_test.go
+++ b/service/gateway/plain_test.go
@@ -109,3 +109,14 @@
 		})
 	}
 }
+
+// Guards against a second run of a request whose claim has been forgotten, where the key tells its age.
+func TestKeyOlderThanTheRetentionIsRefused(t *testing.T) {
+	e := newScriptedEndpoint(t)
+	s := newSite(t, e)
+	// A UUIDv7 of 2020-01-01.
+	got := s.do(t, http.MethodPost, reservePath, "{}", "Idempotency-Key", "016f5e66-e800-7000-8000-000000000000")
+	assert.Equal(t, got.verdict, "not-run")
+	assert.Assert(t, cmp.Contains(got.body, "idempotency_key_expired"))
+	assert.Equal(t, e.runs.Load(), int64(0))
+}
--- a/service/gateway/site_test.go
+++ b/service/gateway/site_test.go
@@ -152,7 +152,7 @@
 	t.Cleanup(client.Close)
 	s.server = NewServer(zaptest.NewLogger(t), Options{
 		Limits:     settings.Limits{BodyBytes: 64 << 10, BodyTimeout: time.Minute, OpenRequests: 1000},
-		StallAfter: 100 * time.Millisecond, FirstTokenTimeout: time.Minute, ClaimTimeout: time.Second,
+		StallAfter: 100 * time.Millisecond, FirstTokenTimeout: time.Minute, ClaimTimeout: time.Second, ClaimRetention: time.Hour,
 	}, Dependencies{
 		Config: current, Placer: s.placer, Claimer: s.claimer, Limiter: limiter, Retries: budget, Quarantine: keeper,
 		Client: client, Detached: detached, Handover: localHandover{detached}, Hosts: latest.New(hostsOf(endpoints)),
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -135,7 +135,7 @@
 	n.detached = gateway.NewDetached()
 	n.gateway = gateway.NewServer(logging.For(n.root, logging.Gateway), gateway.Options{
 		NodeID: s.Node.ID, Limits: s.Limits, StallAfter: s.Dispatch.StallAfter,
-		FirstTokenTimeout: s.Dispatch.SuspectAfter, ClaimTimeout: s.Claims.Timeout,
+		FirstTokenTimeout: s.Dispatch.SuspectAfter, ClaimTimeout: s.Claims.Timeout, ClaimRetention: s.Claims.Retention,
 	}, gateway.Dependencies{
 		Config: n.keeper.Current(), Placer: n.router, Claimer: claims.NewClient(n.shards, claimPeers{hub: n.hub, table: n.members.Current()}), Limiter: n.limits, Retries: n.retries,
 		Quarantine: n.quarantine, Client: n.client, Hosts: n.hosts.Current(), Detached: n.detached,
