--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -140,11 +140,13 @@
 		e.alone++
 	}
 	e.addMemory(opened, c.forecast(&opened.request, 0, e))
+	e.candidate.Prefill += w.Request.PromptTokens
 	c.prefixes.Add(e.candidate.Slot, w.Request.PrefixHashes)
 	c.byGrant[c.number] = e
 	// The gateway counts from a moment before w.Since, so the grant lapses at most params.StartWithin from now.
 	g := &message.Grant{
 		Cell: c.id, Number: c.number, Fence: c.fence, Endpoint: e.Endpoint,
+		Incarnation: e.load.Incarnation,
 		StartWithin: now.Sub(w.Since) + c.params.StartWithin, TokenInterval: e.steps.Predict(e.inFlight()),
 	}
 	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g}}
--- a/decision/admission/cell_report.go
+++ b/decision/admission/cell_report.go
@@ -67,6 +67,10 @@
 		return
 	}
 	c.lengths.Grew(g.request.Workspace, g.tokens, tokens)
+	if g.tokens == 0 {
+		e.candidate.Prefill -= g.request.PromptTokens
+		c.changed = true
+	}
 	g.tokens = tokens
 	e.replaceMemory(g, c.forecast(&g.request, tokens, e))
 	if g.incarnation == e.load.Incarnation {
--- a/decision/admission/endpoint_load.go
+++ b/decision/admission/endpoint_load.go
@@ -152,6 +152,9 @@
 func (e *endpoint) drop(number uint64, g *grant) {
 	delete(e.grants, number)
 	e.candidate.Memory.Remove(&g.memory)
+	if g.tokens == 0 {
+		e.candidate.Prefill -= g.request.PromptTokens
+	}
 	if g.request.Alone {
 		e.alone--
 	}
--- a/decision/admission/placer.go
+++ b/decision/admission/placer.go
@@ -84,6 +84,7 @@
 	r := &w.Request
 	p.request = placement.Request{
 		Model: r.Model, Exclude: r.Exclude, Alone: r.Alone, PrefixHashes: r.PrefixHashes, Memory: memory,
+		PromptTokens: r.PromptTokens,
 	}
 	mine := p.reservation.endpoint != nil && p.reservation.ticket == w.Ticket
 	if mine {
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -19,6 +19,8 @@
 	Memory Forecast
 	// Other is the memory in tokens that the load report shows beyond that of the known requests.
 	Other float64
+	// Prefill is the number of prompt tokens of the known requests that have no output token yet.
+	Prefill int
 	// Steps predicts the time between tokens; nil when it is unknown.
 	Steps *StepModel
 }
--- a/decision/placement/policies.go
+++ b/decision/placement/policies.go
@@ -14,6 +14,7 @@
 const (
 	memoryWeight      = 1
 	intervalWeight    = 1
+	prefillWeight     = 0.5
 	prefixWeight      = 0.5
 	outstandingWeight = 0.25
 )
@@ -29,10 +30,11 @@
 		p.Scorers = []WeightedScorer{{Scorer: LeastOutstandingScorer{}, Weight: 1}}
 		p.Picker = MaxScorePicker{Random: random}
 	default:
-		p.Filters = append(p.Filters, ExpectedMemoryFilter{})
+		p.Filters = append(p.Filters, PrefillFilter{}, ExpectedMemoryFilter{})
 		p.Scorers = []WeightedScorer{
 			{Scorer: ExpectedMemoryScorer{}, Weight: memoryWeight},
 			{Scorer: TokenIntervalScorer{}, Weight: intervalWeight},
+			{Scorer: PrefillScorer{}, Weight: prefillWeight},
 			{Scorer: &PrefixAffinityScorer{Index: index}, Weight: prefixWeight},
 			{Scorer: LeastOutstandingScorer{}, Weight: outstandingWeight},
 		}
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -10,6 +10,8 @@
 	Alone bool
 	// PrefixHashes are the hashes of the prompt's leading blocks, in order.
 	PrefixHashes []uint64
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
 	// Memory is the expected memory of the request.
 	Memory Forecast
 }
--- a/service/gateway/plain.go
+++ b/service/gateway/plain.go
@@ -85,8 +85,8 @@
 	return &engine.Failure{Sent: true, Err: err}
 }
 
-// endGrant reports the end of a grant of a plain call.
-func (s *Server) endGrant(ctx context.Context, g message.Grant, event message.GrantEvent, elapsed time.Duration, f *engine.Failure) {
+// reportGrant tells the owner of the cell what happened to the grant of a plain call.
+func (s *Server) reportGrant(ctx context.Context, g message.Grant, event message.GrantEvent, elapsed time.Duration, f *engine.Failure) {
 	r := message.GrantReport{Cell: g.Cell, Fence: g.Fence, Number: g.Number, Event: event, Elapsed: elapsed, Sent: true}
 	if f != nil {
 		r.Sent = f.Sent
--- a/service/gateway/plain_call.go
+++ b/service/gateway/plain_call.go
@@ -62,7 +62,7 @@
 		c.settleSuspect(detached, false)
 		c.raise(err.Verdict)
 		again := err.Verdict == verdict.NotRun || c.repeatable
-		if !again || !c.mayRetry(caller, attempt, grant.Endpoint.ID) {
+		if !again || !c.mayRetry(caller, attempt, grant.Endpoint.ID, err) {
 			return engine.Answer{}, c.final(err)
 		}
 	}
@@ -78,6 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, plainTimeout)
 	defer cancel()
 	started := time.Now()
+	c.server.reportGrant(detached, g, message.GrantStarted, 0, nil)
 	answer, err := c.server.Client.Call(ctx, engine.Start{
 		Address: g.Endpoint.Address, Method: c.method, Path: pathWithQuery(c.path, c.query), Body: c.body,
 		Header: c.header, RequestID: fmt.Sprintf("%s-%d", c.id, attempt), Fence: g.Fence,
@@ -85,17 +86,17 @@
 	})
 	elapsed := time.Since(started)
 	if err == nil {
-		c.server.endGrant(detached, g, message.GrantCompleted, elapsed, nil)
+		c.server.reportGrant(detached, g, message.GrantCompleted, elapsed, nil)
 		return answer, nil
 	}
 	f := failureOf(err)
 	switch {
 	case f.Refused != "":
-		c.server.endGrant(detached, g, message.GrantRefused, elapsed, f)
+		c.server.reportGrant(detached, g, message.GrantRefused, elapsed, f)
 	case errors.Is(f, engine.ErrTooLate):
-		c.server.endGrant(detached, g, message.GrantUnused, elapsed, f)
+		c.server.reportGrant(detached, g, message.GrantUnused, elapsed, f)
 	default:
-		c.server.endGrant(detached, g, message.GrantFailed, elapsed, f)
+		c.server.reportGrant(detached, g, message.GrantFailed, elapsed, f)
 	}
 	if f.NotRun() {
 		return engine.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonEndpointFailed,
--- a/service/gateway/session.go
+++ b/service/gateway/session.go
@@ -49,7 +49,7 @@
 		}
 		s.settleSuspect(detached, false)
 		s.raise(err.Verdict)
-		if !a.mayPlaceAgain || !s.mayRetry(caller, attempt, grant.Endpoint.ID) {
+		if !a.mayPlaceAgain || !s.mayRetry(caller, attempt, grant.Endpoint.ID, err) {
 			return s.fail(err)
 		}
 		s.server.log.Info("request placed again", zap.String("request", s.id),
--- a/service/gateway/work.go
+++ b/service/gateway/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -12,6 +13,7 @@
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/decision/quarantine"
 	"azuredyke.dev/azuredyke/service/retries"
+	"azuredyke.dev/azuredyke/transport/engine"
 )
 
 const (
@@ -124,12 +126,15 @@
 	w.server.Quarantine.Crashed(ctx, w.fingerprint, id)
 }
 
-// mayRetry reports whether another attempt is allowed after one that failed on the given endpoint.
-func (w *work) mayRetry(ctx context.Context, attempt int, endpoint string) bool {
+// mayRetry reports whether another attempt is allowed after one that failed on the given endpoint. A grant that lapsed says
+// nothing about its endpoint.
+func (w *work) mayRetry(ctx context.Context, attempt int, endpoint string, cause error) bool {
 	if attempt >= maxAttempts || ctx.Err() != nil || !w.server.Retries.Allow(ctx, w.budget()) {
 		return false
 	}
-	w.exclude = append(w.exclude, endpoint)
+	if !errors.Is(cause, engine.ErrTooLate) {
+		w.exclude = append(w.exclude, endpoint)
+	}
 	w.server.metrics.retries.Inc(1)
 	return true
 }
