Compare the defaults of the settings reference with the code

The test compared only the keys, so a changed default could leave the page behind. It now compares the defaults too; it was seen to fail for a missing key, an invented key, a wrong default and a default that is left out.

--- a/common/settings/reference_test.go
+++ b/common/settings/reference_test.go
@@ -3,50 +3,93 @@
 import (
 	"os"
 	"reflect"
-	"regexp"
 	"slices"
 	"strings"
 	"testing"
 
+	"go.yaml.in/yaml/v3"
 	"gotest.tools/v3/assert"
 )
 
 // referencePath is the settings reference, relative to this package.
 const referencePath = "../../docs/operating/settings.md"
 
-// referenceKey matches the key in the first column of a table of the reference.
-var referenceKey = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|")
+// Columns of the tables of the reference, of which each row begins and ends with a bar.
+const (
+	keyColumn     = 1
+	defaultColumn = 4
+	columns       = 7
+)
 
 // Guards against a setting that the reference leaves out, names twice or invents.
 func TestReferenceNamesEveryKey(t *testing.T) {
-	page, err := os.ReadFile(referencePath)
-	assert.NilError(t, err)
-	var documented []string
-	for _, match := range referenceKey.FindAllStringSubmatch(string(page), -1) {
-		documented = append(documented, match[1])
+	var documented, keys []string
+	for _, row := range referenceRows(t) {
+		documented = append(documented, row[keyColumn])
+	}
+	for key := range valuesOf(reflect.ValueOf(Default()), "") {
+		keys = append(keys, key)
 	}
-	keys := keysOf(reflect.TypeFor[Settings](), "")
 	slices.Sort(keys)
 	slices.Sort(documented)
 	assert.DeepEqual(t, documented, keys)
 }
 
-// keysOf returns the keys of a settings type by its yaml tags; items of lists of structs are written as "key[].field".
-func keysOf(t reflect.Type, prefix string) []string {
-	var keys []string
-	for _, field := range reflect.VisibleFields(t) {
-		name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
-		key := prefix + name
-		fieldType := field.Type
-		if fieldType.Kind() == reflect.Slice && fieldType.Elem().Kind() == reflect.Struct {
-			key += "[]"
-			fieldType = fieldType.Elem()
+// Guards against a default in the reference that is not the one in force. A default that is not a value, like "empty" or the
+// name of another key, stands for the zero value.
+func TestReferenceStatesDefaults(t *testing.T) {
+	values := valuesOf(reflect.ValueOf(Default()), "")
+	for _, row := range referenceRows(t) {
+		actual, ok := values[row[keyColumn]]
+		assert.Assert(t, ok, row[keyColumn])
+		stated := reflect.New(actual.Type())
+		text, quoted := strings.CutPrefix(row[defaultColumn], "`")
+		text = strings.TrimSuffix(text, "`")
+		if _, isKey := values[text]; quoted && !isKey {
+			assert.NilError(t, yaml.Unmarshal([]byte(text), stated.Interface()), row[keyColumn])
 		}
-		if fieldType.Kind() == reflect.Struct {
-			keys = append(keys, keysOf(fieldType, key+".")...)
+		assert.DeepEqual(t, stated.Elem().Interface(), actual.Interface())
+	}
+}
+
+// referenceRows returns the cells of the rows of the reference whose first cell is a key, with the key unquoted.
+func referenceRows(t *testing.T) [][]string {
+	t.Helper()
+	page, err := os.ReadFile(referencePath)
+	assert.NilError(t, err)
+	var rows [][]string
+	for _, line := range strings.Split(string(page), "\n") {
+		if !strings.HasPrefix(line, "| `") {
 			continue
 		}
-		keys = append(keys, key)
+		cells := strings.Split(line, "|")
+		assert.Equal(t, len(cells), columns, line)
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		cells[keyColumn] = strings.Trim(cells[keyColumn], "`")
+		rows = append(rows, cells)
+	}
+	return rows
+}
+
+// valuesOf returns the values of a settings struct by their keys, which are made of the yaml tags. Items of lists of structs
+// have keys like "key[].field" and zero values.
+func valuesOf(v reflect.Value, prefix string) map[string]reflect.Value {
+	values := map[string]reflect.Value{}
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
+		key, field := prefix+name, v.Field(i)
+		if field.Kind() == reflect.Slice && field.Type().Elem().Kind() == reflect.Struct {
+			key, field = key+"[]", reflect.Zero(field.Type().Elem())
+		}
+		if field.Kind() != reflect.Struct {
+			values[key] = field
+			continue
+		}
+		for k, f := range valuesOf(field, key+".") {
+			values[k] = f
+		}
 	}
-	return keys
+	return values
 }
