--- a/test/harness/link.go
+++ b/test/harness/link.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -18,6 +17,8 @@
 	proxy *toxiproxy.Proxy
 	// stalls counts the stalls, which gives each its own name.
 	stalls int
+	// stalled holds the toxics of the stalls that have not ended.
+	stalled []*stallToxic
 }
 
 // directions are the two directions of a connection, as toxiproxy names them.
@@ -26,16 +27,17 @@
 // newLink opens a link to a server until the test ends.
 func newLink(t testing.TB, name, target string) *Link {
 	t.Helper()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	l := &Link{t: t, proxy: toxiproxy.NewProxy(server, name, "127.0.0.1:0", target)}
+	l := &Link{t: t, proxy: newProxy(name, "127.0.0.1:0", target)}
 	assert.NilError(t, l.proxy.Start(), name)
-	t.Cleanup(func() {
-		l.Heal()
-		l.proxy.Stop()
-	})
+	t.Cleanup(l.close)
 	return l
 }
 
+func newProxy(name, listen, target string) *toxiproxy.Proxy {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	return toxiproxy.NewProxy(server, name, listen, target)
+}
+
 // Address returns the address at which the server is reached over the link.
 func (l *Link) Address() string { return l.proxy.Listen }
 
@@ -51,6 +53,7 @@
 	for _, d := range directions {
 		toxic, err := l.add(fmt.Sprint(stallToxicType, l.stalls), d, stallToxicType, "{}")
 		assert.NilError(l.t, err)
+		l.stalled = append(l.stalled, toxic)
 		if spareNew {
 			toxic.spareNew.Store(true)
 		}
@@ -76,11 +79,25 @@
 	return stall, nil
 }
 
-// Heal ends stalls and delays. Connections that were stalled are closed.
-func (l *Link) Heal() { l.proxy.Toxics.ResetToxics(context.Background()) }
+// Heal ends stalls and delays, and closes all connections. The proxy is replaced, since toxiproxy cannot add toxics while
+// a connection that was stalled is being closed.
+func (l *Link) Heal() {
+	l.close()
+	l.proxy = newProxy(l.proxy.Name, l.proxy.Listen, l.proxy.Upstream)
+	assert.NilError(l.t, l.proxy.Start())
+}
+
+// close ends all connections and the tasks of their toxics.
+func (l *Link) close() {
+	for _, toxic := range l.stalled {
+		toxic.end()
+	}
+	l.stalled = nil
+	l.proxy.Stop()
+}
 
 // Cut closes all connections and refuses new ones until Restore.
-func (l *Link) Cut() { l.proxy.Stop() }
+func (l *Link) Cut() { l.close() }
 
 // Restore accepts connections again.
 func (l *Link) Restore() { assert.NilError(l.t, l.proxy.Start()) }
--- a/test/harness/stall_toxic.go
+++ b/test/harness/stall_toxic.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/Shopify/toxiproxy/v2/toxics"
@@ -15,8 +16,19 @@
 // are opened after spareNew was set are not affected.
 type stallToxic struct {
 	spareNew atomic.Bool
+	once     sync.Once
+	ended    chan struct{}
 }
 
+// done returns the channel that end closes. The library creates toxics with their zero value.
+func (s *stallToxic) done() chan struct{} {
+	s.once.Do(func() { s.ended = make(chan struct{}) })
+	return s.ended
+}
+
+// end closes the connections that are stalled. It is called once.
+func (s *stallToxic) end() { close(s.done()) }
+
 // NewState implements toxics.StatefulToxic. It is called when the toxic is added to a connection.
 func (s *stallToxic) NewState() any { return s.spareNew.Load() }
 
@@ -29,6 +41,9 @@
 	input := stub.Input
 	for {
 		select {
+		case <-s.done():
+			stub.Close()
+			return
 		case <-stub.Interrupt:
 			return
 		case chunk := <-input:
@@ -38,10 +53,3 @@
 		}
 	}
 }
-
-// Cleanup implements toxics.CleanupToxic. A connection that lost data cannot go on.
-func (s *stallToxic) Cleanup(stub *toxics.ToxicStub) {
-	if spared, _ := stub.State.(bool); !spared {
-		stub.Close()
-	}
-}
