--- a/cmd/azuredyked/dev.go
+++ b/cmd/azuredyked/dev.go
@@ -22,6 +22,7 @@
 	flags.StringVar(&listen.Callers, "callers", listen.Callers, "address for callers")
 	flags.StringVar(&listen.Operators, "operators", listen.Operators, "address for operators")
 	flags.StringVar(&listen.Metrics, "metrics", listen.Metrics, "address for metrics and health")
+	flags.StringVar(&listen.Peers, "peers", listen.Peers, "address for other nodes")
 	flags.StringVar(&level, "log-level", level, "debug, info, warn or error")
 	return cmd
 }
--- a/cmd/azuredyked/platform.go
+++ b/cmd/azuredyked/platform.go
@@ -17,34 +17,35 @@
 )
 
 // openKV returns the key-value service of the settings. A service in memory lives until ctx ends.
-func openKV(ctx context.Context, log *zap.Logger, s settings.Settings) (platform.KV, error) {
+func openKV(ctx context.Context, s settings.Settings, tlsConfig *tls.Config) platform.KV {
 	kv := s.Platform.KeyValue
 	switch kv.Kind {
 	case settings.KeyValueEtcd:
-		files, err := tlsfiles.New(log, s.TLS.Platform)
-		if err != nil {
-			return nil, err
-		}
-		var tlsConfig *tls.Config
-		if files != nil {
-			tlsConfig = files.Client()
-		}
-		return etcd.New(kv.Addresses, kv.Timeout, tlsConfig), nil
+		return etcd.New(kv.Addresses, kv.Timeout, tlsConfig)
 	case settings.KeyValueMemory:
 		store := memory.NewKV()
 		go store.Run(ctx)
-		return store, nil
+		return store
 	default:
 		local := file.NewLocal(kv.Path)
 		go local.Run(ctx)
-		return local, nil
+		return local
 	}
 }
 
 // openHostList returns the host list of the settings.
-func openHostList(s settings.HostListSettings) platform.HostList {
+func openHostList(s settings.HostListSettings, tlsConfig *tls.Config) platform.HostList {
 	if s.Kind == settings.HostListFile {
 		return hostlist.NewFile(s.Path)
 	}
-	return hostlist.NewHTTP(http.DefaultClient, s.URL)
+	return hostlist.NewHTTP(&http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}}, s.URL)
+}
+
+// platformTLS returns the TLS configuration towards the platform, nil for plain text.
+func platformTLS(log *zap.Logger, s settings.Settings) (*tls.Config, error) {
+	files, err := tlsfiles.New(log, s.TLS.Platform)
+	if err != nil || files == nil {
+		return nil, err
+	}
+	return files.Client(), nil
 }
--- a/cmd/azuredyked/serve.go
+++ b/cmd/azuredyked/serve.go
@@ -32,11 +32,12 @@
 	if err != nil {
 		return err
 	}
-	kv, err := openKV(context.WithoutCancel(cmd.Context()), log, s)
+	tlsConfig, err := platformTLS(log, s)
 	if err != nil {
 		return err
 	}
-	n, err := node.New(log, s, kv, openHostList(s.Platform.HostList))
+	kv := openKV(context.WithoutCancel(cmd.Context()), s, tlsConfig)
+	n, err := node.New(log, s, kv, openHostList(s.Platform.HostList, tlsConfig))
 	if err != nil {
 		return err
 	}
--- a/common/settings/check.go
+++ b/common/settings/check.go
@@ -41,6 +41,12 @@
 	}
 }
 
+func (c *checker) notNegative(key string, value time.Duration) {
+	if value < 0 {
+		c.add(key, "must not be negative")
+	}
+}
+
 // check returns every value that is out of range.
 func (s *Settings) check() []problem {
 	c := &checker{}
@@ -64,6 +70,10 @@
 	if s.Limits.OpenRequests <= 0 {
 		c.add("limits.open_requests", "must be above 0")
 	}
+	c.positive("limits.header_timeout", s.Limits.HeaderTimeout)
+	c.positive("limits.body_timeout", s.Limits.BodyTimeout)
+	c.notNegative("stop.readiness_delay", s.Stop.ReadinessDelay)
+	c.notNegative("stop.timeout", s.Stop.Timeout)
 	c.positive("claims.retention", s.Claims.Retention)
 	c.positive("claims.timeout", s.Claims.Timeout)
 	if s.Claims.WritesPerSecond <= 0 {
--- a/common/verdict/reason.go
+++ b/common/verdict/reason.go
@@ -7,6 +7,7 @@
 const (
 	ReasonInvalid         Reason = "invalid_request"
 	ReasonUnknownPath     Reason = "unknown_path"
+	ReasonWrongMethod     Reason = "wrong_method"
 	ReasonUnauthorized    Reason = "unauthorized"
 	ReasonUnknownModel    Reason = "unknown_model"
 	ReasonUnknownService  Reason = "unknown_service"
--- a/decision/admission/cell_cold_test.go
+++ b/decision/admission/cell_cold_test.go
@@ -159,3 +159,17 @@
 	assert.Equal(t, len(decisions), 1)
 	assert.Equal(t, decisions[0].Reply.Refusal.Reason, verdict.ReasonNoEndpoint)
 }
+
+// Guards against an endpoint that is only a little slower in its cold start, and so looks warm after its first answer.
+func TestLimitRisesOnlyAfterTheCompletionsOfAColdStart(t *testing.T) {
+	b := newBench(t)
+	b.cell.params.WarmAfter = 0
+	b.report(0)
+	for n := range defaultWarmAfter {
+		b.enqueue(2)
+		g := b.dispatch(full)
+		assert.Equal(t, len(g), 1, "after %d completions", n)
+		b.event(g[0].Number, message.GrantCompleted, 10)
+	}
+	assert.Equal(t, len(b.dispatch(full)), 2)
+}
--- a/decision/admission/cell_placement_test.go
+++ b/decision/admission/cell_placement_test.go
@@ -46,10 +46,10 @@
 	for range 40 {
 		b.ask(message.PlaceRequest{PromptTokens: 1000, MaxTokens: 1000})
 	}
-	first := b.dispatch(full)
+	first := b.dispatchComputed(full)
 	assert.Assert(t, len(first) >= 10 && len(first) <= 32, "%d of 40 fit into 32,000 tokens", len(first))
 	b.event(first[0].Number, message.GrantCompleted, 100)
-	assert.Equal(t, len(b.dispatch(full)), 1, "the memory of completed work is free at once")
+	assert.Equal(t, len(b.dispatchComputed(full)), 1, "the memory of completed work is free at once")
 
 	baseline := modelBench(t, placement.LeastOutstanding, 16_000)
 	for range 40 {
@@ -84,12 +84,15 @@
 		if round == 10 {
 			large = b.ask(message.PlaceRequest{PromptTokens: 14_000, MaxTokens: 100, Workspace: "large"})
 		}
-		for _, d := range b.cell.Dispatch(b.now, full) {
-			if d.Ticket == large {
-				assert.Assert(t, round > 12, "the endpoints were busy")
-				return
+		for decisions := b.cell.Dispatch(b.now, full); len(decisions) > 0; decisions = b.cell.Dispatch(b.now, full) {
+			for _, d := range decisions {
+				if d.Ticket == large {
+					assert.Assert(t, round > 12, "the endpoints were busy")
+					return
+				}
+				open = append(open, *d.Reply.Grant)
+				b.event(d.Reply.Grant.Number, message.GrantProgress, 1)
 			}
-			open = append(open, *d.Reply.Grant)
 		}
 		assert.Assert(t, len(open) > 0, "small requests start")
 		b.advance(100 * time.Millisecond)
@@ -104,7 +107,7 @@
 	b := modelBench(t, placement.Azuredyke, 16_000)
 	b.ask(message.PlaceRequest{PromptTokens: 1000})
 	b.ask(message.PlaceRequest{PromptTokens: 1000})
-	assert.Equal(t, len(b.dispatch(full)), 2)
+	assert.Equal(t, len(b.dispatchComputed(full)), 2)
 	b.ask(message.PlaceRequest{PromptTokens: 15_000})
 	b.ask(message.PlaceRequest{PromptTokens: 15_500})
 	b.ask(message.PlaceRequest{PromptTokens: 500})
@@ -116,7 +119,7 @@
 	b := modelBench(t, placement.Azuredyke, 16_000)
 	b.ask(message.PlaceRequest{PromptTokens: 1000})
 	b.ask(message.PlaceRequest{PromptTokens: 1000})
-	assert.Equal(t, len(b.dispatch(full)), 2)
+	assert.Equal(t, len(b.dispatchComputed(full)), 2)
 	large := b.ask(message.PlaceRequest{PromptTokens: 15_000})
 	b.dispatch(full)
 	b.advance(reserveAfter)
@@ -215,7 +218,7 @@
 	for range 40 {
 		b.ask(message.PlaceRequest{PromptTokens: 1000, MaxTokens: 1000})
 	}
-	g := b.dispatch(full)[0]
+	g := b.dispatchComputed(full)[0]
 	b.event(g.Number, message.GrantProgress, 5)
 	assert.Assert(t, !b.cell.changed)
 	assert.Assert(t, !b.cell.scanIsDue(b.now, full))
@@ -223,3 +226,18 @@
 	b.event(g.Number, message.GrantCompleted, 5)
 	assert.Assert(t, b.cell.scanIsDue(b.now, full))
 }
+
+// Guards against several prompts that are computed at the same time on one endpoint, which delays the tokens of every
+// answer there.
+func TestPromptsAreSpreadOverTime(t *testing.T) {
+	b := modelBench(t, placement.Azuredyke, 16_000)
+	for range 6 {
+		b.ask(message.PlaceRequest{PromptTokens: 300})
+	}
+	first := b.dispatch(full)
+	assert.Equal(t, len(first), 2, "one prompt on each of two endpoints")
+	b.event(first[0].Number, message.GrantProgress, 1)
+	assert.Equal(t, len(b.dispatch(full)), 1)
+	b.event(first[1].Number, message.GrantCompleted, 1)
+	assert.Equal(t, len(b.dispatch(full)), 1)
+}
--- a/decision/admission/endpoint.go
+++ b/decision/admission/endpoint.go
@@ -128,14 +128,14 @@
 }
 
 // creditCompleted counts completed work that was fast enough. The limit doubles after as many completions as it allows
-// at once.
+// at once; the first time, after at least as many as the service says that a cold start takes.
 func (e *endpoint) creditCompleted(n int, p Params) {
 	if e.state != Cold && e.state != Warming {
 		return
 	}
 	e.completed += n
-	for e.limit < p.MaxConcurrency && e.completed >= e.limit {
-		e.completed -= e.limit
+	for e.limit < p.MaxConcurrency && e.completed >= e.needed(p) {
+		e.completed -= e.needed(p)
 		e.limit = min(2*e.limit, p.MaxConcurrency)
 		e.state = Warming
 	}
@@ -144,6 +144,14 @@
 	}
 }
 
+// needed returns the number of completions at which the limit rises.
+func (e *endpoint) needed(p Params) int {
+	if e.state == Cold {
+		return max(e.limit, p.warmAfter())
+	}
+	return e.limit
+}
+
 // clampLimit applies changed parameters.
 func (e *endpoint) clampLimit(p Params) {
 	if e.state == Warm {
--- a/decision/admission/helper_test.go
+++ b/decision/admission/helper_test.go
@@ -28,7 +28,7 @@
 	now := time.Unix(1000, 0)
 	b := &bench{t: t, now: now, load: message.LoadReport{Endpoint: "e1", Incarnation: "a"}}
 	b.cell = NewCell("notes/kolkata/0", testFence, now, Params{
-		StartWithin: time.Second, ColdLimit: 1, MaxConcurrency: 4, MaxQueue: 100,
+		StartWithin: time.Second, ColdLimit: 1, MaxConcurrency: 4, MaxQueue: 100, WarmAfter: 1,
 	})
 	b.cell.SetEndpoints(now, []message.Endpoint{{ID: "e1"}}, nil)
 	return b
@@ -63,6 +63,21 @@
 	return grants
 }
 
+// dispatchComputed returns the grants that are made now when each prompt is computed at once.
+func (b *bench) dispatchComputed(a Authority) []message.Grant {
+	var all []message.Grant
+	for {
+		grants := b.dispatch(a)
+		if len(grants) == 0 {
+			return all
+		}
+		for _, g := range grants {
+			b.event(g.Number, message.GrantProgress, 1)
+		}
+		all = append(all, grants...)
+	}
+}
+
 // event reports an event of a grant.
 func (b *bench) event(number uint64, event message.GrantEvent, tokens int) {
 	b.cell.ApplyReport(b.now, message.GrantReport{
--- a/decision/admission/params.go
+++ b/decision/admission/params.go
@@ -21,6 +21,9 @@
 	reserveAfter = 5 * time.Second
 	// defaultTokenInterval is four times the 29 ms between tokens of the stated target.
 	defaultTokenInterval = 116 * time.Millisecond
+	// defaultWarmAfter keeps an endpoint that is little slower in its cold start at the cold limit for a few requests, since
+	// their speed alone does not tell that it is warm.
+	defaultWarmAfter = 4
 	// defaultLoadFailures is used when Params leaves LoadFailures at 0.
 	defaultLoadFailures = 3
 )
@@ -32,6 +35,8 @@
 	// ColdLimit and MaxConcurrency bound the requests in flight on one endpoint.
 	ColdLimit      int
 	MaxConcurrency int
+	// WarmAfter is the number of requests that a cold endpoint completes before its limit rises; 0 means 4.
+	WarmAfter int
 	// MaxQueue bounds the waiting requests.
 	MaxQueue int
 	// LoadFailures is the number of failed load reports in a row after which an endpoint is suspect; 0 means 3.
@@ -56,5 +61,12 @@
 	return p.TokenInterval
 }
 
+func (p Params) warmAfter() int {
+	if p.WarmAfter <= 0 {
+		return defaultWarmAfter
+	}
+	return p.WarmAfter
+}
+
 // coldLimit returns the limit of a cold endpoint.
 func (p Params) coldLimit() int { return min(p.ColdLimit, p.MaxConcurrency) }
--- a/decision/config/service.go
+++ b/decision/config/service.go
@@ -11,6 +11,9 @@
 	Models []string
 	// ColdLimit is the number of requests that an endpoint in a cold start bears at once.
 	ColdLimit int
+	// WarmAfter is the number of requests that a cold endpoint must complete before it may receive more than ColdLimit at
+	// once; 0 takes the default.
+	WarmAfter int
 	// MaxConcurrency is the number of requests that a warm endpoint bears at once.
 	MaxConcurrency int
 	// Cells is the number of cells in each data centre. It cannot be changed, since two revisions of it in force at the
--- a/decision/config/validate.go
+++ b/decision/config/validate.go
@@ -84,6 +84,9 @@
 	if s.ColdLimit < 1 || s.ColdLimit > maxConcurrency {
 		v.add(ref, "cold_limit", "must be from 1 to %d", maxConcurrency)
 	}
+	if s.WarmAfter < 0 || s.WarmAfter > maxConcurrency {
+		v.add(ref, "warm_after", "must be from 0 to %d", maxConcurrency)
+	}
 	if s.MaxConcurrency < s.ColdLimit || s.MaxConcurrency > maxConcurrency {
 		v.add(ref, "max_concurrency", "must be from cold_limit to %d", maxConcurrency)
 	}
--- a/decision/ownership/resource.go
+++ b/decision/ownership/resource.go
@@ -1,6 +1,9 @@
 package ownership
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // ClaimShards is the number of claim shards.
 const ClaimShards = 16
@@ -16,3 +19,15 @@
 
 // ClaimShardName returns the name of a claim shard.
 func ClaimShardName(shard int) string { return fmt.Sprintf("%s%02d", ClaimShardPrefix, shard) }
+
+// cellNameParts is the number of parts of a cell's name: the prefix, the service, the data centre and the index.
+const cellNameParts = 4
+
+// DataCentreOfCell returns the data centre in the name of a cell, or an empty string for any other name.
+func DataCentreOfCell(cell string) string {
+	parts := strings.Split(cell, "/")
+	if len(parts) != cellNameParts {
+		return ""
+	}
+	return parts[2]
+}
--- a/service/dispatcher/dispatcher.go
+++ b/service/dispatcher/dispatcher.go
@@ -151,7 +151,7 @@
 func cellMembers(hosts []message.Host, service *config.Object, dataCentre string, index int) endpointsMessage {
 	m := endpointsMessage{
 		params: admission.Params{
-			ColdLimit: service.Service.ColdLimit, MaxConcurrency: service.Service.MaxConcurrency,
+			ColdLimit: service.Service.ColdLimit, WarmAfter: service.Service.WarmAfter, MaxConcurrency: service.Service.MaxConcurrency,
 		},
 		leaving: map[string]bool{},
 	}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -304,7 +304,7 @@
 		return verdict.New(verdict.Ran, verdict.ReasonInvalid, "the endpoint answered %d: %s", f.Status, f.Body)
 	}
 	a.cancel(ctx, f)
-	if endpointGone(f) {
+	if endpointGone(f) && !a.reattached() {
 		a.session.crashed(ctx, a.grant)
 	}
 	a.mayPlaceAgain = !delivered
@@ -314,6 +314,10 @@
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonEndpointFailed, "the endpoint failed: %w", f)
 }
 
+// reattached reports whether the generation was started by another session. Its request is not known here, and the event id
+// that names it comes from the caller, so a generation that the endpoint does not know says nothing about the endpoint.
+func (a *attempt) reattached() bool { return a.next > 0 }
+
 // endpointGone reports whether a generation was lost because its endpoint died: it does not accept connections any more, or
 // it has restarted and does not know the generation.
 func endpointGone(f *engine.Failure) bool {
--- a/service/gateway/error_body.go
+++ b/service/gateway/error_body.go
@@ -31,6 +31,7 @@
 var statuses = map[verdict.Reason]int{
 	verdict.ReasonInvalid:         http.StatusBadRequest,
 	verdict.ReasonUnauthorized:    http.StatusUnauthorized,
+	verdict.ReasonWrongMethod:     http.StatusMethodNotAllowed,
 	verdict.ReasonUnknownPath:     http.StatusNotFound,
 	verdict.ReasonUnknownModel:    http.StatusNotFound,
 	verdict.ReasonUnknownService:  http.StatusNotFound,
--- a/service/gateway/plain_test.go
+++ b/service/gateway/plain_test.go
@@ -98,6 +98,7 @@
 		"no messages":    {chatPath, `{"model":"notes"}`, "key", 400, `"param":"messages"`},
 		"unknown path":   {"/v1/other", "{}", "key", 404, `"param":"path"`},
 		"model service":  {"/services/notes/x", "{}", "key", 404, `"param":"service"`},
+		"wrong method":   {"/v1/models", "{}", "key", 405, `"param":"method"`},
 		"no such plain":  {"/services/none/x", "{}", "key", 404, `"param":"service"`},
 		"negative limit": {chatPath, `{"model":"notes","prompt":"a","max_tokens":-1}`, "key", 400, `"param":"max_tokens"`},
 	} {
--- a/service/gateway/prefix_hashes.go
+++ b/service/gateway/prefix_hashes.go
@@ -4,9 +4,9 @@
 
 const (
 	// prefixBlock is the length in bytes of the blocks of a prompt that are hashed.
-	prefixBlock = 1024
+	prefixBlock = 256
 	// maxPrefixHashes bounds the hashes of one prompt.
-	maxPrefixHashes = 32
+	maxPrefixHashes = 64
 )
 
 // prefixHashes returns the hashes of the growing prefixes of a prompt, in whole blocks. Two prompts share as many hashes as
--- a/service/gateway/reattach.go
+++ b/service/gateway/reattach.go
@@ -45,6 +45,10 @@
 	a.generation = position.generation
 	a.next = position.number + 1
 	writer.position = newStreamPosition(position.generation, workspace, endpoint.ID, s.options.NodeID).prefix()
+	if verr := session.start(r.Context(), 0); verr != nil {
+		return verr
+	}
+	defer func() { session.end(background(r), a.assembler.Next()-a.next) }()
 	if verr := a.reattach(r.Context(), background(r)); verr != nil {
 		return session.fail(verr)
 	}
--- a/service/gateway/server.go
+++ b/service/gateway/server.go
@@ -35,9 +35,8 @@
 	r.HandleFunc("/v1/completions", s.guard(s.serveGeneration)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", s.guard(s.serveModels)).Methods(http.MethodGet)
 	r.PathPrefix("/services/{service}").HandlerFunc(s.guard(s.servePlain))
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, verdict.New(verdict.NotRun, verdict.ReasonUnknownPath, "no such path: %s", r.URL.Path).WithField("path"))
-	})
+	r.NotFoundHandler = s.refuseAll(verdict.ReasonUnknownPath, "path", "there is no such path")
+	r.MethodNotAllowedHandler = s.refuseAll(verdict.ReasonWrongMethod, "method", "the path does not take this method")
 	return r
 }
 
@@ -85,5 +84,14 @@
 	return h(w, r, body, workspace)
 }
 
+// refuseAll returns a handler that refuses every request for one reason.
+func (s *Server) refuseAll(reason verdict.Reason, field, detail string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		err := verdict.New(verdict.NotRun, reason, "%s: %s %s", detail, r.Method, r.URL.Path).WithField(field)
+		s.metrics.refused(err)
+		writeError(w, err)
+	})
+}
+
 // background returns the context for work that must go on after the caller has hung up.
 func background(r *http.Request) context.Context { return context.WithoutCancel(r.Context()) }
--- a/service/node/fleet.go
+++ b/service/node/fleet.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+	"time"
 
+	"azuredyke.dev/azuredyke/decision/ownership"
 	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
 )
 
@@ -46,6 +50,7 @@
 			})
 		}
 	}
+	slices.SortFunc(out, func(a, b *operatorv1.Endpoint) int { return strings.Compare(a.GetId(), b.GetId()) })
 	return out, nil
 }
 
@@ -55,6 +60,7 @@
 	for _, v := range f.node.dispatch.Views(ctx) {
 		c := &operatorv1.Cell{
 			Id: v.Cell, Owner: f.node.settings.Node.ID, Fence: v.Fence, Endpoints: int32(len(v.Endpoints)),
+			State:             f.cellState(v.Cell),
 			QueuedByWorkspace: map[string]int32{},
 		}
 		for workspace, n := range v.Queued {
@@ -63,5 +69,30 @@
 		}
 		out = append(out, c)
 	}
+	slices.SortFunc(out, func(a, b *operatorv1.Cell) int { return strings.Compare(a.GetId(), b.GetId()) })
 	return out, nil
 }
+
+// States of a cell as operators see them.
+const (
+	cellConfirmed   = "confirmed"
+	cellUnconfirmed = "unconfirmed"
+	cellReleasing   = "releasing"
+	cellOut         = "out"
+)
+
+// cellState returns the state of a cell of this node.
+func (f *fleet) cellState(cell string) string {
+	h := f.node.ownership.Current().Load()
+	snapshot := f.node.keeper.Current().Load()
+	switch dc := snapshot.DataCentre(ownership.DataCentreOfCell(cell)); {
+	case h.ByResource[cell].Releasing:
+		return cellReleasing
+	case !h.Confirmed(time.Now()):
+		return cellUnconfirmed
+	case dc == nil || dc.Out:
+		return cellOut
+	default:
+		return cellConfirmed
+	}
+}
--- a/service/operator/convert_object.go
+++ b/service/operator/convert_object.go
@@ -83,7 +83,7 @@
 
 func serviceToProto(s *config.Service) *operatorv1.ServiceSpec {
 	p := &operatorv1.ServiceSpec{
-		Models: s.Models, ColdLimit: int32(s.ColdLimit), MaxConcurrency: int32(s.MaxConcurrency),
+		Models: s.Models, ColdLimit: int32(s.ColdLimit), WarmAfter: int32(s.WarmAfter), MaxConcurrency: int32(s.MaxConcurrency),
 		Cells: int32(s.Cells), HonoursFencing: s.HonoursFencing, RequireIdempotencyKey: s.RequireIdempotencyKey,
 		QueueTimeoutMs: s.QueueTimeout.Milliseconds(),
 	}
@@ -102,7 +102,7 @@
 
 func serviceFromProto(p *operatorv1.ServiceSpec) *config.Service {
 	s := &config.Service{
-		Type: serviceTypes[p.GetType()], Models: p.GetModels(), ColdLimit: int(p.GetColdLimit()),
+		Type: serviceTypes[p.GetType()], Models: p.GetModels(), ColdLimit: int(p.GetColdLimit()), WarmAfter: int(p.GetWarmAfter()),
 		MaxConcurrency: int(p.GetMaxConcurrency()), Cells: int(p.GetCells()), HonoursFencing: p.GetHonoursFencing(),
 		RequireIdempotencyKey: p.GetRequireIdempotencyKey(),
 		QueueTimeout:          time.Duration(p.GetQueueTimeoutMs()) * time.Millisecond,
--- a/transport/engine/failure.go
+++ b/transport/engine/failure.go
@@ -1,6 +1,9 @@
 package engine
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Failure says how far a request came before it failed.
 type Failure struct {
@@ -21,7 +24,7 @@
 	switch {
 	case f.Refused != "":
 		return "endpoint refused: " + f.Refused
-	case f.Status != 0:
+	case f.Status != 0 && f.Status != http.StatusOK:
 		return fmt.Sprintf("endpoint answered %d", f.Status)
 	default:
 		return f.Err.Error()
