--- a/service/gateway/site_test.go
+++ b/service/gateway/site_test.go
@@ -29,11 +29,10 @@
 
 // site is a gateway in front of scripted endpoints.
 type site struct {
-	url         string
-	server      *Server
-	placer      *listPlacer
-	claimer     *memoryClaimer
-	startWithin time.Duration
+	url     string
+	server  *Server
+	placer  *listPlacer
+	claimer *memoryClaimer
 }
 
 // listPlacer grants the endpoints in order, skipping those that a request excludes.
