--- a/common/message/claim_request.go
+++ b/common/message/claim_request.go
@@ -1,8 +1,5 @@
 package message
 
-// ClaimKey identifies a request that may not be repeated: a truncated SHA-256 of workspace, service and key.
-type ClaimKey [16]byte
-
 // ClaimRequest asks the owner of a claim shard to record a request durably before it is sent to an endpoint.
 type ClaimRequest struct {
 	Key ClaimKey
--- /dev/null
+++ b/common/settings/host_list.go
@@ -0,0 +1,19 @@
+package settings
+
+import "time"
+
+// Kinds of host list.
+const (
+	// HostListHTTP reads Prometheus HTTP service-discovery JSON from a URL.
+	HostListHTTP = "http"
+	// HostListFile reads the same JSON from a file.
+	HostListFile = "file"
+)
+
+// HostListSettings says how the list of hosts is read.
+type HostListSettings struct {
+	Kind     string        `yaml:"kind"`
+	URL      string        `yaml:"url"`
+	Path     string        `yaml:"path"`
+	Interval time.Duration `yaml:"interval"`
+}
--- a/service/configuration/distributor.go
+++ b/service/configuration/distributor.go
@@ -10,14 +10,8 @@
 
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
-	"azuredyke.dev/azuredyke/decision/config"
 )
 
-// Reader reads the configuration of the key-value service once; Watcher implements it.
-type Reader interface {
-	Read(ctx context.Context) (*config.Snapshot, error)
-}
-
 // Distributor is the task that spreads new revisions between nodes: it tells a few peers when this node has a new
 // revision in force, and pulls from peers when this node is behind.
 type Distributor struct {
--- /dev/null
+++ b/service/operator/changer.go
@@ -0,0 +1,16 @@
+package operator
+
+import (
+	"context"
+
+	"azuredyke.dev/azuredyke/decision/config"
+	"azuredyke.dev/azuredyke/service/configuration"
+)
+
+// Changer makes changes and reads the audit trail.
+type Changer interface {
+	Change(ctx context.Context, change config.Change) (configuration.Accepted, error)
+	// Refused records a change that was refused before it was tried, without waiting.
+	Refused(change config.Change, outcome, detail string)
+	Audit(ctx context.Context, q configuration.AuditQuery) ([]configuration.AuditRecord, error)
+}
--- a/service/operator/server.go
+++ b/service/operator/server.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"context"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -11,20 +10,11 @@
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
-	"azuredyke.dev/azuredyke/service/configuration"
 )
 
 // maxMessageBytes bounds each RPC message.
 const maxMessageBytes = 1 << 20
 
-// Changer makes changes and reads the audit trail.
-type Changer interface {
-	Change(ctx context.Context, change config.Change) (configuration.Accepted, error)
-	// Refused records a change that was refused before it was tried, without waiting.
-	Refused(change config.Change, outcome, detail string)
-	Audit(ctx context.Context, q configuration.AuditQuery) ([]configuration.AuditRecord, error)
-}
-
 // Server implements the operator API.
 type Server struct {
 	log     *zap.Logger
