Name the router's parts by the usual terms

Cause: outlet, reception and book were private words. Change: sender, server and load table; no behaviour. Measured: go test ./service/router ./decision/routing passes.

--- a/decision/routing/book.go
+++ b/decision/routing/load_table.go
@@ -29,8 +29,8 @@
 	forgetAfter = time.Minute
 )
 
-// Book remembers how busy the cells are. It belongs to one task.
-type Book struct {
+// LoadTable remembers how busy the cells are. It belongs to one task.
+type LoadTable struct {
 	random *rand.Rand
 	cells  map[string]*cellLoad
 }
@@ -44,23 +44,25 @@
 	asked int
 }
 
-// NewBook returns a Book that knows no cell.
-func NewBook(random *rand.Rand) *Book { return &Book{random: random, cells: map[string]*cellLoad{}} }
+// NewLoadTable returns a LoadTable that knows no cell.
+func NewLoadTable(random *rand.Rand) *LoadTable {
+	return &LoadTable{random: random, cells: map[string]*cellLoad{}}
+}
 
 // Observe keeps the newest summary of a cell.
-func (b *Book) Observe(now time.Time, cell string, s message.CellSummary) {
+func (b *LoadTable) Observe(now time.Time, cell string, s message.CellSummary) {
 	*b.load(now, cell) = cellLoad{summary: s, at: now}
 }
 
 // Failed notes that a cell could not be asked.
-func (b *Book) Failed(now time.Time, cell string) {
+func (b *LoadTable) Failed(now time.Time, cell string) {
 	*b.load(now, cell) = cellLoad{at: now, failed: true}
 }
 
 // Asked notes that a request was sent to a cell.
-func (b *Book) Asked(now time.Time, cell string) { b.load(now, cell).asked++ }
+func (b *LoadTable) Asked(now time.Time, cell string) { b.load(now, cell).asked++ }
 
-func (b *Book) load(now time.Time, cell string) *cellLoad {
+func (b *LoadTable) load(now time.Time, cell string) *cellLoad {
 	if l, ok := b.cells[cell]; ok {
 		return l
 	}
@@ -73,7 +75,7 @@
 }
 
 // Pressure returns how busy a cell is believed to be, from 0 (free or unknown) to 2. Above 1, requests wait.
-func (b *Book) Pressure(now time.Time, cell string) float64 {
+func (b *LoadTable) Pressure(now time.Time, cell string) float64 {
 	l, ok := b.cells[cell]
 	if !ok {
 		return 0
@@ -97,7 +99,7 @@
 
 // Pick returns the index of the candidate to ask; there must be one. It compares two random candidates, and prefers the
 // cell of the prefix if it is not much busier. A prefix of 0 means that there is none.
-func (b *Book) Pick(now time.Time, candidates []Candidate, prefix uint64) int {
+func (b *LoadTable) Pick(now time.Time, candidates []Candidate, prefix uint64) int {
 	cost := func(i int) float64 {
 		return b.Pressure(now, candidates[i].Cell) + candidates[i].penalty()
 	}
@@ -116,7 +118,7 @@
 }
 
 // sample draws a candidate by the weight of its distance, other than the given one.
-func (b *Book) sample(candidates []Candidate, except int) int {
+func (b *LoadTable) sample(candidates []Candidate, except int) int {
 	total := 0.0
 	for i, c := range candidates {
 		if i != except {
--- a/decision/routing/book_test.go
+++ b/decision/routing/load_table_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func newBook() *Book { return NewBook(rand.New(rand.NewPCG(1, 2))) }
+func newLoadTable() *LoadTable { return NewLoadTable(rand.New(rand.NewPCG(1, 2))) }
 
 func candidates(distances ...Distance) []Candidate {
 	var out []Candidate
@@ -23,7 +23,7 @@
 	return out
 }
 
-func picks(b *Book, now time.Time, c []Candidate, prefix uint64) []int {
+func picks(b *LoadTable, now time.Time, c []Candidate, prefix uint64) []int {
 	counts := make([]int, len(c))
 	for range 1000 {
 		counts[b.Pick(now, c, prefix)]++
@@ -33,7 +33,7 @@
 
 // Guards against requests that leave the data centre or the region without need.
 func TestNearCellsComeFirst(t *testing.T) {
-	n := picks(newBook(), start, candidates(SameDataCentre, SameDataCentre, SameRegion, OtherRegion), 0)
+	n := picks(newLoadTable(), start, candidates(SameDataCentre, SameDataCentre, SameRegion, OtherRegion), 0)
 	assert.Assert(t, n[0]+n[1] > n[2] && n[2] >= n[3], "%v", n)
 	assert.Assert(t, n[0] > 0 && n[1] > 0, "%v", n)
 	assert.Equal(t, n[3], 0)
@@ -41,7 +41,7 @@
 
 // Guards against a busy cell that gets work while another one is free, and against one that is avoided for ever.
 func TestBusyCellIsAvoidedUntilItsSummaryIsOld(t *testing.T) {
-	b := newBook()
+	b := newLoadTable()
 	c := candidates(SameDataCentre, SameRegion)
 	b.Observe(start, "c0", message.CellSummary{Queued: 50})
 	b.Observe(start, "c1", message.CellSummary{Free: 8})
@@ -53,7 +53,7 @@
 
 // Guards against a burst that goes to one cell before its next summary arrives.
 func TestRequestsSinceTheSummaryCount(t *testing.T) {
-	b := newBook()
+	b := newLoadTable()
 	c := candidates(SameDataCentre, SameDataCentre)
 	b.Observe(start, "c0", message.CellSummary{Free: 4})
 	b.Observe(start, "c1", message.CellSummary{Free: 4})
@@ -68,7 +68,7 @@
 
 // Guards against a prefix whose cache is spread over many cells, and against a prefix that overloads its cell.
 func TestPrefixPrefersOneCellUnlessMuchBusier(t *testing.T) {
-	b := newBook()
+	b := newLoadTable()
 	c := candidates(SameDataCentre, SameRegion, SameRegion, OtherRegion)
 	used := map[int]bool{}
 	for prefix := uint64(1); prefix <= 50; prefix++ {
@@ -85,7 +85,7 @@
 
 // Guards against memory that grows with cells that no longer exist.
 func TestOldCellsAreForgotten(t *testing.T) {
-	b := newBook()
+	b := newLoadTable()
 	for i := range 10 * maxCells {
 		b.Asked(start.Add(time.Duration(i)*time.Second), fmt.Sprint("c", i))
 	}
@@ -94,7 +94,7 @@
 
 // Guards against requests that wait for an owner which does not answer probes while another one does.
 func TestSuspectOwnerIsTheLastChoice(t *testing.T) {
-	b := newBook()
+	b := newLoadTable()
 	c := candidates(SameDataCentre, OtherRegion)
 	c[0].Suspect = true
 	b.Observe(start, "c1", message.CellSummary{Queued: 50})
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -53,7 +53,7 @@
 	ownership    *ownership.Keeper
 	dispatch     *dispatcher.Dispatcher
 	router       *router.Router
-	reception    *router.Reception
+	placements   *router.Server
 	shards       *claims.Shards
 	limits       *limits.Keeper
 	retries      *retries.Keeper
@@ -123,7 +123,7 @@
 	n.router = router.New(routerLog, router.Options{
 		DataCentre: s.Node.DataCentre, Region: s.Node.Region, Hub: n.hub, Members: n.members.Current(),
 	}, n.keeper.Current(), n.dispatch.Cells())
-	n.reception = router.NewReception(routerLog, n.dispatch.Cells())
+	n.placements = router.NewServer(routerLog, n.dispatch.Cells())
 	claimsLog := logging.For(n.root, logging.Claims)
 	n.shards = claims.NewShards(claimsLog, n.kv, claims.Options{
 		Retention: s.Claims.Retention, WritesPerSecond: s.Claims.WritesPerSecond, CallTimeout: s.Platform.KeyValue.Timeout,
@@ -147,7 +147,7 @@
 // handlePeers registers what other nodes may ask of this one.
 func (n *Node) handlePeers() {
 	membership.RegisterHandlers(n.hub, n.members)
-	router.RegisterHandlers(n.hub, n.reception)
+	router.RegisterHandlers(n.hub, n.placements)
 	handleQuarantine(n.hub, n.quarantine)
 	handleTakeOver(n.hub, n.detached)
 	handleClaims(n.hub, n.shards)
--- a/service/node/run.go
+++ b/service/node/run.go
@@ -41,7 +41,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.hub.Run, n.members.Run, n.keeper.Run, n.watcher.Run, n.changer.Run, n.distributor.Run, n.hosts.Run, n.ownership.Run, n.dispatch.Run,
-		n.router.Run, n.reception.Run, n.shards.Run,
+		n.router.Run, n.placements.Run, n.shards.Run,
 		n.limits.Run, n.retries.Run, n.quarantine.Run, n.detached.Run,
 		func(ctx context.Context) { n.roster.run(ctx, n.members.Current()) },
 	}
--- a/service/router/ask.go
+++ b/service/router/ask.go
@@ -14,7 +14,7 @@
 	kindReport = "place.report"
 )
 
-// placeCall is the body of a place.request. The token is random and names this one question, so that a grant whose reply
+// placeCall is the body of a place.request. The token is random and names this one placement request, so that a grant whose reply
 // was late or lost can be returned.
 type placeCall struct {
 	Token   uint64               `cbor:"1,keyasint"`
@@ -41,7 +41,7 @@
 	return message.PlaceReply{}, Error.Wrap(err)
 }
 
-// cancel has the grant of a question returned, if there is one. The caller may have given up, so the message is sent
+// cancel has the grant of a placement request returned, if there is one. The caller may have given up, so the message is sent
 // within a time of its own.
 func (r *Router) cancel(ctx context.Context, owner message.Holding, token uint64) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
--- a/service/router/cancel_message.go
+++ b/service/router/cancel_message.go
@@ -6,19 +6,19 @@
 	"azuredyke.dev/azuredyke/common/message"
 )
 
-// cancelMessage withdraws a question. The reply is the grant that must be returned, or nil; its channel has room for one.
+// cancelMessage withdraws a placement request. The reply is the grant that must be returned, or nil; its channel has room for one.
 type cancelMessage struct {
 	token uint64
 	reply chan<- *message.Grant
 }
 
-func (m cancelMessage) apply(r *Reception) {
-	q := r.questions[m.token]
+func (m cancelMessage) apply(r *Server) {
+	q := r.pending[m.token]
 	if q == nil {
-		// The question may still arrive on the old link.
-		q = &question{}
-		if len(r.questions) < maxQuestions {
-			r.questions[m.token] = q
+		// The placement request may still arrive on the old link.
+		q = &pendingPlacement{}
+		if len(r.pending) < maxPending {
+			r.pending[m.token] = q
 		}
 	}
 	q.cancelled, q.forgetAt = true, time.Now().Add(rememberFor)
--- a/service/router/choose_message.go
+++ b/service/router/choose_message.go
@@ -15,7 +15,7 @@
 
 func (m chooseMessage) apply(r *Router) {
 	now := time.Now()
-	i := r.book.Pick(now, m.candidates, m.prefix)
-	r.book.Asked(now, m.candidates[i].Cell)
+	i := r.loads.Pick(now, m.candidates, m.prefix)
+	r.loads.Asked(now, m.candidates[i].Cell)
 	m.reply <- i
 }
--- a/service/router/helper_test.go
+++ b/service/router/helper_test.go
@@ -109,14 +109,14 @@
 	assert.NilError(t, err)
 	n := &ownerNode{address: listener.Addr().String(), cells: latest.New(own)}
 	hub := peer.NewHub(zaptest.NewLogger(t), peer.Options{NodeID: n.address})
-	reception := newReception(zaptest.NewLogger(t), fixedCells(n.cells))
-	RegisterHandlers(hub, reception)
+	placements := newServer(zaptest.NewLogger(t), fixedCells(n.cells))
+	RegisterHandlers(hub, placements)
 	server := &http.Server{Handler: hub.Handler()}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	running.Go(func() { hub.Run(ctx) })
-	running.Go(func() { reception.Run(ctx) })
+	running.Go(func() { placements.Run(ctx) })
 	n.stop = sync.OnceFunc(func() {
 		_ = server.Close()
 		cancel()
--- a/service/router/item.go
+++ b/service/router/item.go
@@ -2,15 +2,15 @@
 
 import "azuredyke.dev/azuredyke/common/message"
 
-// item is what an outlet delivers: a report of a grant, the cancellation of a question, or a request to say when all
+// item is what a sender delivers: a report of a grant, the cancellation of a placement request, or a request to say when all
 // items before it were delivered.
 type item struct {
 	cell   string
 	fence  uint64
 	report *message.GrantReport
-	// cancel is the token of the question when report is nil.
+	// cancel is the token of the placement request when report is nil.
 	cancel uint64
-	// flushed is closed by the outlet; such an item carries nothing else.
+	// flushed is closed by the sender; such an item carries nothing else.
 	flushed chan<- struct{}
 }
 
--- a/service/router/outcome_message.go
+++ b/service/router/outcome_message.go
@@ -15,8 +15,8 @@
 
 func (m outcomeMessage) apply(r *Router) {
 	if m.failed {
-		r.book.Failed(time.Now(), m.cell)
+		r.loads.Failed(time.Now(), m.cell)
 		return
 	}
-	r.book.Observe(time.Now(), m.cell, m.summary)
+	r.loads.Observe(time.Now(), m.cell, m.summary)
 }
--- a/service/router/report.go
+++ b/service/router/report.go
@@ -10,7 +10,7 @@
 	"azuredyke.dev/azuredyke/common/message"
 )
 
-// handOverTimeout bounds the wait for room in an outlet after the caller has given up.
+// handOverTimeout bounds the wait for room in a sender after the caller has given up.
 const handOverTimeout = 5 * time.Second
 
 // Report tells the owner of a cell what happened to a grant. Reports to another node are delivered later, in order and
@@ -37,13 +37,13 @@
 	})
 }
 
-// handOver gives an item to the outlet of its owner.
+// handOver gives an item to the sender of its owner.
 func (r *Router) handOver(ctx context.Context, name string, fence uint64, owner message.Holding, i item) error {
-	o, ok := r.outlets.Load()[owner.Address]
+	o, ok := r.senders.Load()[owner.Address]
 	if !ok {
 		var err error
-		o, err = mailbox.Call(ctx, r.messages, func(reply chan<- *outlet) routerMessage {
-			return outletMessage{cell: name, fence: fence, owner: owner, reply: reply}
+		o, err = mailbox.Call(ctx, r.messages, func(reply chan<- *sender) routerMessage {
+			return senderMessage{cell: name, fence: fence, owner: owner, reply: reply}
 		})
 		if err != nil {
 			return Error.Wrap(err)
@@ -63,7 +63,7 @@
 // Flush waits until every report that was handed over has been delivered or is no longer needed, or ctx ends. A node that
 // stops calls it before Run ends.
 func (r *Router) Flush(ctx context.Context) error {
-	for _, o := range r.outlets.Load() {
+	for _, o := range r.senders.Load() {
 		flushed := make(chan struct{})
 		if err := o.items.Send(ctx, item{flushed: flushed}); err != nil {
 			return Error.Wrap(err)
--- a/service/router/report_batch.go
+++ b/service/router/report_batch.go
@@ -5,6 +5,6 @@
 // reportBatch is the body of a place.report. It may arrive more than once.
 type reportBatch struct {
 	Reports []message.GrantReport `cbor:"1,keyasint,omitempty"`
-	// Cancels holds the tokens of questions whose grants are returned unused.
+	// Cancels holds the tokens of pending whose grants are returned unused.
 	Cancels []uint64 `cbor:"2,keyasint,omitempty"`
 }
--- a/service/router/report_test.go
+++ b/service/router/report_test.go
@@ -56,24 +56,24 @@
 // first, and when it arrives twice.
 func TestCancelReturnsTheGrant(t *testing.T) {
 	own := newFakeCell(granting)
-	reception := newReception(nil, fixedCells(latest.New(map[string]cell{cellOne: own})))
+	server := newServer(nil, fixedCells(latest.New(map[string]cell{cellOne: own})))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		reception.Run(t.Context())
+		server.Run(t.Context())
 	}()
 	t.Cleanup(func() { <-done })
 	req := request()
 	req.Cell = cellOne
-	reply, err := reception.place(t.Context(), placeCall{Token: 1, Request: req})
+	reply, err := server.place(t.Context(), placeCall{Token: 1, Request: req})
 	assert.NilError(t, err)
 	assert.Assert(t, reply.Grant != nil)
 	for range 2 {
-		assert.NilError(t, reception.report(t.Context(), reportBatch{Cancels: []uint64{1}}))
+		assert.NilError(t, server.report(t.Context(), reportBatch{Cancels: []uint64{1}}))
 		assert.Equal(t, own.next(t).Event, message.GrantUnused)
 	}
-	assert.NilError(t, reception.report(t.Context(), reportBatch{Cancels: []uint64{2}}))
-	reply, err = reception.place(t.Context(), placeCall{Token: 2, Request: req})
+	assert.NilError(t, server.report(t.Context(), reportBatch{Cancels: []uint64{2}}))
+	reply, err = server.place(t.Context(), placeCall{Token: 2, Request: req})
 	assert.NilError(t, err)
 	assert.Assert(t, reply.Grant == nil)
 	assert.Equal(t, len(own.reports), 0)
@@ -109,7 +109,7 @@
 	assert.Equal(t, len(q.progress), maxProgress)
 }
 
-// Guards against an outlet that takes reports without bound while its owner is away.
+// Guards against a sender that takes reports without bound while its owner is away.
 func TestReportsWaitWhenTheQueueIsFull(t *testing.T) {
 	gone := startOwner(t, "", nil)
 	gone.stop()
@@ -122,8 +122,8 @@
 		}
 	}()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		o := r.outlets.Load()[gone.address]
-		if o == nil || o.items.Len() < outletCapacity {
+		o := r.senders.Load()[gone.address]
+		if o == nil || o.items.Len() < senderCapacity {
 			return poll.Continue("the queue has room")
 		}
 		return poll.Success()
--- a/service/router/retired_message.go
+++ b/service/router/retired_message.go
@@ -2,15 +2,15 @@
 
 import "maps"
 
-// retiredMessage says that an outlet has had nothing to deliver for a while.
+// retiredMessage says that a sender has had nothing to deliver for a while.
 type retiredMessage struct {
-	outlet *outlet
+	sender *sender
 }
 
 func (m retiredMessage) apply(r *Router) {
-	next := maps.Clone(r.outlets.Load())
-	if next[m.outlet.owner.Address] == m.outlet {
-		delete(next, m.outlet.owner.Address)
-		r.outlets.Publish(next)
+	next := maps.Clone(r.senders.Load())
+	if next[m.sender.owner.Address] == m.sender {
+		delete(next, m.sender.owner.Address)
+		r.senders.Publish(next)
 	}
 }
--- a/service/router/router.go
+++ b/service/router/router.go
@@ -31,11 +31,11 @@
 	config   *latest.Value[*config.Snapshot]
 	cells    cells
 	messages mailbox.Mailbox[routerMessage]
-	// outlets holds the outlet of each owner's address.
-	outlets *latest.Value[map[string]*outlet]
+	// senders holds the sender of each owner's address.
+	senders *latest.Value[map[string]*sender]
 
 	ctx    context.Context
-	book   *routing.Book
+	loads  *routing.LoadTable
 	owners map[string]message.Holding
 	tasks  sync.WaitGroup
 }
@@ -54,8 +54,8 @@
 	}
 	return &Router{
 		log: log, options: o, config: current, cells: own, messages: mailbox.New[routerMessage](routerCapacity),
-		outlets: latest.New(map[string]*outlet{}), owners: map[string]message.Holding{},
-		book: routing.NewBook(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		senders: latest.New(map[string]*sender{}), owners: map[string]message.Holding{},
+		loads: routing.NewLoadTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
 
@@ -73,16 +73,16 @@
 	}
 }
 
-// outletTo returns the outlet to an owner and starts it if needed.
-func (r *Router) outletTo(owner message.Holding) *outlet {
-	current := r.outlets.Load()
+// senderTo returns the sender to an owner and starts it if needed.
+func (r *Router) senderTo(owner message.Holding) *sender {
+	current := r.senders.Load()
 	if o, ok := current[owner.Address]; ok {
 		return o
 	}
-	o := newOutlet(r, owner)
+	o := newSender(r, owner)
 	next := maps.Clone(current)
 	next[owner.Address] = o
-	r.outlets.Publish(next)
+	r.senders.Publish(next)
 	r.tasks.Go(func() { o.run(r.ctx) })
 	return o
 }
--- a/service/router/outlet.go
+++ b/service/router/sender.go
@@ -15,19 +15,19 @@
 )
 
 const (
-	// outletCapacity bounds the items that are handed over at a time.
-	outletCapacity = 256
+	// senderCapacity bounds the items that are handed over at a time.
+	senderCapacity = 256
 	deliverTimeout = 2 * time.Second
 	// minRetry and maxRetry bound the wait after a failed delivery.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 2 * time.Second
-	// retireAfter is how long an outlet is kept without work. It accepts items for as long again, from senders that still
+	// retireAfter is how long a sender is kept without work. It accepts items for as long again, from senders that still
 	// know it.
 	retireAfter = 5 * time.Minute
 )
 
-// outlet is the task that delivers reports to one owner.
-type outlet struct {
+// sender is the task that delivers reports to one owner.
+type sender struct {
 	router *Router
 	owner  message.Holding
 	items  mailbox.Mailbox[item]
@@ -44,15 +44,15 @@
 	flushing []chan<- struct{}
 }
 
-func newOutlet(r *Router, owner message.Holding) *outlet {
-	return &outlet{
-		router: r, owner: owner, items: mailbox.New[item](outletCapacity), queue: newQueue(), sending: -1,
+func newSender(r *Router, owner message.Holding) *sender {
+	return &sender{
+		router: r, owner: owner, items: mailbox.New[item](senderCapacity), queue: newQueue(), sending: -1,
 		results: make(chan error, 1),
 	}
 }
 
 // run delivers until ctx ends or there is nothing to deliver for a long time.
-func (o *outlet) run(ctx context.Context) {
+func (o *sender) run(ctx context.Context) {
 	o.usedAt = time.Now()
 	timer := time.NewTimer(retireAfter)
 	defer timer.Stop()
@@ -94,7 +94,7 @@
 }
 
 // wait returns the time until the next look.
-func (o *outlet) wait(now time.Time) time.Duration {
+func (o *sender) wait(now time.Time) time.Duration {
 	due, ok := o.queue.dueIn(now)
 	if !ok || o.sending >= 0 {
 		return retireAfter
@@ -103,7 +103,7 @@
 }
 
 // send starts the next message if one is due and none is under way.
-func (o *outlet) send(ctx context.Context, now time.Time) {
+func (o *sender) send(ctx context.Context, now time.Time) {
 	due, ok := o.queue.dueIn(now)
 	if o.sending >= 0 || !ok || due > 0 || now.Before(o.retryAt) {
 		return
@@ -119,7 +119,7 @@
 }
 
 // finish removes what was delivered, or what nobody needs any more, and otherwise waits before the next try.
-func (o *outlet) finish(now time.Time, err error) {
+func (o *sender) finish(now time.Time, err error) {
 	n := o.sending
 	o.sending = -1
 	if err == nil {
@@ -141,7 +141,7 @@
 
 // obsolete reports whether the owner no longer needs an item: the cell has a newer owner, or the node has announced its
 // end, after which it admits nothing.
-func (o *outlet) obsolete(table *membership.Table, i item) bool {
+func (o *sender) obsolete(table *membership.Table, i item) bool {
 	if m, ok := table.Member(o.owner.Node); ok && m.State == membership.StateLeft {
 		return true
 	}
@@ -149,14 +149,14 @@
 	return ok && owner.Fence > i.fence
 }
 
-// retire takes an outlet without work out of use, and reports whether it may end.
-func (o *outlet) retire(ctx context.Context, now time.Time) bool {
+// retire takes a sender without work out of use, and reports whether it may end.
+func (o *sender) retire(ctx context.Context, now time.Time) bool {
 	idle := now.Sub(o.usedAt)
 	if o.sending >= 0 || !o.queue.empty() || idle < retireAfter {
 		return false
 	}
 	if !o.retired {
-		o.retired = o.router.messages.Send(ctx, retiredMessage{outlet: o}) == nil
+		o.retired = o.router.messages.Send(ctx, retiredMessage{sender: o}) == nil
 	}
 	return o.retired && idle >= 2*retireAfter
 }
--- a/service/router/outlet_message.go
+++ b/service/router/sender_message.go
@@ -2,17 +2,17 @@
 
 import "azuredyke.dev/azuredyke/common/message"
 
-// outletMessage asks for the outlet to the owner of a grant. The reply is nil when the owner is not known; its channel has
+// senderMessage asks for the sender to the owner of a grant. The reply is nil when the owner is not known; its channel has
 // room for one.
-type outletMessage struct {
+type senderMessage struct {
 	cell  string
 	fence uint64
 	// owner is set when the sender knows it.
 	owner message.Holding
-	reply chan<- *outlet
+	reply chan<- *sender
 }
 
-func (m outletMessage) apply(r *Router) {
+func (m senderMessage) apply(r *Router) {
 	owner := m.owner
 	if owner.Address == "" {
 		owner = r.owners[m.cell]
@@ -21,5 +21,5 @@
 		m.reply <- nil
 		return
 	}
-	m.reply <- r.outletTo(owner)
+	m.reply <- r.senderTo(owner)
 }
--- a/service/router/reception.go
+++ b/service/router/server.go
@@ -15,28 +15,28 @@
 )
 
 const (
-	// receptionCapacity bounds the waiting messages of a Reception.
-	receptionCapacity = 4096
+	// serverCapacity bounds the waiting messages of a Server.
+	serverCapacity = 4096
 	// placeHandlers bounds the placements of other nodes that wait at this node: a few cells with full queues.
 	placeHandlers = 8192
-	// rememberFor is how long an answered or cancelled question is remembered. A cancellation arrives within the dead time
-	// of a link and a few retries.
+	// rememberFor is how long an answered or cancelled placement request is remembered. A cancellation arrives within the
+	// dead time of a link and a few retries.
 	rememberFor   = time.Minute
 	sweepInterval = 10 * time.Second
-	// maxQuestions bounds the remembered questions; beyond it, placements are refused as busy.
-	maxQuestions = 65536
+	// maxPending bounds the remembered placement requests; beyond it, further ones are refused as busy.
+	maxPending = 65536
 )
 
-// Reception is the task that serves the routers of other nodes and returns grants that they never received.
-type Reception struct {
-	log       *zap.Logger
-	cells     cells
-	messages  mailbox.Mailbox[receptionMessage]
-	questions map[uint64]*question
+// Server is the task that serves the routers of other nodes and returns grants that they never received.
+type Server struct {
+	log      *zap.Logger
+	cells    cells
+	messages mailbox.Mailbox[serverMessage]
+	pending  map[uint64]*pendingPlacement
 }
 
-// question is one place.request of another node.
-type question struct {
+// pendingPlacement is one place.request of another node.
+type pendingPlacement struct {
 	// stop ends the placement while it runs.
 	stop      context.CancelFunc
 	cancelled bool
@@ -44,19 +44,19 @@
 	forgetAt  time.Time
 }
 
-// NewReception returns a Reception for the cells of this node.
-func NewReception(log *zap.Logger, own *latest.Value[map[string]*dispatcher.Cell]) *Reception {
-	return newReception(log, ownCells(own))
+// NewServer returns a Server for the cells of this node.
+func NewServer(log *zap.Logger, own *latest.Value[map[string]*dispatcher.Cell]) *Server {
+	return newServer(log, ownCells(own))
 }
 
-func newReception(log *zap.Logger, own cells) *Reception {
-	return &Reception{
-		log: log, cells: own, messages: mailbox.New[receptionMessage](receptionCapacity), questions: map[uint64]*question{},
+func newServer(log *zap.Logger, own cells) *Server {
+	return &Server{
+		log: log, cells: own, messages: mailbox.New[serverMessage](serverCapacity), pending: map[uint64]*pendingPlacement{},
 	}
 }
 
 // Run handles messages until ctx ends.
-func (r *Reception) Run(ctx context.Context) {
+func (r *Server) Run(ctx context.Context) {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
@@ -66,9 +66,9 @@
 		case m := <-r.messages.Receive():
 			m.apply(r)
 		case now := <-sweep.C:
-			for token, q := range r.questions {
+			for token, q := range r.pending {
 				if !q.forgetAt.IsZero() && now.After(q.forgetAt) {
-					delete(r.questions, token)
+					delete(r.pending, token)
 				}
 			}
 		}
@@ -76,7 +76,7 @@
 }
 
 // RegisterHandlers serves the routers of other nodes. It must be called before the hub runs.
-func RegisterHandlers(hub *peer.Hub, r *Reception) {
+func RegisterHandlers(hub *peer.Hub, r *Server) {
 	peer.Handle(hub, kindPlace, placeHandlers, func(ctx context.Context, _ string, q placeCall) (message.PlaceReply, error) {
 		return r.place(ctx, q)
 	})
@@ -85,8 +85,8 @@
 	})
 }
 
-// place serves one question. A grant is returned to the cell when nobody waits for it any more.
-func (r *Reception) place(ctx context.Context, q placeCall) (message.PlaceReply, error) {
+// place serves one placement request. A grant is returned to the cell when nobody waits for it any more.
+func (r *Server) place(ctx context.Context, q placeCall) (message.PlaceReply, error) {
 	find, _ := r.cells()
 	own, ok := find(q.Request.Cell)
 	if !ok {
@@ -94,7 +94,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	refusal, err := mailbox.Call(ctx, r.messages, func(reply chan<- *message.Refusal) receptionMessage {
+	refusal, err := mailbox.Call(ctx, r.messages, func(reply chan<- *message.Refusal) serverMessage {
 		return beginMessage{token: q.Token, stop: stop, reply: reply}
 	})
 	if err != nil {
@@ -107,7 +107,7 @@
 	// The task must learn the result even when the caller has given up.
 	settle, stopSettle := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
 	defer stopSettle()
-	keep, settleErr := mailbox.Call(settle, r.messages, func(keep chan<- bool) receptionMessage {
+	keep, settleErr := mailbox.Call(settle, r.messages, func(keep chan<- bool) serverMessage {
 		return settleMessage{token: q.Token, grant: reply.Grant, abandoned: ctx.Err() != nil, keep: keep}
 	})
 	if err != nil {
@@ -121,10 +121,10 @@
 
 // report applies the reports of another node. An error has the whole batch sent again, which the cells ignore for grants
 // that have ended.
-func (r *Reception) report(ctx context.Context, batch reportBatch) error {
+func (r *Server) report(ctx context.Context, batch reportBatch) error {
 	find, _ := r.cells()
 	for _, token := range batch.Cancels {
-		grant, err := mailbox.Call(ctx, r.messages, func(reply chan<- *message.Grant) receptionMessage {
+		grant, err := mailbox.Call(ctx, r.messages, func(reply chan<- *message.Grant) serverMessage {
 			return cancelMessage{token: token, reply: reply}
 		})
 		if err != nil {
@@ -148,7 +148,7 @@
 }
 
 // giveBack returns a grant unused.
-func (r *Reception) giveBack(ctx context.Context, g message.Grant) error {
+func (r *Server) giveBack(ctx context.Context, g message.Grant) error {
 	find, _ := r.cells()
 	own, ok := find(g.Cell)
 	if !ok {
--- a/service/router/settle_message.go
+++ b/service/router/settle_message.go
@@ -6,7 +6,7 @@
 	"azuredyke.dev/azuredyke/common/message"
 )
 
-// settleMessage ends a question. The reply says whether the caller may still use the grant; its channel has room for one.
+// settleMessage ends a placement request. The reply says whether the caller may still use the grant; its channel has room for one.
 type settleMessage struct {
 	token uint64
 	grant *message.Grant
@@ -15,11 +15,11 @@
 	keep      chan<- bool
 }
 
-func (m settleMessage) apply(r *Reception) {
-	q := r.questions[m.token]
+func (m settleMessage) apply(r *Server) {
+	q := r.pending[m.token]
 	switch {
 	case q == nil || m.grant == nil && !q.cancelled:
-		delete(r.questions, m.token)
+		delete(r.pending, m.token)
 		m.keep <- true
 	case q.cancelled:
 		m.keep <- false
