--- a/service/claims/history_test.go
+++ b/service/claims/history_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/fake/faultykv"
 )
 
 // historyCall is the input of one call in a history: a claim, or a release.
@@ -110,7 +111,7 @@
 		for _, step := range steps {
 			for i, n := range s.nodes {
 				if i == step.node || step.node == len(s.nodes) {
-					n.kv.mode.Store(int32(step.mode))
+					n.kv.Mode.Store(int32(step.mode))
 				}
 			}
 			time.Sleep(step.wait)
@@ -118,7 +119,7 @@
 		close(stop)
 		callers.Wait()
 		for _, n := range s.nodes {
-			n.kv.mode.Store(int32(faultNone))
+			n.kv.Mode.Store(int32(faultykv.None))
 		}
 	})
 	return ops
@@ -131,7 +132,7 @@
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) historyStep {
 			return historyStep{
 				node: rapid.IntRange(0, 3).Draw(rt, "node"),
-				mode: rapid.IntRange(0, int(faultModes)-1).Draw(rt, "mode"),
+				mode: rapid.IntRange(0, int(faultykv.Modes)-1).Draw(rt, "mode"),
 				wait: time.Duration(rapid.IntRange(1, 8_000).Draw(rt, "ms")) * time.Millisecond,
 			}
 		}), 1, 5).Draw(rt, "steps")
--- a/service/claims/shard_test.go
+++ b/service/claims/shard_test.go
@@ -13,6 +13,7 @@
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/claim"
 	decision "azuredyke.dev/azuredyke/decision/ownership"
+	"azuredyke.dev/azuredyke/fake/faultykv"
 )
 
 // Guards against a second grant for a key, against an outcome that is lost in a failover, and against tasks that outlive
@@ -51,15 +52,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1, defaultOptions())
 		n, key := s.nodes[0], keyOf(1, 1)
-		n.kv.spareLease.Store(true)
-		n.kv.mode.Store(int32(faultRefuse))
+		n.kv.SpareLease.Store(true)
+		n.kv.Mode.Store(int32(faultykv.Refuse))
 		assert.Equal(t, n.claim(key, "a").Status, message.ClaimUnavailable)
 		start := time.Now()
 		reply := n.claim(keyOf(1, 2), "a")
 		assert.Equal(t, reply.Status, message.ClaimUnavailable)
 		assert.Assert(t, reply.RetryAfter > 0)
 		assert.Equal(t, time.Since(start), time.Duration(0), "refused early")
-		n.kv.mode.Store(int32(faultLoseAnswer))
+		n.kv.Mode.Store(int32(faultykv.LoseAnswer))
 		time.Sleep(2 * maxRetry)
 		assert.Equal(t, n.claim(key, "b").Status, message.ClaimHeld, "the lost answer was read back")
 		assert.Equal(t, n.claim(keyOf(1, 3), "a").Status, message.ClaimGranted)
@@ -78,7 +79,7 @@
 		reply, err := n.client.Claim(t.Context(), message.ClaimRequest{Key: key, Attempt: "b", Fingerprint: 2})
 		assert.NilError(t, err)
 		assert.Equal(t, reply.Status, message.ClaimMismatch)
-		n.kv.mode.Store(int32(faultRefuse))
+		n.kv.Mode.Store(int32(faultykv.Refuse))
 		time.Sleep(settle)
 		assert.Equal(t, n.claim(key, "a").Status, message.ClaimUnavailable)
 	})
@@ -90,7 +91,7 @@
 		s := newSite(t, 2, defaultOptions())
 		key := keyOf(1, 1)
 		old := s.owner(key)
-		old.kv.mode.Store(int32(faultStall))
+		old.kv.Mode.Store(int32(faultykv.Stall))
 		late := make(chan message.ClaimReply, 1)
 		go func() {
 			reply, err := old.client.Claim(context.Background(), message.ClaimRequest{Key: key, Attempt: "late"})
@@ -98,12 +99,12 @@
 				late <- reply
 			}
 		}()
-		time.Sleep(pauseFor - time.Second)
+		time.Sleep(faultykv.PauseFor - time.Second)
 		now := s.owner(key)
 		assert.Assert(t, now != nil && now != old)
 		assert.Equal(t, now.claim(key, "a").Status, message.ClaimGranted)
 		assert.Assert(t, (<-late).Status != message.ClaimGranted)
-		time.Sleep(2 * pauseFor)
+		time.Sleep(2 * faultykv.PauseFor)
 		result, err := s.kv.Range(t.Context(), shardName(key)+"/")
 		assert.NilError(t, err)
 		assert.Equal(t, len(result.Entries), 1)
@@ -178,7 +179,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, nodes, defaultOptions())
 		for _, n := range s.nodes {
-			n.kv.latency.Store(int64(5 * time.Millisecond))
+			n.kv.Latency.Store(int64(5 * time.Millisecond))
 		}
 		var (
 			callers sync.WaitGroup
--- a/service/claims/site_test.go
+++ b/service/claims/site_test.go
@@ -14,6 +14,7 @@
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/config"
 	decision "azuredyke.dev/azuredyke/decision/ownership"
+	"azuredyke.dev/azuredyke/fake/faultykv"
 	"azuredyke.dev/azuredyke/platform/memory"
 	"azuredyke.dev/azuredyke/service/ownership"
 )
@@ -21,7 +22,7 @@
 // testNode is one node of a testSite, with its own connection to the key-value service.
 type testNode struct {
 	id     string
-	kv     *faultyKV
+	kv     *faultykv.KV
 	keeper *ownership.Keeper
 	shards *Shards
 	client *Client
@@ -50,7 +51,7 @@
 	for i := range nodes {
 		id := fmt.Sprintf("node-%d", i)
 		ids = append(ids, id)
-		n := &testNode{id: id, kv: &faultyKV{KV: s.kv, writes: &s.writes}}
+		n := &testNode{id: id, kv: &faultykv.KV{KV: s.kv, Writes: &s.writes}}
 		n.keeper = ownership.NewKeeper(zap.NewNop(), n.kv, ownership.Options{
 			NodeID: id, LeaseTTL: 6 * time.Second, RenewInterval: 2 * time.Second, StartWithin: time.Second,
 			CallTimeout: 2 * time.Second, Members: members,
@@ -71,7 +72,7 @@
 			n.stop()
 		}
 		// Answers that are held back must arrive before the tasks can end.
-		time.Sleep(2 * pauseFor)
+		time.Sleep(2 * faultykv.PauseFor)
 		cancel()
 		s.tasks.Wait()
 	})
--- a/service/ownership/keeper_test.go
+++ b/service/ownership/keeper_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"azuredyke.dev/azuredyke/decision/ownership"
+	"azuredyke.dev/azuredyke/fake/faultykv"
 )
 
 // Guards against two nodes that are certain to own a resource at the same time, or with the same fence, under lost
@@ -27,7 +28,7 @@
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 			return step{
 				node: rapid.IntRange(0, nodes).Draw(rt, "node"),
-				mode: rapid.IntRange(0, int(faultModes)-1).Draw(rt, "mode"),
+				mode: rapid.IntRange(0, int(faultykv.Stall)-1).Draw(rt, "mode"),
 				wait: time.Duration(rapid.IntRange(1, 12_000).Draw(rt, "ms")) * time.Millisecond,
 			}
 		}), 1, 10).Draw(rt, "steps")
@@ -37,7 +38,7 @@
 				for i, n := range s.nodes {
 					// The number after the last node stands for all nodes: an outage of the service.
 					if i == step.node || step.node == nodes {
-						n.kv.mode.Store(int32(step.mode))
+						n.kv.Mode.Store(int32(step.mode))
 					}
 				}
 				if err := s.watch(step.wait); err != nil {
@@ -45,7 +46,7 @@
 				}
 			}
 			for _, n := range s.nodes {
-				n.kv.mode.Store(int32(faultNone))
+				n.kv.Mode.Store(int32(faultykv.None))
 			}
 			if err := s.watch(settle); err != nil {
 				return err
@@ -63,25 +64,25 @@
 
 // Guards against an owner that drops its resources in an outage, or does not confirm them afterwards with their fences.
 func TestOutageKeepsHoldings(t *testing.T) {
-	for _, mode := range []faultMode{faultRefuse, faultPause} {
+	for _, mode := range []faultykv.Mode{faultykv.Refuse, faultykv.Pause} {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSite(t, 2, nil)
 			assert.NilError(t, s.watch(settle))
 			before := s.nodes[0].keeper.Current().Load().ByResource
 			assert.Assert(t, len(before) > 0)
 			for _, n := range s.nodes {
-				n.kv.mode.Store(int32(mode))
+				n.kv.Mode.Store(int32(mode))
 			}
 			assert.NilError(t, s.watch(settle))
 			outage := s.nodes[0].keeper.Current().Load()
 			assert.Assert(t, !outage.Confirmed(time.Now()))
 			assert.Equal(t, len(outage.ByResource), len(before))
 			for _, n := range s.nodes {
-				n.kv.mode.Store(int32(faultNone))
+				n.kv.Mode.Store(int32(faultykv.None))
 			}
 			assert.NilError(t, s.watch(settle))
 			assert.Equal(t, s.confirmed(), resources)
-			if mode == faultRefuse {
+			if mode == faultykv.Refuse {
 				return
 			}
 			for resource, hold := range s.nodes[0].keeper.Current().Load().ByResource {
@@ -179,7 +180,7 @@
 		done := make(chan error, 1)
 		go func() { done <- first.keeper.Release(context.Background()) }()
 		assert.NilError(t, s.watch(500*time.Millisecond))
-		first.kv.mode.Store(int32(faultPause))
+		first.kv.Mode.Store(int32(faultykv.Pause))
 		assert.NilError(t, s.watch(settle))
 		assert.NilError(t, <-done)
 		assert.Equal(t, s.nodes[1].confirmed(), resources)
--- a/service/ownership/site_test.go
+++ b/service/ownership/site_test.go
@@ -13,13 +13,14 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/decision/ownership"
+	"azuredyke.dev/azuredyke/fake/faultykv"
 	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // testNode is one node of a testSite.
 type testNode struct {
 	id     string
-	kv     *faultyKV
+	kv     *faultykv.KV
 	keeper *Keeper
 	config *latest.Value[*config.Snapshot]
 	cancel context.CancelFunc
@@ -47,7 +48,7 @@
 			n.cancel()
 		}
 		// Answers that are held back must arrive before the tasks can end.
-		time.Sleep(pauseFor)
+		time.Sleep(faultykv.PauseFor)
 		cancel()
 		s.tasks.Wait()
 	})
@@ -59,7 +60,7 @@
 
 func (s *testSite) add(drained func(ctx context.Context, resource string) error) *testNode {
 	n := &testNode{
-		id: fmt.Sprintf("node-%d", len(s.nodes)), kv: &faultyKV{KV: s.kv}, config: latest.New(config.NewSnapshot(0, nil)),
+		id: fmt.Sprintf("node-%d", len(s.nodes)), kv: &faultykv.KV{KV: s.kv}, config: latest.New(config.NewSnapshot(0, nil)),
 	}
 	n.keeper = NewKeeper(zap.NewNop(), n.kv, Options{
 		NodeID: n.id, LeaseTTL: 6 * time.Second, RenewInterval: 2 * time.Second, StartWithin: time.Second,
