--- a/service/gateway/endpoint_test.go
+++ b/service/gateway/endpoint_test.go
@@ -28,7 +28,7 @@
 const scriptedParts = 10
 
 // newScriptedEndpoint starts an endpoint that answers with scriptedParts parts until the test ends.
-func newScriptedEndpoint(t *testing.T) *scriptedEndpoint {
+func newScriptedEndpoint(t testing.TB) *scriptedEndpoint {
 	t.Helper()
 	e := &scriptedEndpoint{cancels: make(chan string, 100)}
 	server := httptest.NewServer(e)
