--- a/service/gateway/reattach.go
+++ b/service/gateway/reattach.go
@@ -30,24 +30,24 @@
 	if !ok {
 		return verdict.New(verdict.Ran, verdict.ReasonIncomplete, "the endpoint of this generation is gone")
 	}
+	snapshot := s.Config.Load()
+	session := &session{work: s.newWork(snapshot, workspace, endpoint.Service), window: resumeWindow(r)}
+	session.verdict = verdict.Ran
+	if verr := session.start(r.Context(), 0); verr != nil {
+		return verr
+	}
 	grant, ok := s.Handover.TakeOver(r.Context(), func(id string) bool { return nameTag(id) == position.node },
 		position.generation)
 	if !ok {
 		// The grant ended or its gateway died; the cell learns the end from the load report.
 		grant = message.Grant{Endpoint: endpoint}
 	}
-	snapshot := s.Config.Load()
-	session := &session{work: s.newWork(snapshot, workspace, endpoint.Service), window: resumeWindow(r)}
-	session.verdict = verdict.Ran
 	writer := newStreamWriter(w, true)
 	session.writer = writer
 	a := newAttempt(session, grant, time.Now(), 1)
 	a.generation = position.generation
 	a.next = position.number + 1
 	writer.position = newStreamPosition(position.generation, workspace, endpoint.ID, s.options.NodeID).prefix()
-	if verr := session.start(r.Context(), 0); verr != nil {
-		return verr
-	}
 	defer func() { session.end(background(r), a.assembler.Next()-a.next) }()
 	if verr := a.reattach(r.Context(), background(r)); verr != nil {
 		return session.fail(verr)
