--- a/cmd/azuredykectl/document_to_object.go
+++ b/cmd/azuredykectl/document_to_object.go
@@ -24,7 +24,8 @@
 	spec := object.ProtoReflect().Mutable(field).Message()
 	expanded := make(map[string]any, len(d.Spec))
 	for name, value := range d.Spec {
-		expanded[name] = expandEnum(spec.Descriptor().Fields().ByName(protoreflect.Name(name)), value)
+		fieldOfName := spec.Descriptor().Fields().ByName(protoreflect.Name(name))
+		expanded[name] = expandList(fieldOfName, expandEnum(fieldOfName, value))
 	}
 	text, err := json.Marshal(expanded)
 	if err != nil {
@@ -36,6 +37,17 @@
 	return object, nil
 }
 
+// expandList accepts a single value for a list, such as one key hash.
+func expandList(field protoreflect.FieldDescriptor, value any) any {
+	if field == nil || !field.IsList() {
+		return value
+	}
+	if _, list := value.([]any); list || value == nil {
+		return value
+	}
+	return []any{value}
+}
+
 // expandEnum accepts the short names of enum values, such as "model" for SERVICE_TYPE_MODEL.
 func expandEnum(field protoreflect.FieldDescriptor, value any) any {
 	text, ok := value.(string)
