Test that one engine is crashed twice at most by one request

Cause: grants carried no incarnation, so crashes of one engine counted as one. Change: an integration test with a single engine.

--- a/test/integration/platform_test.go
+++ b/test/integration/platform_test.go
@@ -74,3 +74,17 @@
 	assert.Equal(t, last.Verdict, verdict.NotRun.String())
 	s.Ask(requestContext(t), s.Nodes[0], "harmless note", false).CheckWhole(t)
 }
+
+// Guards against a request that crashes one and the same engine again and again: each restart is a crash of its own.
+func TestCrashingRequestCostsASingleEngineTwoCrashesAtMost(t *testing.T) {
+	t.Parallel()
+	s := harness.Start(t, harness.Options{
+		Nodes: siteNodes, Engines: 1, Engine: engine.Options{Tokens: 10, CrashMarker: "poison", RestartTime: 200 * time.Millisecond},
+	})
+	s.Await("the request is refused for good", requestTimeout, func() bool {
+		a := s.Ask(requestContext(t), s.Nodes[0], "poison note", false)
+		assert.Assert(t, a.Status != http.StatusOK)
+		return a.Status == http.StatusUnprocessableEntity
+	})
+	assert.Equal(t, s.Engines[0].Stats().Crashes, int64(2))
+}
