--- a/service/gateway/work.go
+++ b/service/gateway/work.go
@@ -91,7 +91,7 @@
 		return message.Grant{}, time.Time{}, verdict.New(verdict.NotRun, verdict.ReasonQuarantined,
 			"this request has crashed the endpoints that ran it")
 	case quarantine.Busy:
-		return message.Grant{}, time.Time{}, verdict.New(verdict.NotRun, verdict.ReasonQuarantined,
+		return message.Grant{}, time.Time{}, verdict.New(verdict.NotRun, verdict.ReasonBusy,
 			"this request may have crashed an endpoint and is being tried alone").WithRetryAfter(retryElsewhere)
 	case quarantine.Suspect:
 		w.alone = true
