--- /dev/null
+++ b/test/integration/reattach_test.go
@@ -0,0 +1,61 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/fake/engine"
+	"azuredyke.dev/azuredyke/test/harness"
+)
+
+// readIDs reads event ids from a stream until it has n of them, or to its end when n is 0. The second result says whether
+// the terminal mark came.
+func readIDs(t *testing.T, body *bufio.Scanner, n int) (ids []string, done bool) {
+	t.Helper()
+	for (n == 0 || len(ids) < n) && body.Scan() {
+		if id, ok := strings.CutPrefix(body.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+		done = done || body.Text() == "data: [DONE]"
+	}
+	return ids, done
+}
+
+// Guards against a caller who lost its connection having to start again when it reaches another node, and against parts
+// that are lost or doubled on the way.
+func TestCallerComesBackAtAnotherNode(t *testing.T) {
+	t.Parallel()
+	const tokens = 100
+	s := harness.Start(t, harness.Options{Nodes: siteNodes, Engines: 1, Engine: engine.Options{Tokens: tokens}})
+	open := func(ctx context.Context, n *harness.Node, header, value string) *http.Response {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Listen.Callers+"/v1/chat/completions",
+			strings.NewReader(`{"model":"`+harness.Model+`","stream":true,"messages":[{"role":"user","content":"note"}]}`))
+		assert.NilError(t, err)
+		req.Header.Set("Authorization", "Bearer "+harness.WorkspaceKey)
+		req.Header.Set(header, value)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		return resp
+	}
+	ctx, hangUp := context.WithCancel(requestContext(t))
+	resp := open(ctx, s.Nodes[0], "Azuredyke-Resume-Window", "30")
+	first, _ := readIDs(t, bufio.NewScanner(resp.Body), 10)
+	hangUp()
+	_ = resp.Body.Close()
+	resp = open(requestContext(t), s.Nodes[1], "Last-Event-ID", first[len(first)-1])
+	defer resp.Body.Close()
+	rest, done := readIDs(t, bufio.NewScanner(resp.Body), 0)
+	assert.Assert(t, done)
+	// Tokens, and the usage part, which a resumed stream always carries.
+	assert.Equal(t, len(first)+len(rest), tokens+1)
+	assert.Assert(t, strings.HasSuffix(rest[0], ":10"), rest[0])
+	stats := s.Engines[0].Stats()
+	assert.Equal(t, stats.Started, int64(1))
+	assert.Equal(t, stats.Cancelled, int64(0))
+}
