Make one piece of code serve where the same logic stood twice

Cause: the read-through found the hash of a secret in six places, three copies of setDefault, four rendezvous hashes and two builders of grant reports. Change: common/keyhash; cmp.Or for defaults; common/rendezvous for ownership, relays, routing and quarantine (the scores of the first three are the same values as before); grantReport and Server.report for both kinds of request, so that an undelivered report of a plain call is logged too.

--- a/cmd/azuredykectl/workspace_key_command.go
+++ b/cmd/azuredykectl/workspace_key_command.go
@@ -2,10 +2,10 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 
 	"github.com/spf13/cobra"
+
+	"azuredyke.dev/azuredyke/common/keyhash"
 )
 
 // workspaceKey is a new key of a workspace. Only the hash is ever sent to the server.
@@ -23,8 +23,7 @@
 		Args: cobra.NoArgs,
 		RunE: action(false, func(*cobra.Command, []string) error {
 			key := "ak-" + rand.Text()
-			sum := sha256.Sum256([]byte(key))
-			k := workspaceKey{Key: key, Hash: hex.EncodeToString(sum[:])}
+			k := workspaceKey{Key: key, Hash: keyhash.Of(key)}
 			return a.print(k, func() table {
 				return table{header: []string{"KEY", "HASH"}, rows: [][]string{{k.Key, k.Hash}}}
 			})
--- /dev/null
+++ b/common/keyhash/keyhash.go
@@ -0,0 +1,13 @@
+// Package keyhash hashes workspace keys and operator tokens, which are kept only as hashes.
+package keyhash
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Of returns the SHA-256 of a secret in lower-case hexadecimal.
+func Of(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
--- a/common/rendezvous/rendezvous.go
+++ b/common/rendezvous/rendezvous.go
@@ -6,11 +6,11 @@
 	"github.com/zeebo/xxh3"
 )
 
-// First returns the member with the highest hash for a key, or an empty string when there are no members.
+// First returns the member with the highest hash for a key, the first by name of those that tie, or an empty string when there are no members.
 func First(key string, members []string) string {
 	best, bestScore := "", uint64(0)
 	for _, m := range members {
-		if s := Score(key, m); best == "" || s > bestScore {
+		if s := Score(key, m); best == "" || s > bestScore || s == bestScore && m < best {
 			best, bestScore = m, s
 		}
 	}
@@ -19,5 +19,5 @@
 
 // Score returns the hash of a member for a key.
 func Score(key, member string) uint64 {
-	return xxh3.HashStringSeed(member, xxh3.HashString(key))
+	return xxh3.HashString(key + "\x00" + member)
 }
--- a/decision/membership/params.go
+++ b/decision/membership/params.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Params are the bounds of membership. The zero value of a field takes its default.
 type Params struct {
@@ -49,19 +52,12 @@
 )
 
 func (p Params) withDefaults() Params {
-	setDefault(&p.RemoveAfter, DefaultRemoveAfter)
-	setDefault(&p.Retention, DefaultRetention)
-	setDefault(&p.SyncInterval, DefaultSyncInterval)
-	setDefault(&p.RotateInterval, DefaultRotateInterval)
-	setDefault(&p.MessageBytes, DefaultMessageBytes)
-	setDefault(&p.SyncBytes, DefaultSyncBytes)
-	setDefault(&p.Window, DefaultWindow)
+	p.RemoveAfter = cmp.Or(p.RemoveAfter, DefaultRemoveAfter)
+	p.Retention = cmp.Or(p.Retention, DefaultRetention)
+	p.SyncInterval = cmp.Or(p.SyncInterval, DefaultSyncInterval)
+	p.RotateInterval = cmp.Or(p.RotateInterval, DefaultRotateInterval)
+	p.MessageBytes = cmp.Or(p.MessageBytes, DefaultMessageBytes)
+	p.SyncBytes = cmp.Or(p.SyncBytes, DefaultSyncBytes)
+	p.Window = cmp.Or(p.Window, DefaultWindow)
 	return p
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/decision/membership/table.go
+++ b/decision/membership/table.go
@@ -4,9 +4,8 @@
 	"cmp"
 	"slices"
 
-	"github.com/zeebo/xxh3"
-
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/rendezvous"
 )
 
 // RelayCount is the number of relays of a data centre.
@@ -106,7 +105,7 @@
 			candidates = append(candidates, m)
 		}
 	}
-	weight := func(m Member) uint64 { return xxh3.HashString("relay\x00" + dataCentre + "\x00" + m.ID) }
+	weight := func(m Member) uint64 { return rendezvous.Score("relay\x00"+dataCentre, m.ID) }
 	slices.SortFunc(candidates, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
 	})
--- a/decision/ownership/rank.go
+++ b/decision/ownership/rank.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/zeebo/xxh3"
+	"azuredyke.dev/azuredyke/common/rendezvous"
 )
 
 // MaxCandidates bounds the nodes that may own resources, and with them the lease renewals and the watches of owner
@@ -25,12 +25,12 @@
 // Rank returns the place of a node in the order in which candidates try to acquire a resource: 0 is the preferred node.
 // It is len(candidates) for a node that is not a candidate.
 func Rank(resource, node string, candidates []string) int {
-	own := weight(resource, node)
+	own := rendezvous.Score(resource, node)
 	rank, found := 0, false
 	for _, c := range candidates {
 		if c == node {
 			found = true
-		} else if w := weight(resource, c); w > own || w == own && c < node {
+		} else if w := rendezvous.Score(resource, c); w > own || w == own && c < node {
 			rank++
 		}
 	}
@@ -42,20 +42,11 @@
 
 // Preferred returns the candidate of rank 0, or "" without candidates.
 func Preferred(resource string, candidates []string) string {
-	best := ""
-	for _, c := range candidates {
-		if best == "" || weight(resource, c) > weight(resource, best) ||
-			weight(resource, c) == weight(resource, best) && c < best {
-			best = c
-		}
-	}
-	return best
+	return rendezvous.First(resource, candidates)
 }
 
 func byWeight(nodes []string, resource string) {
 	slices.SortFunc(nodes, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(resource, b), weight(resource, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rendezvous.Score(resource, b), rendezvous.Score(resource, a)), cmp.Compare(a, b))
 	})
 }
-
-func weight(resource, node string) uint64 { return xxh3.HashString(resource + "\x00" + node) }
--- a/decision/routing/load_table.go
+++ b/decision/routing/load_table.go
@@ -9,9 +9,8 @@
 	"strconv"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"azuredyke.dev/azuredyke/common/message"
+	"azuredyke.dev/azuredyke/common/rendezvous"
 )
 
 const (
@@ -142,7 +141,7 @@
 // preferred returns the candidate with the highest rendezvous hash among those of this region, so that all nodes of a
 // region prefer the same cell, or among all if the region has none.
 func preferred(candidates []Candidate, prefix uint64) int {
-	key := strconv.FormatUint(prefix, 16) + "\x00"
+	key := strconv.FormatUint(prefix, 16)
 	indices := make([]int, 0, len(candidates))
 	for i, c := range candidates {
 		if c.Distance <= SameRegion {
@@ -156,7 +155,7 @@
 	}
 	return slices.MaxFunc(indices, func(x, y int) int {
 		return cmp.Or(
-			cmp.Compare(xxh3.HashString(key+candidates[x].Cell), xxh3.HashString(key+candidates[y].Cell)),
+			cmp.Compare(rendezvous.Score(key, candidates[x].Cell), rendezvous.Score(key, candidates[y].Cell)),
 			cmp.Compare(candidates[x].Cell, candidates[y].Cell))
 	})
 }
--- a/experiment/objects.go
+++ b/experiment/objects.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/decision/config"
 )
 
@@ -34,7 +35,7 @@
 	for _, w := range s.Workload.Workspaces {
 		objects = append(objects, &config.Object{
 			Ref:       config.Ref{Kind: config.KindWorkspace, Name: w.Name},
-			Workspace: &config.Workspace{KeyHashes: []string{hash(w.Key)}, Priority: w.Priority, Weight: 1},
+			Workspace: &config.Workspace{KeyHashes: []string{keyhash.Of(w.Key)}, Priority: w.Priority, Weight: 1},
 		})
 	}
 	return objects
--- a/experiment/site.go
+++ b/experiment/site.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -226,9 +224,3 @@
 	x.cancel()
 	x.running.Wait()
 }
-
-// hash returns the SHA-256 of a workspace key in hexadecimal.
-func hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
--- a/fake/engine/length_class.go
+++ b/fake/engine/length_class.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -31,9 +32,9 @@
 			break
 		}
 	}
-	setDefault(&class.Median, 64)
-	setDefault(&class.Sigma, 1.2)
-	setDefault(&class.Max, 16384)
+	class.Median = cmp.Or(class.Median, 64)
+	class.Sigma = cmp.Or(class.Sigma, 1.2)
+	class.Max = cmp.Or(class.Max, 16384)
 	r := rand.New(rand.NewPCG(o.Seed, p.hash))
 	drawn := class.Median * math.Exp(class.Sigma*r.NormFloat64())
 	return int(min(max(drawn, 1), float64(class.Max)))
--- a/fake/engine/options.go
+++ b/fake/engine/options.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options configures a Server. Zero values stand for the defaults in parentheses.
 type Options struct {
@@ -68,20 +71,20 @@
 
 // withDefaults fills in the defaults and applies the time scale.
 func (o Options) withDefaults() Options {
-	setDefault(&o.StepTime, 20*time.Millisecond)
-	setDefault(&o.SequenceTime, 200*time.Microsecond)
-	setDefault(&o.PrefillTime, 50*time.Microsecond)
-	setDefault(&o.PrefillTokens, 2048)
-	setDefault(&o.TimeScale, 1)
-	setDefault(&o.MaxBatch, 64)
-	setDefault(&o.Blocks, 4096)
-	setDefault(&o.BlockTokens, 16)
-	setDefault(&o.ColdLimit, 1)
-	setDefault(&o.WarmAfter, 4)
-	setDefault(&o.ColdSlowdown, 4)
-	setDefault(&o.RestartTime, 500*time.Millisecond)
-	setDefault(&o.DetachGrace, 10*time.Second)
-	setDefault(&o.Retention, time.Minute)
+	o.StepTime = cmp.Or(o.StepTime, 20*time.Millisecond)
+	o.SequenceTime = cmp.Or(o.SequenceTime, 200*time.Microsecond)
+	o.PrefillTime = cmp.Or(o.PrefillTime, 50*time.Microsecond)
+	o.PrefillTokens = cmp.Or(o.PrefillTokens, 2048)
+	o.TimeScale = cmp.Or(o.TimeScale, 1)
+	o.MaxBatch = cmp.Or(o.MaxBatch, 64)
+	o.Blocks = cmp.Or(o.Blocks, 4096)
+	o.BlockTokens = cmp.Or(o.BlockTokens, 16)
+	o.ColdLimit = cmp.Or(o.ColdLimit, 1)
+	o.WarmAfter = cmp.Or(o.WarmAfter, 4)
+	o.ColdSlowdown = cmp.Or(o.ColdSlowdown, 4)
+	o.RestartTime = cmp.Or(o.RestartTime, 500*time.Millisecond)
+	o.DetachGrace = cmp.Or(o.DetachGrace, 10*time.Second)
+	o.Retention = cmp.Or(o.Retention, time.Minute)
 	for _, d := range []*time.Duration{
 		&o.StepTime, &o.SequenceTime, &o.PrefillTime, &o.RestartTime, &o.LoadLag, &o.CacheEventLag, &o.OrderTime,
 	} {
@@ -89,10 +92,3 @@
 	}
 	return o
 }
-
-func setDefault[T comparable](target *T, value T) {
-	var zero T
-	if *target == zero {
-		*target = value
-	}
-}
--- a/service/development/seed.go
+++ b/service/development/seed.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/platform"
 	"azuredyke.dev/azuredyke/service/configuration"
@@ -30,7 +31,7 @@
 			Type: config.ServicePlain, ColdLimit: 4, MaxConcurrency: 64, Cells: 1, QueueTimeout: 5 * time.Second,
 		}},
 		&config.Object{Ref: config.Ref{Kind: config.KindWorkspace, Name: "dev"}, Workspace: &config.Workspace{
-			KeyHashes: []string{hash(WorkspaceKey)}, Weight: 1,
+			KeyHashes: []string{keyhash.Of(WorkspaceKey)}, Weight: 1,
 		}},
 	)
 }
--- a/service/development/site.go
+++ b/service/development/site.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"net"
 	"net/http"
@@ -13,6 +11,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/common/settings"
 	fakeengine "azuredyke.dev/azuredyke/fake/engine"
 	fakehostlist "azuredyke.dev/azuredyke/fake/hostlist"
@@ -139,13 +138,7 @@
 	s.Listen.PeersAdvertised = s.Listen.Peers
 	s.Platform.KeyValue.Kind = settings.KeyValueMemory
 	s.Platform.HostList.Interval = 200 * time.Millisecond
-	s.Operators = []settings.OperatorToken{{Name: "dev", Role: settings.RoleOperator, Hash: hash(OperatorToken)}}
+	s.Operators = []settings.OperatorToken{{Name: "dev", Role: settings.RoleOperator, Hash: keyhash.Of(OperatorToken)}}
 	s.Stop.ReadinessDelay = 0
 	return s
 }
-
-// hash returns the SHA-256 of a secret in hexadecimal.
-func hash(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
-}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/stream"
@@ -171,18 +169,9 @@
 	if a.grant.Cell == "" && a.grant.Number == 0 {
 		return // A reattached generation whose grant is gone.
 	}
-	r := message.GrantReport{
-		Cell: a.grant.Cell, Fence: a.grant.Fence, Number: a.grant.Number, Event: event, Tokens: a.assembler.Next(),
-		FirstToken: a.first, Elapsed: time.Since(a.started), Sent: true,
-	}
-	if f != nil {
-		r.Sent = f.Sent || a.resumes > 0
-		r.Leaving = f.Refused == engine.RefusedLeaving
-		r.StaleFence = f.Refused == engine.RefusedStaleFence
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	if err := a.session.server.Placer.Report(ctx, r); err != nil {
-		a.session.server.log.Warn("grant report not delivered", zap.String("cell", r.Cell), zap.Error(err))
-	}
+	r := grantReport(a.grant, event, f)
+	r.Tokens, r.FirstToken, r.Elapsed = a.assembler.Next(), a.first, time.Since(a.started)
+	// A generation that was resumed has certainly been sent, whatever became of its last connection.
+	r.Sent = r.Sent || a.resumes > 0
+	a.session.server.report(ctx, r)
 }
--- a/service/gateway/authenticate.go
+++ b/service/gateway/authenticate.go
@@ -1,11 +1,10 @@
 package gateway
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
+	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/common/verdict"
 )
 
@@ -16,8 +15,7 @@
 		return "", verdict.New(verdict.NotRun, verdict.ReasonUnauthorized,
 			"the header Authorization must carry a workspace key").WithField("Authorization")
 	}
-	sum := sha256.Sum256([]byte(key))
-	workspace, ok := s.Config.Load().WorkspaceOfKey(hex.EncodeToString(sum[:]))
+	workspace, ok := s.Config.Load().WorkspaceOfKey(keyhash.Of(key))
 	if !ok {
 		return "", verdict.New(verdict.NotRun, verdict.ReasonUnauthorized,
 			"the workspace key is not known").WithField("Authorization")
--- a/service/gateway/plain.go
+++ b/service/gateway/plain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -9,7 +8,6 @@
 
 	"github.com/gorilla/mux"
 
-	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/decision/quarantine"
@@ -84,16 +82,3 @@
 	}
 	return &engine.Failure{Sent: true, Err: err}
 }
-
-// reportGrant tells the owner of the cell what happened to the grant of a plain call.
-func (s *Server) reportGrant(ctx context.Context, g message.Grant, event message.GrantEvent, elapsed time.Duration, f *engine.Failure) {
-	r := message.GrantReport{Cell: g.Cell, Fence: g.Fence, Number: g.Number, Event: event, Elapsed: elapsed, Sent: true}
-	if f != nil {
-		r.Sent = f.Sent
-		r.Leaving = f.Refused == engine.RefusedLeaving
-		r.StaleFence = f.Refused == engine.RefusedStaleFence
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	_ = s.Placer.Report(ctx, r)
-}
--- a/service/gateway/plain_call.go
+++ b/service/gateway/plain_call.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, plainTimeout)
 	defer cancel()
 	started := time.Now()
-	c.server.reportGrant(detached, g, message.GrantStarted, 0, nil)
+	c.report(detached, g, message.GrantStarted, 0, nil)
 	answer, err := c.server.Client.Call(ctx, engine.Start{
 		Address: g.Endpoint.Address, Method: c.method, Path: pathWithQuery(c.path, c.query), Body: c.body,
 		Header: c.header, RequestID: fmt.Sprintf("%s-%d", c.id, attempt), Fence: g.Fence,
@@ -86,17 +86,17 @@
 	})
 	elapsed := time.Since(started)
 	if err == nil {
-		c.server.reportGrant(detached, g, message.GrantCompleted, elapsed, nil)
+		c.report(detached, g, message.GrantCompleted, elapsed, nil)
 		return answer, nil
 	}
 	f := failureOf(err)
 	switch {
 	case f.Refused != "":
-		c.server.reportGrant(detached, g, message.GrantRefused, elapsed, f)
+		c.report(detached, g, message.GrantRefused, elapsed, f)
 	case errors.Is(f, engine.ErrTooLate):
-		c.server.reportGrant(detached, g, message.GrantUnused, elapsed, f)
+		c.report(detached, g, message.GrantUnused, elapsed, f)
 	default:
-		c.server.reportGrant(detached, g, message.GrantFailed, elapsed, f)
+		c.report(detached, g, message.GrantFailed, elapsed, f)
 	}
 	if f.NotRun() {
 		return engine.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonEndpointFailed,
@@ -109,6 +109,13 @@
 	return engine.Answer{}, verdict.New(verdict.MayHaveRun, verdict.ReasonEndpointFailed, "the endpoint failed: %w", f)
 }
 
+// report tells the owner of the cell what happened to the grant of an attempt.
+func (c *plainCall) report(ctx context.Context, g message.Grant, event message.GrantEvent, elapsed time.Duration, f *engine.Failure) {
+	r := grantReport(g, event, f)
+	r.Elapsed = elapsed
+	c.server.report(ctx, r)
+}
+
 // plainTimeout bounds one call of a plain service.
 const plainTimeout = 30 * time.Second
 
--- a/service/operator/authenticator.go
+++ b/service/operator/authenticator.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"strings"
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
 )
@@ -45,8 +44,7 @@
 	if !ok {
 		return actor{}, false
 	}
-	sum := sha256.Sum256([]byte(token))
-	hash := []byte(hex.EncodeToString(sum[:]))
+	hash := []byte(keyhash.Of(token))
 	var found actor
 	matched := false
 	for _, t := range tokens {
--- a/test/harness/seed.go
+++ b/test/harness/seed.go
@@ -2,14 +2,13 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"os"
 	"path/filepath"
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/common/keyhash"
 	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
 	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
 )
@@ -71,7 +70,7 @@
 		objects = append(objects, &operatorv1.Object{Name: name, Spec: &operatorv1.Object_Service{Service: service}})
 	}
 	objects = append(objects, &operatorv1.Object{Name: "test", Spec: &operatorv1.Object_Workspace{
-		Workspace: &operatorv1.WorkspaceSpec{KeyHashes: []string{hash(WorkspaceKey)}, Weight: 1},
+		Workspace: &operatorv1.WorkspaceSpec{KeyHashes: []string{keyhash.Of(WorkspaceKey)}, Weight: 1},
 	}})
 	ctx, cancel := s.timeout()
 	defer cancel()
@@ -100,9 +99,3 @@
 	s.ok(os.WriteFile(path, []byte("0123456789abcdef0123456789abcdef\n"), 0o600), path)
 	return path
 }
-
-// hash returns the SHA-256 of a secret in hexadecimal.
-func hash(secret string) string {
-	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
-}
--- a/test/harness/site.go
+++ b/test/harness/site.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/decision/admission"
 	"azuredyke.dev/azuredyke/fake/engine"
@@ -167,7 +168,7 @@
 	v.Platform.KeyValue.Timeout = 2 * time.Second
 	v.Platform.HostList.URL = "http://" + s.hostList.address
 	v.Platform.HostList.Interval = 200 * time.Millisecond
-	v.Operators = []settings.OperatorToken{{Name: "test", Role: settings.RoleOperator, Hash: hash(operatorToken)}}
+	v.Operators = []settings.OperatorToken{{Name: "test", Role: settings.RoleOperator, Hash: keyhash.Of(operatorToken)}}
 	v.PeerKeyFile = s.peerKeyFile()
 	v.Dispatch.StartWithin = 500 * time.Millisecond
 	v.Dispatch.LeaseTTL = 3 * time.Second
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"crypto/tls"
 	"time"
 
@@ -57,25 +58,18 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.PingAfter, DefaultPingAfter)
-	setDefault(&o.DeadAfter, DefaultDeadAfter)
-	setDefault(&o.MinBackoff, DefaultMinBackoff)
-	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&o.MaxFrame, DefaultMaxFrame)
-	setDefault(&o.QueueSize, DefaultQueueSize)
-	setDefault(&o.MaxIncoming, DefaultMaxIncoming)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.PingAfter = cmp.Or(o.PingAfter, DefaultPingAfter)
+	o.DeadAfter = cmp.Or(o.DeadAfter, DefaultDeadAfter)
+	o.MinBackoff = cmp.Or(o.MinBackoff, DefaultMinBackoff)
+	o.MaxBackoff = cmp.Or(o.MaxBackoff, DefaultMaxBackoff)
+	o.MaxFrame = cmp.Or(o.MaxFrame, DefaultMaxFrame)
+	o.QueueSize = cmp.Or(o.QueueSize, DefaultQueueSize)
+	o.MaxIncoming = cmp.Or(o.MaxIncoming, DefaultMaxIncoming)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
