--- a/platform/commit_result.go
+++ b/backing/commit_result.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // CommitResult is the answer of KV.Commit.
 type CommitResult struct {
--- a/platform/condition.go
+++ b/backing/condition.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // Condition holds when the key's last write has the given revision; 0 means that the key does not exist.
 type Condition struct {
--- a/platform/entry.go
+++ b/backing/entry.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // Entry is one stored key.
 type Entry struct {
--- a/platform/errors.go
+++ b/backing/errors.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import "github.com/zeebo/errs"
 
--- a/platform/etcd/client.go
+++ b/backing/etcd/client.go
@@ -10,14 +10,14 @@
 
 	"connectrpc.com/connect"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // pingInterval is how long a connection may be silent before it is probed. etcd servers close connections that are
 // probed more often than every 5 s.
 const pingInterval = 10 * time.Second
 
-// Client is a platform.KV. It is safe for concurrent use.
+// Client is a backing.KV. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
 	endpoints []endpoint
@@ -26,7 +26,7 @@
 	preferred atomic.Uint32
 }
 
-var _ platform.KV = (*Client)(nil)
+var _ backing.KV = (*Client)(nil)
 
 // New returns a client for the servers at the given addresses (IP:port), of which at least one is needed. Each call,
 // including all its attempts at different addresses, takes at most timeout. Without a tlsConfig the connections are
--- a/platform/etcd/client_test.go
+++ b/backing/etcd/client_test.go
@@ -12,12 +12,12 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
-func put(key, value string) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: []byte(value)}},
+func put(key, value string) backing.Txn {
+	return backing.Txn{
+		Conditions: []backing.Condition{{Key: key}}, Writes: []backing.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -66,9 +66,9 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(e.Value), "1")
 	assert.Equal(t, e.ModRevision, first.Revision)
-	removed, err := c.Commit(t.Context(), platform.Txn{
-		Conditions: []platform.Condition{{Key: "k", ModRevision: first.Revision}},
-		Writes:     []platform.Write{{Key: "k", Delete: true}},
+	removed, err := c.Commit(t.Context(), backing.Txn{
+		Conditions: []backing.Condition{{Key: "k", ModRevision: first.Revision}},
+		Writes:     []backing.Write{{Key: "k", Delete: true}},
 	})
 	assert.NilError(t, err)
 	assert.Assert(t, removed.Committed)
@@ -87,14 +87,14 @@
 	defer func() { goleak.VerifyNone(t, ignored) }()
 	lease, err := c.GrantLease(t.Context(), time.Hour)
 	assert.NilError(t, err)
-	_, err = c.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "own/x", Lease: lease}}})
+	_, err = c.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: "own/x", Lease: lease}}})
 	assert.NilError(t, err)
 	assert.NilError(t, c.RenewLease(t.Context(), lease))
 	assert.NilError(t, c.RevokeLease(t.Context(), lease))
-	assert.Assert(t, platform.ErrLeaseNotFound.Has(c.RenewLease(t.Context(), lease)))
-	assert.Assert(t, platform.ErrLeaseNotFound.Has(c.RevokeLease(t.Context(), lease)))
-	_, err = c.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "own/x", Lease: lease}}})
-	assert.Assert(t, platform.ErrLeaseNotFound.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrLeaseNotFound.Has(c.RenewLease(t.Context(), lease)))
+	assert.Assert(t, backing.ErrLeaseNotFound.Has(c.RevokeLease(t.Context(), lease)))
+	_, err = c.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: "own/x", Lease: lease}}})
+	assert.Assert(t, backing.ErrLeaseNotFound.Has(err), "%v", err)
 	e, err := c.Get(t.Context(), "own/x")
 	assert.NilError(t, err)
 	assert.Equal(t, e.ModRevision, int64(0))
@@ -113,7 +113,7 @@
 	assert.NilError(t, err)
 	_, err = c.Commit(t.Context(), put("other", "1"))
 	assert.NilError(t, err)
-	_, err = c.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "w/1", Delete: true}}})
+	_, err = c.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: "w/1", Delete: true}}})
 	assert.NilError(t, err)
 	batch := <-batches
 	assert.Equal(t, string(batch.Events[0].Entry.Value), "1")
@@ -133,12 +133,12 @@
 	closed := unusedAddress(t)
 	c := startClient(t, callTimeout, closed)
 	_, err := c.Commit(t.Context(), put("k", "1"))
-	assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
-	assert.Assert(t, platform.ErrUnavailable.Has(c.RenewLease(t.Context(), 1)))
+	assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnavailable.Has(c.RenewLease(t.Context(), 1)))
 	_, err = c.Get(t.Context(), "k")
-	assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
 	_, err = c.Watch(t.Context(), "k", 1)
-	assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
 
 	_, address := startServer(t)
 	both := startClient(t, callTimeout, closed, address)
@@ -167,8 +167,8 @@
 			}
 			c := startClient(t, timeout, address, unusedAddress(t))
 			_, err := c.Commit(t.Context(), put("k", "1"))
-			assert.Assert(t, platform.ErrUnknownOutcome.Has(err), "%v", err)
-			assert.Assert(t, !platform.ErrUnavailable.Has(err), "%v", err)
+			assert.Assert(t, backing.ErrUnknownOutcome.Has(err), "%v", err)
+			assert.Assert(t, !backing.ErrUnavailable.Has(err), "%v", err)
 		})
 	}
 }
@@ -179,10 +179,10 @@
 		err  error
 		want func(error) bool
 	}{
-		"too large":         {connect.NewError(connect.CodeInvalidArgument, nil), platform.ErrInvalid.Has},
-		"not permitted":     {connect.NewError(connect.CodePermissionDenied, nil), platform.ErrUnavailable.Has},
-		"out of space":      {connect.NewError(connect.CodeResourceExhausted, errorText(messageNoSpace)), platform.ErrUnavailable.Has},
-		"too many requests": {connect.NewError(connect.CodeResourceExhausted, errorText(messageTooManyRequests)), platform.ErrUnavailable.Has},
+		"too large":         {connect.NewError(connect.CodeInvalidArgument, nil), backing.ErrInvalid.Has},
+		"not permitted":     {connect.NewError(connect.CodePermissionDenied, nil), backing.ErrUnavailable.Has},
+		"out of space":      {connect.NewError(connect.CodeResourceExhausted, errorText(messageNoSpace)), backing.ErrUnavailable.Has},
+		"too many requests": {connect.NewError(connect.CodeResourceExhausted, errorText(messageTooManyRequests)), backing.ErrUnavailable.Has},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, address := startServer(t)
@@ -199,7 +199,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := startClient(t, callTimeout, address).Commit(ctx, put("k", "1"))
-	assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
 	assert.ErrorIs(t, err, context.Canceled)
 }
 
@@ -214,9 +214,9 @@
 	defer l.Close()
 	c := startClient(t, 100*time.Millisecond, l.Addr().String())
 	err = c.RenewLease(t.Context(), 1)
-	assert.Assert(t, platform.ErrUnknownOutcome.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnknownOutcome.Has(err), "%v", err)
 	_, err = c.Watch(t.Context(), "k", 1)
-	assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
 	_, err = c.Get(t.Context(), "k")
-	assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
+	assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
 }
--- a/platform/etcd/commit.go
+++ b/backing/etcd/commit.go
@@ -5,25 +5,25 @@
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
-// Commit implements platform.KV.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (c *Client) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	request := txnRequest(txn)
-	return write(ctx, c, func(ctx context.Context, e endpoint) (platform.CommitResult, error) {
+	return write(ctx, c, func(ctx context.Context, e endpoint) (backing.CommitResult, error) {
 		response, err := e.kv.Txn(ctx, connect.NewRequest(request))
 		if err != nil {
-			return platform.CommitResult{}, err
+			return backing.CommitResult{}, err
 		}
-		return platform.CommitResult{
+		return backing.CommitResult{
 			Committed: response.Msg.GetSucceeded(), Revision: response.Msg.GetHeader().GetRevision(),
 		}, nil
 	})
 }
 
-func txnRequest(txn platform.Txn) *etcdserverpb.TxnRequest {
+func txnRequest(txn backing.Txn) *etcdserverpb.TxnRequest {
 	request := &etcdserverpb.TxnRequest{}
 	for _, condition := range txn.Conditions {
 		request.Compare = append(request.Compare, &etcdserverpb.Compare{
@@ -37,7 +37,7 @@
 	return request
 }
 
-func requestOp(w platform.Write) *etcdserverpb.RequestOp {
+func requestOp(w backing.Write) *etcdserverpb.RequestOp {
 	if w.Delete {
 		return &etcdserverpb.RequestOp{Request: &etcdserverpb.RequestOp_RequestDeleteRange{
 			RequestDeleteRange: &etcdserverpb.DeleteRangeRequest{Key: []byte(w.Key)},
--- a/platform/etcd/errors.go
+++ b/backing/etcd/errors.go
@@ -5,7 +5,7 @@
 
 	"connectrpc.com/connect"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // Messages of the service with the status "resource exhausted" that prove that a write was not applied. The same status
@@ -21,7 +21,7 @@
 	if class := refusal(err); class != nil {
 		return class
 	}
-	return platform.ErrUnavailable.Wrap(err)
+	return backing.ErrUnavailable.Wrap(err)
 }
 
 // writeError returns the error of a write that may have reached the server.
@@ -29,7 +29,7 @@
 	if class := refusal(err); class != nil {
 		return class
 	}
-	return platform.ErrUnknownOutcome.Wrap(err)
+	return backing.ErrUnknownOutcome.Wrap(err)
 }
 
 // refusal returns the error of a call that the server answered with a status which proves that the call had no effect,
@@ -41,19 +41,19 @@
 	}
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument:
-		return platform.ErrInvalid.Wrap(err)
+		return backing.ErrInvalid.Wrap(err)
 	case connect.CodeNotFound:
-		return platform.ErrLeaseNotFound.Wrap(err)
+		return backing.ErrLeaseNotFound.Wrap(err)
 	case connect.CodeOutOfRange:
-		return platform.ErrCompacted.Wrap(err)
+		return backing.ErrCompacted.Wrap(err)
 	case connect.CodePermissionDenied, connect.CodeUnauthenticated, connect.CodeUnimplemented:
-		return platform.ErrUnavailable.Wrap(err)
+		return backing.ErrUnavailable.Wrap(err)
 	case connect.CodeResourceExhausted:
 		switch text := err.Error(); {
 		case strings.Contains(text, messageNoSpace), strings.Contains(text, messageTooManyRequests):
-			return platform.ErrUnavailable.Wrap(err)
+			return backing.ErrUnavailable.Wrap(err)
 		case strings.Contains(text, messageTooLarge):
-			return platform.ErrInvalid.Wrap(err)
+			return backing.ErrInvalid.Wrap(err)
 		}
 	}
 	return nil
@@ -62,7 +62,7 @@
 // afterRead returns how to go on after a call without effect: another server may be reachable, but it would give the
 // same answer to a call that is refused for other reasons.
 func afterRead(err error) attemptResult {
-	if platform.ErrUnavailable.Has(err) {
+	if backing.ErrUnavailable.Has(err) {
 		return attemptFailed
 	}
 	return attemptAnswered
--- a/platform/etcd/lease.go
+++ b/backing/etcd/lease.go
@@ -8,13 +8,13 @@
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
-// GrantLease implements platform.KV. The service counts in seconds, so ttl is rounded up; ErrInvalid says that the
+// GrantLease implements backing.KV. The service counts in seconds, so ttl is rounded up; ErrInvalid says that the
 // service grants only a shorter time.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (backing.LeaseID, error) {
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	granted, err := write(ctx, c, func(ctx context.Context, e endpoint) (*etcdserverpb.LeaseGrantResponse, error) {
 		response, err := e.lease.LeaseGrant(ctx, connect.NewRequest(&etcdserverpb.LeaseGrantRequest{TTL: seconds}))
@@ -27,15 +27,15 @@
 	case err != nil:
 		return 0, err
 	case granted.GetError() != "":
-		return 0, platform.ErrUnavailable.New("lease refused: %s", granted.GetError())
+		return 0, backing.ErrUnavailable.New("lease refused: %s", granted.GetError())
 	case granted.GetTTL() < seconds:
-		return 0, platform.ErrInvalid.New("lease of %d s granted instead of %d s", granted.GetTTL(), seconds)
+		return 0, backing.ErrInvalid.New("lease of %d s granted instead of %d s", granted.GetTTL(), seconds)
 	}
-	return platform.LeaseID(granted.GetID()), nil
+	return backing.LeaseID(granted.GetID()), nil
 }
 
-// RenewLease implements platform.KV.
-func (c *Client) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease implements backing.KV.
+func (c *Client) RenewLease(ctx context.Context, id backing.LeaseID) error {
 	renewed, err := write(ctx, c, func(ctx context.Context, e endpoint) (*etcdserverpb.LeaseKeepAliveResponse, error) {
 		stream := e.lease.LeaseKeepAlive(ctx)
 		closeWith(ctx, stream)
@@ -50,13 +50,13 @@
 		return err
 	}
 	if renewed.GetTTL() <= 0 {
-		return platform.ErrLeaseNotFound.New("lease %d", id)
+		return backing.ErrLeaseNotFound.New("lease %d", id)
 	}
 	return nil
 }
 
-// RevokeLease implements platform.KV.
-func (c *Client) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements backing.KV.
+func (c *Client) RevokeLease(ctx context.Context, id backing.LeaseID) error {
 	_, err := write(ctx, c, func(ctx context.Context, e endpoint) (struct{}, error) {
 		_, err := e.lease.LeaseRevoke(ctx, connect.NewRequest(&etcdserverpb.LeaseRevokeRequest{ID: int64(id)}))
 		return struct{}{}, err
--- a/platform/etcd/range.go
+++ b/backing/etcd/range.go
@@ -5,9 +5,9 @@
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
 	"azuredyke.dev/azuredyke/gen/mvccpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // A range is read in pages at one revision, so that no message becomes too large: values take up to 1 MB.
@@ -20,17 +20,17 @@
 	pageBytes = 4 << 20
 )
 
-// Range implements platform.KV. The entries are of one revision, even when they need several calls.
-func (c *Client) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+// Range implements backing.KV. The entries are of one revision, even when they need several calls.
+func (c *Client) Range(ctx context.Context, prefix string) (backing.RangeResult, error) {
 	request := &etcdserverpb.RangeRequest{
 		Key: prefixStart(prefix), RangeEnd: prefixEnd([]byte(prefix)), Limit: firstPage,
 		SortOrder: etcdserverpb.RangeRequest_ASCEND, SortTarget: etcdserverpb.RangeRequest_KEY,
 	}
-	var result platform.RangeResult
+	var result backing.RangeResult
 	for {
 		page, err := c.page(ctx, request)
 		if err != nil {
-			return platform.RangeResult{}, err
+			return backing.RangeResult{}, err
 		}
 		if result.Revision == 0 {
 			result.Revision = page.GetHeader().GetRevision()
@@ -50,14 +50,14 @@
 	}
 }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements backing.KV.
+func (c *Client) Get(ctx context.Context, key string) (backing.Entry, error) {
 	page, err := c.page(ctx, &etcdserverpb.RangeRequest{Key: []byte(key)})
 	if err != nil {
-		return platform.Entry{}, err
+		return backing.Entry{}, err
 	}
 	if len(page.GetKvs()) == 0 {
-		return platform.Entry{Key: key}, nil
+		return backing.Entry{Key: key}, nil
 	}
 	return entryOf(page.GetKvs()[0]), nil
 }
@@ -72,9 +72,9 @@
 	})
 }
 
-func entryOf(kv *mvccpb.KeyValue) platform.Entry {
-	return platform.Entry{
+func entryOf(kv *mvccpb.KeyValue) backing.Entry {
+	return backing.Entry{
 		Key: string(kv.GetKey()), Value: kv.GetValue(), CreateRevision: kv.GetCreateRevision(),
-		ModRevision: kv.GetModRevision(), Lease: platform.LeaseID(kv.GetLease()),
+		ModRevision: kv.GetModRevision(), Lease: backing.LeaseID(kv.GetLease()),
 	}
 }
--- a/platform/etcd/server_test.go
+++ b/backing/etcd/server_test.go
@@ -10,11 +10,11 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb/etcdserverpbconnect"
 	"azuredyke.dev/azuredyke/gen/mvccpb"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // testServer serves the generated handlers from an in-memory store, for what this package's tests need.
@@ -89,21 +89,21 @@
 }
 
 func (s *testServer) Txn(ctx context.Context, r *connect.Request[etcdserverpb.TxnRequest]) (*connect.Response[etcdserverpb.TxnResponse], error) {
-	var txn platform.Txn
+	var txn backing.Txn
 	for _, c := range r.Msg.GetCompare() {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: string(c.GetKey()), ModRevision: c.GetModRevision()})
+		txn.Conditions = append(txn.Conditions, backing.Condition{Key: string(c.GetKey()), ModRevision: c.GetModRevision()})
 	}
 	for _, op := range r.Msg.GetSuccess() {
 		if put := op.GetRequestPut(); put != nil {
-			txn.Writes = append(txn.Writes, platform.Write{
-				Key: string(put.GetKey()), Value: put.GetValue(), Lease: platform.LeaseID(put.GetLease()),
+			txn.Writes = append(txn.Writes, backing.Write{
+				Key: string(put.GetKey()), Value: put.GetValue(), Lease: backing.LeaseID(put.GetLease()),
 			})
 		} else {
-			txn.Writes = append(txn.Writes, platform.Write{Key: string(op.GetRequestDeleteRange().GetKey()), Delete: true})
+			txn.Writes = append(txn.Writes, backing.Write{Key: string(op.GetRequestDeleteRange().GetKey()), Delete: true})
 		}
 	}
 	result, err := s.kv.Commit(ctx, txn)
-	if platform.ErrLeaseNotFound.Has(err) {
+	if backing.ErrLeaseNotFound.Has(err) {
 		return nil, connect.NewError(connect.CodeNotFound, err)
 	}
 	if s.afterTxn != nil {
@@ -122,7 +122,7 @@
 }
 
 func (s *testServer) LeaseRevoke(ctx context.Context, r *connect.Request[etcdserverpb.LeaseRevokeRequest]) (*connect.Response[etcdserverpb.LeaseRevokeResponse], error) {
-	if err := s.kv.RevokeLease(ctx, platform.LeaseID(r.Msg.GetID())); err != nil {
+	if err := s.kv.RevokeLease(ctx, backing.LeaseID(r.Msg.GetID())); err != nil {
 		return nil, connect.NewError(connect.CodeNotFound, err)
 	}
 	return connect.NewResponse(&etcdserverpb.LeaseRevokeResponse{}), nil
@@ -134,7 +134,7 @@
 		return err
 	}
 	response := &etcdserverpb.LeaseKeepAliveResponse{ID: r.GetID(), TTL: 1}
-	if err := s.kv.RenewLease(ctx, platform.LeaseID(r.GetID())); err != nil {
+	if err := s.kv.RenewLease(ctx, backing.LeaseID(r.GetID())); err != nil {
 		response.TTL = 0
 	}
 	return stream.Send(response)
@@ -169,7 +169,7 @@
 	return nil
 }
 
-func keyValue(e platform.Entry) *mvccpb.KeyValue {
+func keyValue(e backing.Entry) *mvccpb.KeyValue {
 	return &mvccpb.KeyValue{
 		Key: []byte(e.Key), Value: e.Value, CreateRevision: e.CreateRevision, ModRevision: e.ModRevision, Lease: int64(e.Lease),
 	}
--- a/platform/etcd/watch.go
+++ b/backing/etcd/watch.go
@@ -8,9 +8,9 @@
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
 	"azuredyke.dev/azuredyke/gen/mvccpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // watchCapacity is the number of batches that a slow reader may fall behind.
@@ -20,12 +20,12 @@
 type watch struct {
 	stream *connect.BidiStreamForClient[etcdserverpb.WatchRequest, etcdserverpb.WatchResponse]
 	cancel context.CancelFunc
-	out    chan platform.WatchBatch
+	out    chan backing.WatchBatch
 }
 
-// Watch implements platform.KV. The last batch before the channel is closed carries the error, unless ctx has ended or
+// Watch implements backing.KV. The last batch before the channel is closed carries the error, unless ctx has ended or
 // the reader fell behind. The caller opens a new watch.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan backing.WatchBatch, error) {
 	request := &etcdserverpb.WatchRequest{RequestUnion: &etcdserverpb.WatchRequest_CreateRequest{
 		CreateRequest: &etcdserverpb.WatchCreateRequest{
 			Key: prefixStart(prefix), RangeEnd: prefixEnd([]byte(prefix)), StartRevision: from,
@@ -49,7 +49,7 @@
 // openWatch starts a stream and waits until the server says that the watch is created.
 func openWatch(ctx context.Context, e endpoint, request *etcdserverpb.WatchRequest, timeout time.Duration) (*watch, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{stream: e.watch.Watch(ctx), cancel: cancel, out: make(chan platform.WatchBatch, watchCapacity)}
+	w := &watch{stream: e.watch.Watch(ctx), cancel: cancel, out: make(chan backing.WatchBatch, watchCapacity)}
 	closeWith(ctx, w.stream)
 	timer := time.AfterFunc(timeout, cancel)
 	// After io.EOF the reason is returned by Receive.
@@ -65,7 +65,7 @@
 	}
 	if err != nil {
 		cancel()
-		if platform.ErrCompacted.Has(err) || platform.ErrUnavailable.Has(err) {
+		if backing.ErrCompacted.Has(err) || backing.ErrUnavailable.Has(err) {
 			return nil, err
 		}
 		return nil, readError(err)
@@ -86,7 +86,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				w.offer(platform.WatchBatch{Err: err})
+				w.offer(backing.WatchBatch{Err: err})
 			}
 			return
 		}
@@ -99,7 +99,7 @@
 }
 
 // offer reports whether there was room for the batch.
-func (w *watch) offer(batch platform.WatchBatch) bool {
+func (w *watch) offer(batch backing.WatchBatch) bool {
 	select {
 	case w.out <- batch:
 		return true
@@ -112,20 +112,20 @@
 func canceled(response *etcdserverpb.WatchResponse) error {
 	switch {
 	case response.GetCompactRevision() != 0:
-		return platform.ErrCompacted.New("watch starts before revision %d", response.GetCompactRevision())
+		return backing.ErrCompacted.New("watch starts before revision %d", response.GetCompactRevision())
 	case response.GetCanceled():
-		return platform.ErrUnavailable.New("watch canceled: %s", response.GetCancelReason())
+		return backing.ErrUnavailable.New("watch canceled: %s", response.GetCancelReason())
 	}
 	return nil
 }
 
 // split returns one batch for each revision.
-func split(events []*mvccpb.Event) []platform.WatchBatch {
-	var batches []platform.WatchBatch
+func split(events []*mvccpb.Event) []backing.WatchBatch {
+	var batches []backing.WatchBatch
 	for _, event := range events {
-		e := platform.WatchEvent{Entry: entryOf(event.GetKv()), Deleted: event.GetType() == mvccpb.Event_DELETE}
+		e := backing.WatchEvent{Entry: entryOf(event.GetKv()), Deleted: event.GetType() == mvccpb.Event_DELETE}
 		if n := len(batches); n == 0 || batches[n-1].Revision != e.Entry.ModRevision {
-			batches = append(batches, platform.WatchBatch{Revision: e.Entry.ModRevision})
+			batches = append(batches, backing.WatchBatch{Revision: e.Entry.ModRevision})
 		}
 		last := &batches[len(batches)-1]
 		last.Events = append(last.Events, e)
--- a/platform/etcd/write.go
+++ b/backing/etcd/write.go
@@ -5,7 +5,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // write makes a call that may have an effect. The next endpoint is tried only while it is certain that nothing was sent.
@@ -27,12 +27,12 @@
 			return attemptAnswered
 		case sent.Load():
 			last = writeError(err)
-			if platform.ErrUnknownOutcome.Has(last) {
+			if backing.ErrUnknownOutcome.Has(last) {
 				return attemptLost
 			}
 			return attemptAnswered
 		default:
-			last = platform.ErrUnavailable.Wrap(err)
+			last = backing.ErrUnavailable.Wrap(err)
 			return attemptFailed
 		}
 	})
--- a/platform/file/kv.go
+++ b/backing/file/kv.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 const (
@@ -17,70 +17,70 @@
 	watchCapacity = 64
 )
 
-// KV is a read-only platform.KV. The file is read at each call, and a damaged file is ErrUnavailable.
+// KV is a read-only backing.KV. The file is read at each call, and a damaged file is ErrUnavailable.
 type KV struct {
 	path string
 }
 
-var _ platform.KV = (*KV)(nil)
+var _ backing.KV = (*KV)(nil)
 
 // New returns a KV that reads the file at path.
 func New(path string) *KV { return &KV{path: path} }
 
-// Range implements platform.KV.
-func (k *KV) Range(_ context.Context, prefix string) (platform.RangeResult, error) {
+// Range implements backing.KV.
+func (k *KV) Range(_ context.Context, prefix string) (backing.RangeResult, error) {
 	data, err := os.ReadFile(k.path)
 	if err != nil {
-		return platform.RangeResult{}, platform.ErrUnavailable.Wrap(err)
+		return backing.RangeResult{}, backing.ErrUnavailable.Wrap(err)
 	}
 	result, err := parse(data)
 	if err != nil {
-		return platform.RangeResult{}, platform.ErrUnavailable.Wrap(err)
+		return backing.RangeResult{}, backing.ErrUnavailable.Wrap(err)
 	}
-	result.Entries = slices.DeleteFunc(result.Entries, func(e platform.Entry) bool {
+	result.Entries = slices.DeleteFunc(result.Entries, func(e backing.Entry) bool {
 		return !strings.HasPrefix(e.Key, prefix)
 	})
-	slices.SortFunc(result.Entries, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(result.Entries, func(a, b backing.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return result, nil
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements backing.KV.
+func (k *KV) Get(ctx context.Context, key string) (backing.Entry, error) {
 	result, err := k.Range(ctx, key)
 	if err != nil {
-		return platform.Entry{}, err
+		return backing.Entry{}, err
 	}
 	for _, e := range result.Entries {
 		if e.Key == key {
 			return e, nil
 		}
 	}
-	return platform.Entry{Key: key}, nil
+	return backing.Entry{Key: key}, nil
 }
 
-// Watch implements platform.KV. Each new revision of the file is one batch with all its entries; deletions are not
+// Watch implements backing.KV. Each new revision of the file is one batch with all its entries; deletions are not
 // reported.
-func (k *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+func (k *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan backing.WatchBatch, error) {
 	if _, err := k.Range(ctx, prefix); err != nil {
 		return nil, err
 	}
-	out := make(chan platform.WatchBatch, watchCapacity)
+	out := make(chan backing.WatchBatch, watchCapacity)
 	go k.watch(ctx, prefix, from, out)
 	return out, nil
 }
 
 // watch sends the entries each time the file has a revision of at least next. A damaged file is passed over, since it
 // is read again at the next interval.
-func (k *KV) watch(ctx context.Context, prefix string, next int64, out chan<- platform.WatchBatch) {
+func (k *KV) watch(ctx context.Context, prefix string, next int64, out chan<- backing.WatchBatch) {
 	defer close(out)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
 		if result, err := k.Range(ctx, prefix); err == nil && result.Revision >= next && len(result.Entries) > 0 {
 			next = result.Revision + 1
-			batch := platform.WatchBatch{Revision: result.Revision}
+			batch := backing.WatchBatch{Revision: result.Revision}
 			for _, e := range result.Entries {
-				batch.Events = append(batch.Events, platform.WatchEvent{Entry: e})
+				batch.Events = append(batch.Events, backing.WatchEvent{Entry: e})
 			}
 			select {
 			case out <- batch:
@@ -97,19 +97,19 @@
 }
 
 // Commit refuses every write.
-func (k *KV) Commit(context.Context, platform.Txn) (platform.CommitResult, error) {
-	return platform.CommitResult{}, readOnly()
+func (k *KV) Commit(context.Context, backing.Txn) (backing.CommitResult, error) {
+	return backing.CommitResult{}, readOnly()
 }
 
 // GrantLease refuses every lease.
-func (k *KV) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
+func (k *KV) GrantLease(context.Context, time.Duration) (backing.LeaseID, error) {
 	return 0, readOnly()
 }
 
 // RenewLease refuses every renewal.
-func (k *KV) RenewLease(context.Context, platform.LeaseID) error { return readOnly() }
+func (k *KV) RenewLease(context.Context, backing.LeaseID) error { return readOnly() }
 
 // RevokeLease refuses every call.
-func (k *KV) RevokeLease(context.Context, platform.LeaseID) error { return readOnly() }
+func (k *KV) RevokeLease(context.Context, backing.LeaseID) error { return readOnly() }
 
-func readOnly() error { return platform.ErrUnavailable.New("the configuration file is read-only") }
+func readOnly() error { return backing.ErrUnavailable.New("the configuration file is read-only") }
--- a/platform/file/kv_test.go
+++ b/backing/file/kv_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const good = `
@@ -59,12 +59,12 @@
 	} {
 		writeFile(t, path, bad)
 		_, err := New(path).Range(t.Context(), "")
-		assert.Assert(t, platform.ErrUnavailable.Has(err), "%v", err)
+		assert.Assert(t, backing.ErrUnavailable.Has(err), "%v", err)
 	}
-	_, err := New(path).Commit(t.Context(), platform.Txn{})
-	assert.Assert(t, platform.ErrUnavailable.Has(err))
+	_, err := New(path).Commit(t.Context(), backing.Txn{})
+	assert.Assert(t, backing.ErrUnavailable.Has(err))
 	_, err = New(path).GrantLease(t.Context(), time.Second)
-	assert.Assert(t, platform.ErrUnavailable.Has(err))
+	assert.Assert(t, backing.ErrUnavailable.Has(err))
 }
 
 // Guards against an edited file that is not noticed, and against a watch that outlives its context.
--- a/platform/file/local.go
+++ b/backing/file/local.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/memory"
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/memory"
 )
 
 // configPrefix starts the keys that come from the file.
@@ -22,7 +22,7 @@
 	memory *memory.KV
 }
 
-var _ platform.KV = (*Local)(nil)
+var _ backing.KV = (*Local)(nil)
 
 // NewLocal returns a Local that reads the file at path. It answers once Run is started.
 func NewLocal(path string) *Local { return &Local{file: New(path), memory: memory.NewKV()} }
@@ -30,48 +30,48 @@
 // Run serves until ctx ends.
 func (l *Local) Run(ctx context.Context) { l.memory.Run(ctx) }
 
-// Range implements platform.KV.
-func (l *Local) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+// Range implements backing.KV.
+func (l *Local) Range(ctx context.Context, prefix string) (backing.RangeResult, error) {
 	return l.of(prefix).Range(ctx, prefix)
 }
 
-// Get implements platform.KV.
-func (l *Local) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements backing.KV.
+func (l *Local) Get(ctx context.Context, key string) (backing.Entry, error) {
 	return l.of(key).Get(ctx, key)
 }
 
-// Commit implements platform.KV.
-func (l *Local) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (l *Local) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	for _, w := range txn.Writes {
 		if !isLocal(w.Key) {
-			return platform.CommitResult{}, platform.ErrUnavailable.New("%s cannot be written with a configuration from a file", w.Key)
+			return backing.CommitResult{}, backing.ErrUnavailable.New("%s cannot be written with a configuration from a file", w.Key)
 		}
 	}
 	return l.memory.Commit(ctx, txn)
 }
 
-// Watch implements platform.KV.
-func (l *Local) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+// Watch implements backing.KV.
+func (l *Local) Watch(ctx context.Context, prefix string, from int64) (<-chan backing.WatchBatch, error) {
 	return l.of(prefix).Watch(ctx, prefix, from)
 }
 
-// GrantLease implements platform.KV.
-func (l *Local) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements backing.KV.
+func (l *Local) GrantLease(ctx context.Context, ttl time.Duration) (backing.LeaseID, error) {
 	return l.memory.GrantLease(ctx, ttl)
 }
 
-// RenewLease implements platform.KV.
-func (l *Local) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease implements backing.KV.
+func (l *Local) RenewLease(ctx context.Context, id backing.LeaseID) error {
 	return l.memory.RenewLease(ctx, id)
 }
 
-// RevokeLease implements platform.KV.
-func (l *Local) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements backing.KV.
+func (l *Local) RevokeLease(ctx context.Context, id backing.LeaseID) error {
 	return l.memory.RevokeLease(ctx, id)
 }
 
 // of returns the store of a key or prefix.
-func (l *Local) of(key string) platform.KV {
+func (l *Local) of(key string) backing.KV {
 	if strings.HasPrefix(key, configPrefix) {
 		return l.file
 	}
--- a/platform/file/local_test.go
+++ b/backing/file/local_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // Guards against a change or a claim that is accepted although it would be lost with the process.
@@ -22,12 +22,12 @@
 	go l.Run(ctx)
 	lease, err := l.GrantLease(ctx, time.Minute)
 	assert.NilError(t, err)
-	own, err := l.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "own/claims/00", Lease: lease}}})
+	own, err := l.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: "own/claims/00", Lease: lease}}})
 	assert.NilError(t, err)
 	assert.Assert(t, own.Committed)
 	for _, key := range []string{"config/head", "claims/00/1"} {
-		_, err := l.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: key}}})
-		assert.Assert(t, platform.ErrUnavailable.Has(err), key)
+		_, err := l.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: key}}})
+		assert.Assert(t, backing.ErrUnavailable.Has(err), key)
 	}
 	head, err := l.Get(ctx, "config/head")
 	assert.NilError(t, err)
--- a/platform/file/parse.go
+++ b/backing/file/parse.go
@@ -8,7 +8,7 @@
 	"github.com/zeebo/errs"
 	"go.yaml.in/yaml/v3"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // Error is the class of the errors of this package.
@@ -27,32 +27,32 @@
 }
 
 // parse returns the entries of the file in no particular order.
-func parse(data []byte) (platform.RangeResult, error) {
+func parse(data []byte) (backing.RangeResult, error) {
 	var d document
 	if err := strict(data, &d); err != nil {
-		return platform.RangeResult{}, err
+		return backing.RangeResult{}, err
 	}
 	if d.Revision <= 0 {
-		return platform.RangeResult{}, Error.New("revision must be at least 1")
+		return backing.RangeResult{}, Error.New("revision must be at least 1")
 	}
-	result := platform.RangeResult{Revision: d.Revision}
+	result := backing.RangeResult{Revision: d.Revision}
 	add := func(key string, value any) error {
 		encoded, err := json.Marshal(value)
-		result.Entries = append(result.Entries, platform.Entry{
+		result.Entries = append(result.Entries, backing.Entry{
 			Key: key, Value: encoded, CreateRevision: d.Revision, ModRevision: d.Revision,
 		})
 		return Error.Wrap(err)
 	}
 	if err := add(headKey, struct{ Revision int64 }{d.Revision}); err != nil {
-		return platform.RangeResult{}, err
+		return backing.RangeResult{}, err
 	}
 	for i := range d.Objects {
 		o, err := parseObject(&d.Objects[i])
 		if err != nil {
-			return platform.RangeResult{}, Error.New("object in line %d: %w", d.Objects[i].Line, err)
+			return backing.RangeResult{}, Error.New("object in line %d: %w", d.Objects[i].Line, err)
 		}
 		if err := add(objectsPrefix+string(o.Kind)+"/"+o.Name, o.at(d.Revision)); err != nil {
-			return platform.RangeResult{}, err
+			return backing.RangeResult{}, err
 		}
 	}
 	return result, nil
--- a/platform/hostlist/file.go
+++ b/backing/hostlist/file.go
@@ -4,8 +4,8 @@
 	"context"
 	"os"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/message"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // File reads the list from a file each time.
@@ -16,7 +16,7 @@
 // NewFile returns a list that is read from path.
 func NewFile(path string) *File { return &File{path: path} }
 
-// Fetch implements platform.HostList.
+// Fetch implements backing.HostList.
 func (f *File) Fetch(context.Context) ([]message.Host, error) {
 	data, err := os.ReadFile(f.path)
 	if err != nil {
@@ -25,4 +25,4 @@
 	return parse(data)
 }
 
-var _ platform.HostList = (*File)(nil)
+var _ backing.HostList = (*File)(nil)
--- a/platform/hostlist/http.go
+++ b/backing/hostlist/http.go
@@ -5,8 +5,8 @@
 	"io"
 	"net/http"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/message"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // maxBody bounds a list; 15,000 hosts take about 3 MB.
@@ -21,7 +21,7 @@
 // NewHTTP returns a list that is read from url.
 func NewHTTP(client *http.Client, url string) *HTTP { return &HTTP{client: client, url: url} }
 
-// Fetch implements platform.HostList.
+// Fetch implements backing.HostList.
 func (h *HTTP) Fetch(ctx context.Context) ([]message.Host, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url, nil)
 	if err != nil {
@@ -42,4 +42,4 @@
 	return parse(data)
 }
 
-var _ platform.HostList = (*HTTP)(nil)
+var _ backing.HostList = (*HTTP)(nil)
--- a/platform/kv.go
+++ b/backing/kv.go
@@ -1,5 +1,5 @@
-// Package platform defines the narrow interfaces through which azuredyke uses the platform's services.
-package platform
+// Package backing defines the narrow interfaces through which azuredyke uses the platform's services.
+package backing
 
 import (
 	"context"
--- a/platform/lease_id.go
+++ b/backing/lease_id.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // LeaseID identifies a lease; 0 is no lease.
 type LeaseID int64
--- a/platform/memory/calls.go
+++ b/backing/memory/calls.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/mailbox"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // result carries a value or an error back to the caller.
@@ -31,39 +31,39 @@
 		return storeCall[R]{apply: apply, reply: reply}
 	})
 	if err != nil {
-		return r.value, platform.ErrUnknownOutcome.Wrap(err)
+		return r.value, backing.ErrUnknownOutcome.Wrap(err)
 	}
 	return r.value, r.err
 }
 
-// Range implements platform.KV.
-func (k *KV) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
-	return do(ctx, k, func(t *task) (platform.RangeResult, error) { return t.store.Range(prefix), nil })
+// Range implements backing.KV.
+func (k *KV) Range(ctx context.Context, prefix string) (backing.RangeResult, error) {
+	return do(ctx, k, func(t *task) (backing.RangeResult, error) { return t.store.Range(prefix), nil })
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
-	return do(ctx, k, func(t *task) (platform.Entry, error) { return t.store.Get(key), nil })
+// Get implements backing.KV.
+func (k *KV) Get(ctx context.Context, key string) (backing.Entry, error) {
+	return do(ctx, k, func(t *task) (backing.Entry, error) { return t.store.Get(key), nil })
 }
 
-// Commit implements platform.KV.
-func (k *KV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
-	return do(ctx, k, func(t *task) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (k *KV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
+	return do(ctx, k, func(t *task) (backing.CommitResult, error) {
 		committed, batch, err := t.store.Commit(txn)
 		t.publish(batch)
 		return committed, err
 	})
 }
 
-// Watch implements platform.KV.
-func (k *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+// Watch implements backing.KV.
+func (k *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan backing.WatchBatch, error) {
 	w := &watcher{prefix: prefix}
 	_, err := do(ctx, k, func(t *task) (struct{}, error) {
 		past, err := t.store.Since(from)
 		if err != nil {
 			return struct{}{}, err
 		}
-		w.out = make(chan platform.WatchBatch, len(past)+watchCapacity)
+		w.out = make(chan backing.WatchBatch, len(past)+watchCapacity)
 		t.watchers[w] = struct{}{}
 		for _, batch := range past {
 			t.offer(w, batch)
@@ -83,19 +83,19 @@
 	return w.out, nil
 }
 
-// GrantLease implements platform.KV.
-func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return do(ctx, k, func(t *task) (platform.LeaseID, error) { return t.store.GrantLease(time.Now(), ttl), nil })
+// GrantLease implements backing.KV.
+func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (backing.LeaseID, error) {
+	return do(ctx, k, func(t *task) (backing.LeaseID, error) { return t.store.GrantLease(time.Now(), ttl), nil })
 }
 
-// RenewLease implements platform.KV.
-func (k *KV) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease implements backing.KV.
+func (k *KV) RenewLease(ctx context.Context, id backing.LeaseID) error {
 	_, err := do(ctx, k, func(t *task) (time.Duration, error) { return t.store.RenewLease(time.Now(), id) })
 	return err
 }
 
-// RevokeLease implements platform.KV.
-func (k *KV) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements backing.KV.
+func (k *KV) RevokeLease(ctx context.Context, id backing.LeaseID) error {
 	_, err := do(ctx, k, func(t *task) (struct{}, error) {
 		batch, err := t.store.RevokeLease(id)
 		t.publish(batch)
@@ -104,4 +104,4 @@
 	return err
 }
 
-var _ platform.KV = (*KV)(nil)
+var _ backing.KV = (*KV)(nil)
--- a/platform/memory/kv.go
+++ b/backing/memory/kv.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/mailbox"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const (
@@ -19,7 +19,7 @@
 	watchCapacity = 64
 )
 
-// KV is a task that owns a Store. It implements platform.KV.
+// KV is a task that owns a Store. It implements backing.KV.
 type KV struct {
 	calls mailbox.Mailbox[call]
 }
@@ -38,7 +38,7 @@
 // watcher is one open watch.
 type watcher struct {
 	prefix string
-	out    chan platform.WatchBatch
+	out    chan backing.WatchBatch
 }
 
 // NewKV returns a KV that answers once Run is started.
@@ -67,7 +67,7 @@
 }
 
 // publish sends the events of a batch to the watchers of their prefixes.
-func (t *task) publish(batch platform.WatchBatch) {
+func (t *task) publish(batch backing.WatchBatch) {
 	if len(batch.Events) == 0 {
 		return
 	}
@@ -77,8 +77,8 @@
 }
 
 // offer sends what concerns one watcher; a watcher whose channel is full loses the watch.
-func (t *task) offer(w *watcher, batch platform.WatchBatch) {
-	events := make([]platform.WatchEvent, 0, len(batch.Events))
+func (t *task) offer(w *watcher, batch backing.WatchBatch) {
+	events := make([]backing.WatchEvent, 0, len(batch.Events))
 	for _, e := range batch.Events {
 		if strings.HasPrefix(e.Entry.Key, w.prefix) {
 			events = append(events, e)
@@ -88,7 +88,7 @@
 		return
 	}
 	select {
-	case w.out <- platform.WatchBatch{Events: events, Revision: batch.Revision}:
+	case w.out <- backing.WatchBatch{Events: events, Revision: batch.Revision}:
 	default:
 		t.drop(w)
 	}
--- a/platform/memory/kv_test.go
+++ b/backing/memory/kv_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // start runs a KV until the test ends.
@@ -32,9 +32,9 @@
 func TestCommitAppliesAllOrNothing(t *testing.T) {
 	kv := start(t)
 	ctx := t.Context()
-	put := platform.Txn{
-		Conditions: []platform.Condition{{Key: "a"}},
-		Writes:     []platform.Write{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}},
+	put := backing.Txn{
+		Conditions: []backing.Condition{{Key: "a"}},
+		Writes:     []backing.Write{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}},
 	}
 	first, err := kv.Commit(ctx, put)
 	assert.NilError(t, err)
@@ -55,7 +55,7 @@
 		defer cancel()
 		lease, err := kv.GrantLease(ctx, 2*time.Second)
 		assert.NilError(t, err)
-		put, err := kv.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "own/x", Lease: lease}}})
+		put, err := kv.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: "own/x", Lease: lease}}})
 		assert.NilError(t, err)
 		events, err := kv.Watch(ctx, "own/", put.Revision+1)
 		assert.NilError(t, err)
@@ -67,6 +67,6 @@
 		assert.Assert(t, e.ModRevision != 0, "a renewed lease must not lapse")
 		batch := <-events
 		assert.Assert(t, batch.Events[0].Deleted)
-		assert.Assert(t, platform.ErrLeaseNotFound.Has(kv.RenewLease(ctx, lease)))
+		assert.Assert(t, backing.ErrLeaseNotFound.Has(kv.RenewLease(ctx, lease)))
 	})
 }
--- a/platform/memory/scan.go
+++ b/backing/memory/scan.go
@@ -6,19 +6,19 @@
 	"sort"
 	"time"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // Scan returns the entries with key <= k < end, sorted by key. An empty end means the key alone, and "\x00" means all
 // keys from key on.
-func (s *Store) Scan(key, end string) []platform.Entry {
+func (s *Store) Scan(key, end string) []backing.Entry {
 	if end == "" {
 		if e, ok := s.entries[key]; ok {
-			return []platform.Entry{e}
+			return []backing.Entry{e}
 		}
 		return nil
 	}
-	var found []platform.Entry
+	var found []backing.Entry
 	for k, e := range s.entries {
 		if Covers(key, end, k) {
 			found = append(found, e)
--- a/platform/memory/store.go
+++ b/backing/memory/store.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // maxHistory bounds the batches kept for watches that start in the past.
@@ -14,11 +14,11 @@
 // Store is a key-value store with revisions and leases. It has no goroutine and no clock; KV owns one.
 type Store struct {
 	revision  int64
-	entries   map[string]platform.Entry
+	entries   map[string]backing.Entry
 	versions  map[string]int64
-	leases    map[platform.LeaseID]lease
-	nextLease platform.LeaseID
-	history   []platform.WatchBatch
+	leases    map[backing.LeaseID]lease
+	nextLease backing.LeaseID
+	history   []backing.WatchBatch
 }
 
 // lease is the state of one lease.
@@ -31,9 +31,9 @@
 func NewStore() *Store {
 	return &Store{
 		revision:  1,
-		entries:   map[string]platform.Entry{},
+		entries:   map[string]backing.Entry{},
 		versions:  map[string]int64{},
-		leases:    map[platform.LeaseID]lease{},
+		leases:    map[backing.LeaseID]lease{},
 		nextLease: 1,
 	}
 }
@@ -42,16 +42,16 @@
 func (s *Store) Revision() int64 { return s.revision }
 
 // Get returns one entry; its ModRevision is 0 when the key does not exist.
-func (s *Store) Get(key string) platform.Entry {
+func (s *Store) Get(key string) backing.Entry {
 	if e, ok := s.entries[key]; ok {
 		return e
 	}
-	return platform.Entry{Key: key}
+	return backing.Entry{Key: key}
 }
 
 // Range returns the entries whose keys start with prefix, sorted by key.
-func (s *Store) Range(prefix string) platform.RangeResult {
-	result := platform.RangeResult{Revision: s.revision}
+func (s *Store) Range(prefix string) backing.RangeResult {
+	result := backing.RangeResult{Revision: s.revision}
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			result.Entries = append(result.Entries, e)
@@ -62,10 +62,10 @@
 }
 
 // Commit applies the transaction. Its second result is the batch of events, empty when nothing changed.
-func (s *Store) Commit(txn platform.Txn) (platform.CommitResult, platform.WatchBatch, error) {
+func (s *Store) Commit(txn backing.Txn) (backing.CommitResult, backing.WatchBatch, error) {
 	for _, c := range txn.Conditions {
 		if s.entries[c.Key].ModRevision != c.ModRevision {
-			return platform.CommitResult{Revision: s.revision}, platform.WatchBatch{}, nil
+			return backing.CommitResult{Revision: s.revision}, backing.WatchBatch{}, nil
 		}
 	}
 	for _, w := range txn.Writes {
@@ -73,16 +73,16 @@
 			continue
 		}
 		if _, ok := s.leases[w.Lease]; !ok {
-			return platform.CommitResult{}, platform.WatchBatch{}, platform.ErrLeaseNotFound.New("lease %d", w.Lease)
+			return backing.CommitResult{}, backing.WatchBatch{}, backing.ErrLeaseNotFound.New("lease %d", w.Lease)
 		}
 	}
 	batch := s.apply(txn.Writes)
-	return platform.CommitResult{Committed: true, Revision: s.revision}, batch, nil
+	return backing.CommitResult{Committed: true, Revision: s.revision}, batch, nil
 }
 
 // apply makes the writes at one new revision.
-func (s *Store) apply(writes []platform.Write) platform.WatchBatch {
-	var events []platform.WatchEvent
+func (s *Store) apply(writes []backing.Write) backing.WatchBatch {
+	var events []backing.WatchEvent
 	next := s.revision + 1
 	for _, w := range writes {
 		old, existed := s.entries[w.Key]
@@ -90,33 +90,33 @@
 			if existed {
 				delete(s.entries, w.Key)
 				delete(s.versions, w.Key)
-				gone := platform.Entry{Key: w.Key, ModRevision: next}
-				events = append(events, platform.WatchEvent{Deleted: true, Entry: gone})
+				gone := backing.Entry{Key: w.Key, ModRevision: next}
+				events = append(events, backing.WatchEvent{Deleted: true, Entry: gone})
 			}
 			continue
 		}
-		e := platform.Entry{Key: w.Key, Value: w.Value, CreateRevision: next, ModRevision: next, Lease: w.Lease}
+		e := backing.Entry{Key: w.Key, Value: w.Value, CreateRevision: next, ModRevision: next, Lease: w.Lease}
 		if existed {
 			e.CreateRevision = old.CreateRevision
 		}
 		s.entries[w.Key] = e
 		s.versions[w.Key]++
-		events = append(events, platform.WatchEvent{Entry: e})
+		events = append(events, backing.WatchEvent{Entry: e})
 	}
 	if len(events) == 0 {
-		return platform.WatchBatch{}
+		return backing.WatchBatch{}
 	}
 	s.revision = next
-	batch := platform.WatchBatch{Events: events, Revision: next}
+	batch := backing.WatchBatch{Events: events, Revision: next}
 	s.history = append(s.history, batch)
 	if len(s.history) > maxHistory {
-		s.history = append([]platform.WatchBatch(nil), s.history[len(s.history)-maxHistory/2:]...)
+		s.history = append([]backing.WatchBatch(nil), s.history[len(s.history)-maxHistory/2:]...)
 	}
 	return batch
 }
 
 // Since returns the batches from the given revision on, or ErrCompacted when they are no longer kept.
-func (s *Store) Since(from int64) ([]platform.WatchBatch, error) {
+func (s *Store) Since(from int64) ([]backing.WatchBatch, error) {
 	if from > s.revision {
 		return nil, nil
 	}
@@ -125,14 +125,14 @@
 		first = s.history[0].Revision
 	}
 	if from < first && first > 2 {
-		return nil, platform.ErrCompacted.New("revision %d is older than %d", from, first)
+		return nil, backing.ErrCompacted.New("revision %d is older than %d", from, first)
 	}
 	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision >= from })
 	return s.history[start:], nil
 }
 
 // GrantLease returns a new lease that expires ttl after now.
-func (s *Store) GrantLease(now time.Time, ttl time.Duration) platform.LeaseID {
+func (s *Store) GrantLease(now time.Time, ttl time.Duration) backing.LeaseID {
 	id := s.nextLease
 	s.nextLease++
 	s.leases[id] = lease{ttl: ttl, expires: now.Add(ttl)}
@@ -140,10 +140,10 @@
 }
 
 // RenewLease extends a lease, or returns ErrLeaseNotFound.
-func (s *Store) RenewLease(now time.Time, id platform.LeaseID) (time.Duration, error) {
+func (s *Store) RenewLease(now time.Time, id backing.LeaseID) (time.Duration, error) {
 	l, ok := s.leases[id]
 	if !ok {
-		return 0, platform.ErrLeaseNotFound.New("lease %d", id)
+		return 0, backing.ErrLeaseNotFound.New("lease %d", id)
 	}
 	l.expires = now.Add(l.ttl)
 	s.leases[id] = l
@@ -151,15 +151,15 @@
 }
 
 // RevokeLease deletes a lease and its keys.
-func (s *Store) RevokeLease(id platform.LeaseID) (platform.WatchBatch, error) {
+func (s *Store) RevokeLease(id backing.LeaseID) (backing.WatchBatch, error) {
 	if _, ok := s.leases[id]; !ok {
-		return platform.WatchBatch{}, platform.ErrLeaseNotFound.New("lease %d", id)
+		return backing.WatchBatch{}, backing.ErrLeaseNotFound.New("lease %d", id)
 	}
 	delete(s.leases, id)
-	var writes []platform.Write
+	var writes []backing.Write
 	for key, e := range s.entries {
 		if e.Lease == id {
-			writes = append(writes, platform.Write{Key: key, Delete: true})
+			writes = append(writes, backing.Write{Key: key, Delete: true})
 		}
 	}
 	sort.Slice(writes, func(i, j int) bool { return writes[i].Key < writes[j].Key })
@@ -167,8 +167,8 @@
 }
 
 // Expire revokes the leases that have lapsed and returns the batches of events.
-func (s *Store) Expire(now time.Time) []platform.WatchBatch {
-	var batches []platform.WatchBatch
+func (s *Store) Expire(now time.Time) []backing.WatchBatch {
+	var batches []backing.WatchBatch
 	for id, l := range s.leases {
 		if now.Before(l.expires) {
 			continue
--- a/platform/range_result.go
+++ b/backing/range_result.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // RangeResult is the answer of KV.Range.
 type RangeResult struct {
--- a/platform/txn.go
+++ b/backing/txn.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // Txn is a compare-and-swap over several keys. At most 100 writes.
 type Txn struct {
--- a/platform/watch_batch.go
+++ b/backing/watch_batch.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // WatchBatch holds the events of one revision, in order.
 type WatchBatch struct {
--- a/platform/watch_event.go
+++ b/backing/watch_event.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // WatchEvent is one change of a key. For a deletion, only Entry.Key and Entry.ModRevision are set.
 type WatchEvent struct {
--- a/platform/write.go
+++ b/backing/write.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // Write puts or deletes one key.
 type Write struct {
--- a/cmd/azuredyked/platform.go
+++ b/cmd/azuredyked/platform.go
@@ -7,17 +7,17 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/etcd"
+	"azuredyke.dev/azuredyke/backing/file"
+	"azuredyke.dev/azuredyke/backing/hostlist"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/common/tlsfiles"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/etcd"
-	"azuredyke.dev/azuredyke/platform/file"
-	"azuredyke.dev/azuredyke/platform/hostlist"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // openKV returns the key-value service of the settings. A service in memory lives until ctx ends.
-func openKV(ctx context.Context, s settings.Settings, tlsConfig *tls.Config) platform.KV {
+func openKV(ctx context.Context, s settings.Settings, tlsConfig *tls.Config) backing.KV {
 	kv := s.Platform.KeyValue
 	switch kv.Kind {
 	case settings.KeyValueEtcd:
@@ -34,7 +34,7 @@
 }
 
 // openHostList returns the host list of the settings.
-func openHostList(s settings.HostListSettings, tlsConfig *tls.Config) platform.HostList {
+func openHostList(s settings.HostListSettings, tlsConfig *tls.Config) backing.HostList {
 	if s.Kind == settings.HostListFile {
 		return hostlist.NewFile(s.Path)
 	}
--- a/experiment/site.go
+++ b/experiment/site.go
@@ -10,13 +10,13 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing/hostlist"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/decision/config"
 	fakeengine "azuredyke.dev/azuredyke/fake/engine"
 	fakehostlist "azuredyke.dev/azuredyke/fake/hostlist"
 	"azuredyke.dev/azuredyke/fake/plainservice"
-	"azuredyke.dev/azuredyke/platform/hostlist"
-	"azuredyke.dev/azuredyke/platform/memory"
 	"azuredyke.dev/azuredyke/service/configuration"
 	"azuredyke.dev/azuredyke/service/node"
 )
--- a/fake/faultykv/kv.go
+++ b/fake/faultykv/kv.go
@@ -7,12 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // KV is one node's connection to a shared key-value service. Its fields may be changed while it is used.
 type KV struct {
-	platform.KV
+	backing.KV
 	// Mode holds the Mode in force.
 	Mode atomic.Int32
 	// SpareLease exempts the calls about leases.
@@ -36,13 +36,13 @@
 	time.Sleep(time.Duration(f.Latency.Load()))
 	switch f.fault() {
 	case Refuse:
-		return platform.ErrUnavailable.New("fault")
+		return backing.ErrUnavailable.New("fault")
 	case LoseAnswer:
 		_ = apply(ctx)
-		return platform.ErrUnknownOutcome.New("fault")
+		return backing.ErrUnknownOutcome.New("fault")
 	case LateWrite:
 		time.AfterFunc(lateBy, func() { _ = apply(context.Background()) })
-		return platform.ErrUnknownOutcome.New("fault")
+		return backing.ErrUnknownOutcome.New("fault")
 	case Stall:
 		time.Sleep(PauseFor)
 		return apply(context.WithoutCancel(ctx))
@@ -57,45 +57,45 @@
 func (f *KV) read() error {
 	switch f.fault() {
 	case Refuse:
-		return platform.ErrUnavailable.New("fault")
+		return backing.ErrUnavailable.New("fault")
 	case Pause:
 		defer time.Sleep(PauseFor)
 	}
 	return nil
 }
 
-// Range implements platform.KV.
-func (f *KV) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+// Range implements backing.KV.
+func (f *KV) Range(ctx context.Context, prefix string) (backing.RangeResult, error) {
 	if err := f.read(); err != nil {
-		return platform.RangeResult{}, err
+		return backing.RangeResult{}, err
 	}
 	return f.KV.Range(ctx, prefix)
 }
 
-// Get implements platform.KV.
-func (f *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements backing.KV.
+func (f *KV) Get(ctx context.Context, key string) (backing.Entry, error) {
 	if err := f.read(); err != nil {
-		return platform.Entry{}, err
+		return backing.Entry{}, err
 	}
 	return f.KV.Get(ctx, key)
 }
 
-// Commit implements platform.KV.
-func (f *KV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
-	var result platform.CommitResult
+// Commit implements backing.KV.
+func (f *KV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
+	var result backing.CommitResult
 	err := f.write(ctx, func(ctx context.Context) (err error) {
 		result, err = f.KV.Commit(ctx, txn)
 		return err
 	})
 	if err != nil {
-		return platform.CommitResult{}, err
+		return backing.CommitResult{}, err
 	}
 	return result, nil
 }
 
-// GrantLease implements platform.KV.
-func (f *KV) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	var id platform.LeaseID
+// GrantLease implements backing.KV.
+func (f *KV) GrantLease(ctx context.Context, ttl time.Duration) (backing.LeaseID, error) {
+	var id backing.LeaseID
 	err := f.write(ctx, func(ctx context.Context) (err error) {
 		id, err = f.KV.GrantLease(ctx, ttl)
 		return err
@@ -106,8 +106,8 @@
 	return id, nil
 }
 
-// RenewLease implements platform.KV.
-func (f *KV) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease implements backing.KV.
+func (f *KV) RenewLease(ctx context.Context, id backing.LeaseID) error {
 	if f.SpareLease.Load() {
 		f.count()
 		return f.KV.RenewLease(ctx, id)
@@ -115,8 +115,8 @@
 	return f.write(ctx, func(ctx context.Context) error { return f.KV.RenewLease(ctx, id) })
 }
 
-// Watch implements platform.KV. It holds events back while the node is paused.
-func (f *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+// Watch implements backing.KV. It holds events back while the node is paused.
+func (f *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan backing.WatchBatch, error) {
 	if err := f.read(); err != nil {
 		return nil, err
 	}
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := make(chan platform.WatchBatch, 64)
+	out := make(chan backing.WatchBatch, 64)
 	go func() {
 		defer close(out)
 		for batch := range batches {
--- a/fake/hostlist/server.go
+++ b/fake/hostlist/server.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"azuredyke.dev/azuredyke/backing/hostlist"
 	"azuredyke.dev/azuredyke/common/latest"
-	"azuredyke.dev/azuredyke/platform/hostlist"
 )
 
 // Server shows the newest list that is at least as old as the lag.
--- a/fake/hostlist/server_test.go
+++ b/fake/hostlist/server_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"azuredyke.dev/azuredyke/platform/hostlist"
+	"azuredyke.dev/azuredyke/backing/hostlist"
 )
 
 func read(s *Server) (int, string) {
--- a/fake/kvserver/control_message.go
+++ b/fake/kvserver/control_message.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/mailbox"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // controlMessage changes the state on behalf of a test.
@@ -68,8 +68,8 @@
 }
 
 // Entries returns the stored entries whose keys start with prefix. It is not a call and is not counted.
-func (s *Server) Entries(prefix string) []platform.Entry {
-	var entries []platform.Entry
+func (s *Server) Entries(prefix string) []backing.Entry {
+	var entries []backing.Entry
 	s.control(func(t *task) { entries = t.store.Range(prefix).Entries })
 	return entries
 }
--- a/fake/kvserver/lease_message.go
+++ b/fake/kvserver/lease_message.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // leaseMessage grants, renews or revokes a lease.
@@ -38,13 +38,13 @@
 	case CallLeaseGrant:
 		r.id = int64(t.store.GrantLease(now, time.Duration(m.ttl)*time.Second))
 	case CallLeaseRevoke:
-		batch, err := t.store.RevokeLease(platform.LeaseID(m.id))
+		batch, err := t.store.RevokeLease(backing.LeaseID(m.id))
 		if err != nil {
 			r.err = errLeaseNotFound
 		}
 		t.publish(batch)
 	default:
-		ttl, err := t.store.RenewLease(now, platform.LeaseID(m.id))
+		ttl, err := t.store.RenewLease(now, backing.LeaseID(m.id))
 		if err == nil {
 			r.ttl = int64(ttl / time.Second)
 		}
--- a/fake/kvserver/range.go
+++ b/fake/kvserver/range.go
@@ -6,13 +6,13 @@
 	"slices"
 	"strings"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
 	"azuredyke.dev/azuredyke/gen/mvccpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // scan returns the entries of a range of the published API.
-func (t *task) scan(key, end []byte) []platform.Entry { return t.store.Scan(string(key), string(end)) }
+func (t *task) scan(key, end []byte) []backing.Entry { return t.store.Scan(string(key), string(end)) }
 
 // rangeOf answers a range. Older revisions are not kept; every range shows the newest.
 func (t *task) rangeOf(r *etcdserverpb.RangeRequest) *etcdserverpb.RangeResponse {
@@ -36,11 +36,11 @@
 }
 
 // sort orders entries as a request asks; without an order they are sorted by key.
-func (t *task) sort(found []platform.Entry, r *etcdserverpb.RangeRequest) {
+func (t *task) sort(found []backing.Entry, r *etcdserverpb.RangeRequest) {
 	if r.GetSortOrder() == etcdserverpb.RangeRequest_NONE {
 		return
 	}
-	slices.SortStableFunc(found, func(a, b platform.Entry) int {
+	slices.SortStableFunc(found, func(a, b backing.Entry) int {
 		var order int
 		switch r.GetSortTarget() {
 		case etcdserverpb.RangeRequest_VERSION:
@@ -62,7 +62,7 @@
 }
 
 // keyValue translates an entry.
-func (t *task) keyValue(e platform.Entry) *mvccpb.KeyValue {
+func (t *task) keyValue(e backing.Entry) *mvccpb.KeyValue {
 	return &mvccpb.KeyValue{
 		Key: []byte(e.Key), Value: e.Value, CreateRevision: e.CreateRevision, ModRevision: e.ModRevision,
 		Version: t.store.Version(e.Key), Lease: int64(e.Lease),
--- a/fake/kvserver/task.go
+++ b/fake/kvserver/task.go
@@ -5,9 +5,9 @@
 
 	"golang.org/x/time/rate"
 
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // task is the state that the goroutine of Run owns.
@@ -53,7 +53,7 @@
 }
 
 // publish sends the events of a batch to the watchers.
-func (t *task) publish(batch platform.WatchBatch) {
+func (t *task) publish(batch backing.WatchBatch) {
 	if len(batch.Events) == 0 {
 		return
 	}
@@ -63,7 +63,7 @@
 }
 
 // offer sends what concerns one watcher. A watcher that does not read loses its stream.
-func (t *task) offer(w *watcher, batch platform.WatchBatch) {
+func (t *task) offer(w *watcher, batch backing.WatchBatch) {
 	response := w.response(t.header(), batch)
 	if response == nil {
 		return
--- a/fake/kvserver/txn_message.go
+++ b/fake/kvserver/txn_message.go
@@ -1,8 +1,8 @@
 package kvserver
 
 import (
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // txnMessage applies a transaction that was checked.
@@ -38,17 +38,17 @@
 		ops = txn.GetFailure()
 	}
 	response.Responses = make([]*etcdserverpb.ResponseOp, len(ops))
-	var changes []platform.Write
+	var changes []backing.Write
 	for i, op := range ops {
 		switch {
 		case op.GetRequestPut() != nil:
 			put := op.GetRequestPut()
-			changes = append(changes, platform.Write{
-				Key: string(put.GetKey()), Value: put.GetValue(), Lease: platform.LeaseID(put.GetLease()),
+			changes = append(changes, backing.Write{
+				Key: string(put.GetKey()), Value: put.GetValue(), Lease: backing.LeaseID(put.GetLease()),
 			})
 		case op.GetRequestDeleteRange() != nil:
 			for _, e := range t.scan(op.GetRequestDeleteRange().GetKey(), op.GetRequestDeleteRange().GetRangeEnd()) {
-				changes = append(changes, platform.Write{Key: e.Key, Delete: true})
+				changes = append(changes, backing.Write{Key: e.Key, Delete: true})
 			}
 		}
 		// A range sees the writes before it only.
@@ -56,7 +56,7 @@
 			response.Responses[i] = t.respond(op)
 		}
 	}
-	_, batch, err := t.store.Commit(platform.Txn{Writes: changes})
+	_, batch, err := t.store.Commit(backing.Txn{Writes: changes})
 	if err != nil {
 		return nil, errLeaseNotFound
 	}
--- a/fake/kvserver/watcher.go
+++ b/fake/kvserver/watcher.go
@@ -1,10 +1,10 @@
 package kvserver
 
 import (
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/gen/etcdserverpb"
 	"azuredyke.dev/azuredyke/gen/mvccpb"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // watchCapacity is the number of responses that a stream may fall behind.
@@ -33,7 +33,7 @@
 }
 
 // response returns the events of a batch that concern the watch, or nil.
-func (w *watcher) response(header *etcdserverpb.ResponseHeader, batch platform.WatchBatch) *etcdserverpb.WatchResponse {
+func (w *watcher) response(header *etcdserverpb.ResponseHeader, batch backing.WatchBatch) *etcdserverpb.WatchResponse {
 	if batch.Revision < w.from {
 		return nil
 	}
--- a/service/claims/etcd_test.go
+++ b/service/claims/etcd_test.go
@@ -12,11 +12,11 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing/etcd"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/fake/kvserver"
-	"azuredyke.dev/azuredyke/platform/etcd"
 	"azuredyke.dev/azuredyke/service/ownership"
 )
 
--- a/service/claims/load.go
+++ b/service/claims/load.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/claim"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const (
@@ -55,7 +55,7 @@
 
 // reloadMessage carries the entries of the shard.
 type reloadMessage struct {
-	result platform.RangeResult
+	result backing.RangeResult
 	err    error
 }
 
--- a/service/claims/shard.go
+++ b/service/claims/shard.go
@@ -8,12 +8,12 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/claim"
 	"azuredyke.dev/azuredyke/decision/ownership"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Shard is the task that owns the claims of one shard. A claim is granted only once its batch is known to be durable.
 type Shard struct {
 	log      *zap.Logger
-	kv       platform.KV
+	kv       backing.KV
 	options  Options
 	resource string
 	fence    uint64
@@ -67,7 +67,7 @@
 	apply(s *Shard)
 }
 
-func newShard(log *zap.Logger, kv platform.KV, options Options, resource string, fence uint64, holdings *latest.Value[ownership.Holdings]) *Shard {
+func newShard(log *zap.Logger, kv backing.KV, options Options, resource string, fence uint64, holdings *latest.Value[ownership.Holdings]) *Shard {
 	return &Shard{
 		log: log.With(zap.String("shard", resource), zap.Uint64("fence", fence)), kv: kv, options: options,
 		resource: resource, fence: fence, holdings: holdings, messages: mailbox.New[shardMessage](shardCapacity),
--- a/service/claims/shards.go
+++ b/service/claims/shards.go
@@ -7,16 +7,16 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/ownership"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // Shards is the task that runs a Shard for each claim shard that the node owns.
 type Shards struct {
 	log      *zap.Logger
-	kv       platform.KV
+	kv       backing.KV
 	options  Options
 	holdings *latest.Value[ownership.Holdings]
 	current  *latest.Value[map[string]*Shard]
@@ -31,7 +31,7 @@
 }
 
 // NewShards returns a Shards that runs none.
-func NewShards(log *zap.Logger, kv platform.KV, options Options, holdings *latest.Value[ownership.Holdings]) *Shards {
+func NewShards(log *zap.Logger, kv backing.KV, options Options, holdings *latest.Value[ownership.Holdings]) *Shards {
 	return &Shards{
 		log: log, kv: kv, options: options, holdings: holdings, current: latest.New(map[string]*Shard{}),
 		running: map[string]runningShard{},
--- a/service/claims/site_test.go
+++ b/service/claims/site_test.go
@@ -10,12 +10,12 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/decision/config"
 	decision "azuredyke.dev/azuredyke/decision/ownership"
 	"azuredyke.dev/azuredyke/fake/faultykv"
-	"azuredyke.dev/azuredyke/platform/memory"
 	"azuredyke.dev/azuredyke/service/ownership"
 )
 
--- a/service/claims/stored_batch.go
+++ b/service/claims/stored_batch.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/claim"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // storedBatch is one batch of a shard in the key-value service.
@@ -31,7 +31,7 @@
 }
 
 // readBatches decodes the entries of a shard and calls replay for each record in order.
-func readBatches(entries []platform.Entry, replay func(claim.Record)) ([]storedBatch, error) {
+func readBatches(entries []backing.Entry, replay func(claim.Record)) ([]storedBatch, error) {
 	batches := make([]storedBatch, 0, len(entries))
 	for _, e := range entries {
 		records, err := decode(e.Value)
--- a/service/claims/upkeep.go
+++ b/service/claims/upkeep.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/claim"
-	"azuredyke.dev/azuredyke/platform"
 	"azuredyke.dev/azuredyke/service/ownership"
 )
 
@@ -48,15 +48,15 @@
 // replace puts the records in the place of the last of the batches, and deletes the others, in one transaction.
 func (s *Shard) replace(ctx context.Context, ownerRevision int64, from, to int, records []claim.Record) {
 	old := append([]storedBatch(nil), s.stored[from:to]...)
-	txn := platform.Txn{Conditions: []platform.Condition{
+	txn := backing.Txn{Conditions: []backing.Condition{
 		{Key: ownership.OwnerKey(s.resource), ModRevision: ownerRevision},
 	}}
 	last := old[len(old)-1].key
 	var value []byte
 	for _, b := range old {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: b.key, ModRevision: b.revision})
+		txn.Conditions = append(txn.Conditions, backing.Condition{Key: b.key, ModRevision: b.revision})
 		if b.key != last || len(records) == 0 {
-			txn.Writes = append(txn.Writes, platform.Write{Key: b.key, Delete: true})
+			txn.Writes = append(txn.Writes, backing.Write{Key: b.key, Delete: true})
 		}
 	}
 	if len(records) > 0 {
@@ -65,7 +65,7 @@
 			s.failed("merged batch not encoded", err)
 			return
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: last, Value: value})
+		txn.Writes = append(txn.Writes, backing.Write{Key: last, Value: value})
 	}
 	s.call(ctx, func(ctx context.Context) shardMessage {
 		m := upkeepMessage{from: from, to: to}
--- a/service/claims/write.go
+++ b/service/claims/write.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/claim"
-	"azuredyke.dev/azuredyke/platform"
 	"azuredyke.dev/azuredyke/service/ownership"
 )
 
@@ -52,16 +52,16 @@
 	if ownerRevision == 0 {
 		return 0, Error.New("the node does not own the shard")
 	}
-	result, err := s.kv.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+	result, err := s.kv.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{
 			{Key: ownership.OwnerKey(s.resource), ModRevision: ownerRevision}, {Key: batch.key},
 		},
-		Writes: []platform.Write{{Key: batch.key, Value: batch.value}},
+		Writes: []backing.Write{{Key: batch.key, Value: batch.value}},
 	})
 	if err == nil && result.Committed {
 		return result.Revision, nil
 	}
-	if err != nil && !platform.ErrUnknownOutcome.Has(err) {
+	if err != nil && !backing.ErrUnknownOutcome.Has(err) {
 		return 0, err
 	}
 	stored, readErr := s.kv.Get(ctx, batch.key)
--- a/service/configuration/apply_batch.go
+++ b/service/configuration/apply_batch.go
@@ -6,8 +6,8 @@
 
 	"github.com/zeebo/errs"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // errReadAgain is the class of batches that are not one change of one object, so that the configuration must be read again.
@@ -18,7 +18,7 @@
 //
 // Only a batch that looks like a change made by a Changer is applied: the head one revision on, its audit record, and one
 // object. Anything else, such as a configuration file that was replaced, may leave deletions out.
-func applyBatch(s *config.Snapshot, batch platform.WatchBatch) (*config.Snapshot, error) {
+func applyBatch(s *config.Snapshot, batch backing.WatchBatch) (*config.Snapshot, error) {
 	if batch.Err != nil {
 		return nil, batch.Err
 	}
--- a/service/configuration/attempt.go
+++ b/service/configuration/attempt.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // attempt is the work on one change.
@@ -41,13 +41,13 @@
 		// The outcome of a write is unknown: look again, whether or not the service can be read now.
 		select {
 		case <-ctx.Done():
-			return Accepted{}, platform.ErrUnknownOutcome.Wrap(err)
+			return Accepted{}, backing.ErrUnknownOutcome.Wrap(err)
 		case <-time.After(resolveDelay):
 		}
 	}
-	err := platform.ErrUnavailable.New("the configuration kept changing during %d tries", changeAttempts)
+	err := backing.ErrUnavailable.New("the configuration kept changing during %d tries", changeAttempts)
 	if a.doubt {
-		return Accepted{}, platform.ErrUnknownOutcome.New("%s", err)
+		return Accepted{}, backing.ErrUnknownOutcome.New("%s", err)
 	}
 	return Accepted{}, err
 }
--- a/service/configuration/audit.go
+++ b/service/configuration/audit.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // maxRefusalBytes bounds the record of a refused change, which may be refused for being too large. Beyond it the objects
@@ -110,12 +110,12 @@
 	if err != nil {
 		return err
 	}
-	result, err := s.kv.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: refusedHeadKey, ModRevision: modRevision}},
-		Writes:     []platform.Write{slot, count},
+	result, err := s.kv.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{{Key: refusedHeadKey, ModRevision: modRevision}},
+		Writes:     []backing.Write{slot, count},
 	})
 	if err == nil && !result.Committed {
-		return platform.ErrUnavailable.New("another refusal was recorded at the same time")
+		return backing.ErrUnavailable.New("another refusal was recorded at the same time")
 	}
 	return err
 }
--- a/service/configuration/audit_cursor.go
+++ b/service/configuration/audit_cursor.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // page is one read of a cursor.
@@ -15,7 +15,7 @@
 
 // auditCursor reads records from the newest to the oldest, a page at a time.
 type auditCursor struct {
-	kv platform.KV
+	kv backing.KV
 	// pages are still to be read, newest first.
 	pages []page
 	// records of the current page, oldest first.
--- a/service/configuration/audit_test.go
+++ b/service/configuration/audit_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // all selects every record.
@@ -102,9 +102,9 @@
 func TestRefusalIsNotDelayedByOutage(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.mustChange(t, 1)
-		r.kv.nextCommit(func(ctx context.Context, _ platform.Txn) (platform.CommitResult, error) {
+		r.kv.nextCommit(func(ctx context.Context, _ backing.Txn) (backing.CommitResult, error) {
 			<-ctx.Done()
-			return platform.CommitResult{}, platform.ErrUnavailable.New("stalled")
+			return backing.CommitResult{}, backing.ErrUnavailable.New("stalled")
 		})
 		start := time.Now()
 		for range 3 * recorderCapacity {
--- a/service/configuration/changer.go
+++ b/service/configuration/changer.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const (
@@ -34,7 +34,7 @@
 }
 
 // NewChanger returns a Changer.
-func NewChanger(log *zap.Logger, kv platform.KV, keeper *Keeper) *Changer {
+func NewChanger(log *zap.Logger, kv backing.KV, keeper *Keeper) *Changer {
 	s := newStore(kv)
 	return &Changer{
 		log: log, store: s, keeper: keeper, recorder: newRecorder(log, s),
@@ -44,7 +44,7 @@
 
 // Change makes a change and returns once it is known to have taken effect and is in force on this node. The error is a
 // *config.ConflictError, *config.NotFoundError, *config.InvalidError, *config.OperationReusedError,
-// *config.RestoredError, or one of the classes of package platform; platform.ErrUnknownOutcome means that the same
+// *config.RestoredError, or one of the classes of package platform; backing.ErrUnknownOutcome means that the same
 // operation id must be asked again, and all others that nothing was changed.
 func (c *Changer) Change(ctx context.Context, change config.Change) (Accepted, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -61,7 +61,7 @@
 	}
 	select {
 	case <-taken:
-		return Accepted{}, platform.ErrUnknownOutcome.Wrap(ctx.Err())
+		return Accepted{}, backing.ErrUnknownOutcome.Wrap(ctx.Err())
 	default:
 		// The Changer will see that ctx has ended, and leave the change alone.
 		return Accepted{}, unavailable(ctx.Err())
--- a/service/configuration/changer_test.go
+++ b/service/configuration/changer_test.go
@@ -10,16 +10,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // Guards against a change that is refused, or made twice, because the answer to its write was lost.
 func TestLostAnswerOfWriteIsResolved(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
-		r.kv.nextCommit(func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+		r.kv.nextCommit(func(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 			_, _ = r.kv.KV.Commit(ctx, txn)
-			return platform.CommitResult{}, platform.ErrUnknownOutcome.New("answer lost")
+			return backing.CommitResult{}, backing.ErrUnknownOutcome.New("answer lost")
 		})
 		accepted, err := r.changer.Change(t.Context(), putWest("op", 0, "a"))
 		assert.NilError(t, err)
@@ -33,15 +33,15 @@
 // operator's change. Reading the operation before the head makes this test fail with a conflict.
 func TestLateWriteIsNotTakenForConflict(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
-		var late platform.Txn
-		r.kv.nextCommit(func(_ context.Context, txn platform.Txn) (platform.CommitResult, error) {
+		var late backing.Txn
+		r.kv.nextCommit(func(_ context.Context, txn backing.Txn) (backing.CommitResult, error) {
 			late = txn
-			return platform.CommitResult{}, platform.ErrUnknownOutcome.New("stalled")
+			return backing.CommitResult{}, backing.ErrUnknownOutcome.New("stalled")
 		})
 		r.kv.afterGet = func(key string) {
 			if key == operationKey("op") && late.Writes != nil {
 				txn := late
-				late = platform.Txn{}
+				late = backing.Txn{}
 				_, err := r.kv.KV.Commit(context.Background(), txn)
 				assert.Check(t, err)
 			}
@@ -55,13 +55,13 @@
 // Guards against a false refusal when the service is away after a write of unknown outcome.
 func TestUnresolvedWriteIsUnknownOutcome(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
-		r.kv.nextCommit(func(context.Context, platform.Txn) (platform.CommitResult, error) {
+		r.kv.nextCommit(func(context.Context, backing.Txn) (backing.CommitResult, error) {
 			r.kv.down.Store(true)
-			return platform.CommitResult{}, platform.ErrUnknownOutcome.New("stalled")
+			return backing.CommitResult{}, backing.ErrUnknownOutcome.New("stalled")
 		})
 		start := time.Now()
 		_, err := r.changer.Change(t.Context(), putWest("op", 0, "a"))
-		assert.Assert(t, platform.ErrUnknownOutcome.Has(err), "%v", err)
+		assert.Assert(t, backing.ErrUnknownOutcome.Has(err), "%v", err)
 		assert.Equal(t, time.Since(start), changeTimeout)
 	})
 }
@@ -71,7 +71,7 @@
 	inBubble(t, func(t *testing.T, r *rig) {
 		r.kv.down.Store(true)
 		_, err := r.changer.Change(t.Context(), putWest("op", 0, "a"))
-		assert.Assert(t, platform.ErrUnavailable.Has(err) && !platform.ErrUnknownOutcome.Has(err), "%v", err)
+		assert.Assert(t, backing.ErrUnavailable.Has(err) && !backing.ErrUnknownOutcome.Has(err), "%v", err)
 		cancelled, cancel := context.WithCancel(t.Context())
 		cancel()
 		_, err = r.changer.Change(cancelled, putWest("op", 0, "a"))
@@ -106,7 +106,7 @@
 		r.mustChange(t, 3)
 		old, err := r.kv.KV.Get(t.Context(), headKey)
 		assert.NilError(t, err)
-		_, err = r.kv.KV.Commit(t.Context(), platform.Txn{Writes: []platform.Write{
+		_, err = r.kv.KV.Commit(t.Context(), backing.Txn{Writes: []backing.Write{
 			{Key: headKey, Value: []byte(strings.Replace(string(old.Value), "3", "2", 1))},
 		}})
 		assert.NilError(t, err)
@@ -128,9 +128,9 @@
 // Guards against a change that is reported as an unknown outcome although it only waited behind another one.
 func TestWaitingChangeIsUnavailable(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
-		r.kv.nextCommit(func(ctx context.Context, _ platform.Txn) (platform.CommitResult, error) {
+		r.kv.nextCommit(func(ctx context.Context, _ backing.Txn) (backing.CommitResult, error) {
 			<-ctx.Done()
-			return platform.CommitResult{}, platform.ErrUnknownOutcome.New("stalled")
+			return backing.CommitResult{}, backing.ErrUnknownOutcome.New("stalled")
 		})
 		first := make(chan error, 1)
 		go func() {
@@ -141,8 +141,8 @@
 		short, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := r.changer.Change(short, putWest("second", 0, "b"))
-		assert.Assert(t, platform.ErrUnavailable.Has(err) && !platform.ErrUnknownOutcome.Has(err), "%v", err)
-		assert.Assert(t, platform.ErrUnknownOutcome.Has(<-first))
+		assert.Assert(t, backing.ErrUnavailable.Has(err) && !backing.ErrUnknownOutcome.Has(err), "%v", err)
+		assert.Assert(t, backing.ErrUnknownOutcome.Has(<-first))
 		synctest.Wait()
 		op, err := r.changer.store.operation(t.Context(), "second")
 		assert.NilError(t, err)
--- a/service/configuration/distributor_test.go
+++ b/service/configuration/distributor_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // Targets of the design page, for 16 nodes.
@@ -186,7 +186,7 @@
 			_, err := f.nodes[0].changer.Change(t.Context(), putWest(fmt.Sprint("op-", n), config.AnyRevision, "a"))
 			assert.NilError(t, err)
 		}
-		_, err := f.kv.KV.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: headKey, Value: []byte(`{"Revision":2}`)}}})
+		_, err := f.kv.KV.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: headKey, Value: []byte(`{"Revision":2}`)}}})
 		assert.NilError(t, err)
 		last.publishMembers(map[int]int64{0: 3})
 		time.Sleep(time.Second)
--- a/service/configuration/etcd_test.go
+++ b/service/configuration/etcd_test.go
@@ -14,9 +14,9 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing/etcd"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/fake/kvserver"
-	"azuredyke.dev/azuredyke/platform/etcd"
 )
 
 // startService serves the stand-in of the key-value service until the test ends, and returns a client of it.
--- a/service/configuration/faulty_kv_test.go
+++ b/service/configuration/faulty_kv_test.go
@@ -4,14 +4,14 @@
 	"context"
 	"sync/atomic"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // faultyKV is a key-value service whose calls a test can change. The hooks are set before the calls are made.
 type faultyKV struct {
-	platform.KV
+	backing.KV
 	// commit replaces the next Commit once.
-	commit atomic.Pointer[func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error)]
+	commit atomic.Pointer[func(ctx context.Context, txn backing.Txn) (backing.CommitResult, error)]
 	// afterGet is called after each Get.
 	afterGet func(key string)
 	// afterRange is called after each Range.
@@ -20,33 +20,33 @@
 	ranges     atomic.Int64
 }
 
-func (k *faultyKV) nextCommit(f func(ctx context.Context, txn platform.Txn) (platform.CommitResult, error)) {
+func (k *faultyKV) nextCommit(f func(ctx context.Context, txn backing.Txn) (backing.CommitResult, error)) {
 	k.commit.Store(&f)
 }
 
 func (k *faultyKV) check() error {
 	if k.down.Load() {
-		return platform.ErrUnavailable.New("outage")
+		return backing.ErrUnavailable.New("outage")
 	}
 	return nil
 }
 
-// Commit implements platform.KV.
-func (k *faultyKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (k *faultyKV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	if f := k.commit.Swap(nil); f != nil {
 		return (*f)(ctx, txn)
 	}
 	if err := k.check(); err != nil {
-		return platform.CommitResult{}, err
+		return backing.CommitResult{}, err
 	}
 	return k.KV.Commit(ctx, txn)
 }
 
-// Range implements platform.KV.
-func (k *faultyKV) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+// Range implements backing.KV.
+func (k *faultyKV) Range(ctx context.Context, prefix string) (backing.RangeResult, error) {
 	k.ranges.Add(1)
 	if err := k.check(); err != nil {
-		return platform.RangeResult{}, err
+		return backing.RangeResult{}, err
 	}
 	result, err := k.KV.Range(ctx, prefix)
 	if k.afterRange != nil {
@@ -55,10 +55,10 @@
 	return result, err
 }
 
-// Get implements platform.KV.
-func (k *faultyKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements backing.KV.
+func (k *faultyKV) Get(ctx context.Context, key string) (backing.Entry, error) {
 	if err := k.check(); err != nil {
-		return platform.Entry{}, err
+		return backing.Entry{}, err
 	}
 	e, err := k.KV.Get(ctx, key)
 	if k.afterGet != nil {
@@ -67,8 +67,8 @@
 	return e, err
 }
 
-// Watch implements platform.KV. An outage breaks it at the next event.
-func (k *faultyKV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+// Watch implements backing.KV. An outage breaks it at the next event.
+func (k *faultyKV) Watch(ctx context.Context, prefix string, from int64) (<-chan backing.WatchBatch, error) {
 	if err := k.check(); err != nil {
 		return nil, err
 	}
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := make(chan platform.WatchBatch)
+	out := make(chan backing.WatchBatch)
 	go func() {
 		defer close(out)
 		for batch := range in {
--- a/service/configuration/fleet_test.go
+++ b/service/configuration/fleet_test.go
@@ -10,9 +10,9 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/latest"
-	"azuredyke.dev/azuredyke/platform"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 const (
@@ -49,9 +49,9 @@
 }
 
 // newFleet starts a fleet; end stops it. The nodes see the key-value service through wrap, unless it is nil.
-func newFleet(seed uint64, wrap func(platform.KV) platform.KV) *fleet {
+func newFleet(seed uint64, wrap func(backing.KV) backing.KV) *fleet {
 	store := memory.NewKV()
-	var kv platform.KV = store
+	var kv backing.KV = store
 	if wrap != nil {
 		kv = wrap(kv)
 	}
--- a/service/configuration/history_test.go
+++ b/service/configuration/history_test.go
@@ -12,8 +12,8 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // race lets operators change few objects at random nodes while links stall, and returns what was seen.
@@ -93,7 +93,7 @@
 				out.revision = conflict.Stored.Revision
 			}
 			return in, out, nil
-		case platform.ErrUnknownOutcome.Has(err), platform.ErrUnavailable.Has(err):
+		case backing.ErrUnknownOutcome.Has(err), backing.ErrUnavailable.Has(err):
 			time.Sleep(resolveDelay)
 		default:
 			return in, answered{}, err
@@ -102,7 +102,7 @@
 }
 
 // runRace races operators on a key-value service with faults and returns what the checker finds.
-func runRace(t *testing.T, wrap func(platform.KV) platform.KV) (h *history, problems []string) {
+func runRace(t *testing.T, wrap func(backing.KV) backing.KV) (h *history, problems []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(7, wrap)
@@ -117,7 +117,7 @@
 // Guards against a configuration that goes back on a node, an accepted change that is lost, and racing operators who get
 // answers that are not true, while answers of the key-value service are lost and half of the links are stalled.
 func TestRacingOperatorsGetTrueAnswers(t *testing.T) {
-	h, problems := runRace(t, func(kv platform.KV) platform.KV { return lossyKV{KV: kv, calls: newCalls()} })
+	h, problems := runRace(t, func(kv backing.KV) backing.KV { return lossyKV{KV: kv, calls: newCalls()} })
 	assert.Equal(t, len(problems), 0, "%v", problems)
 	assert.Equal(t, len(h.operations), racingOperators*racingChanges)
 	accepted := 0
@@ -133,10 +133,10 @@
 // Guards against a checker that sees nothing: it must find a service that loses what it said it wrote, one that ignores
 // conditions, and a node that goes back.
 func TestCheckerFindsPlantedFaults(t *testing.T) {
-	_, forgetful := runRace(t, func(kv platform.KV) platform.KV { return forgetfulKV{lossyKV{KV: kv, calls: newCalls()}} })
+	_, forgetful := runRace(t, func(kv backing.KV) backing.KV { return forgetfulKV{lossyKV{KV: kv, calls: newCalls()}} })
 	assert.Assert(t, len(forgetful) > 0)
 	t.Log("found with lost writes:", forgetful)
-	_, careless := runRace(t, func(kv platform.KV) platform.KV { return carelessKV{KV: slowKV{KV: kv}} })
+	_, careless := runRace(t, func(kv backing.KV) backing.KV { return carelessKV{KV: slowKV{KV: kv}} })
 	assert.Assert(t, len(careless) > 0)
 	t.Log("found with ignored conditions:", careless)
 	back := &history{inForce: [][]int64{{1, 2, 1}}}
--- a/service/configuration/leak_test.go
+++ b/service/configuration/leak_test.go
@@ -8,9 +8,9 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // noPeers is a node alone.
--- a/service/configuration/planted_kv_test.go
+++ b/service/configuration/planted_kv_test.go
@@ -4,17 +4,17 @@
 	"context"
 	"time"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // lossyKV loses the answer of every third transaction; every second one of those takes effect all the same.
 type lossyKV struct {
-	platform.KV
+	backing.KV
 	calls chan int
 }
 
-// Commit implements platform.KV.
-func (k lossyKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (k lossyKV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	n := <-k.calls
 	k.calls <- n + 1
 	if n%3 != 0 {
@@ -23,7 +23,7 @@
 	if n%2 == 0 {
 		_, _ = k.KV.Commit(ctx, txn)
 	}
-	return platform.CommitResult{}, platform.ErrUnknownOutcome.New("answer lost")
+	return backing.CommitResult{}, backing.ErrUnknownOutcome.New("answer lost")
 }
 
 // forgetfulKV says that every tenth transaction was made, but does not make it: a planted fault.
@@ -31,23 +31,23 @@
 	lossyKV
 }
 
-// Commit implements platform.KV.
-func (k forgetfulKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (k forgetfulKV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	n := <-k.calls
 	k.calls <- n + 1
 	if n%10 == 9 {
-		return platform.CommitResult{Committed: true}, nil
+		return backing.CommitResult{Committed: true}, nil
 	}
 	return k.KV.Commit(ctx, txn)
 }
 
 // carelessKV makes transactions whatever their conditions: a planted fault.
 type carelessKV struct {
-	platform.KV
+	backing.KV
 }
 
-// Commit implements platform.KV.
-func (k carelessKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (k carelessKV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	txn.Conditions = nil
 	return k.KV.Commit(ctx, txn)
 }
@@ -60,11 +60,11 @@
 
 // slowKV takes time to write, so that operators race.
 type slowKV struct {
-	platform.KV
+	backing.KV
 }
 
-// Commit implements platform.KV.
-func (k slowKV) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backing.KV.
+func (k slowKV) Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error) {
 	time.Sleep(5 * time.Millisecond)
 	return k.KV.Commit(ctx, txn)
 }
--- a/service/configuration/rig_test.go
+++ b/service/configuration/rig_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // rig is one node's configuration tasks on a key-value service with faults.
--- a/service/configuration/store.go
+++ b/service/configuration/store.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const (
@@ -20,12 +20,12 @@
 
 // store reads and writes the configuration in the key-value service.
 type store struct {
-	kv platform.KV
+	kv backing.KV
 	// auditLimit is the number of audit records that are kept.
 	auditLimit int64
 }
 
-func newStore(kv platform.KV) store { return store{kv: kv, auditLimit: maxAuditRecords} }
+func newStore(kv backing.KV) store { return store{kv: kv, auditLimit: maxAuditRecords} }
 
 // load reads the whole configuration. Objects and head are two reads; they belong together when the head was not written
 // after the objects were read, since every change writes the head.
@@ -43,10 +43,10 @@
 			return decodeStored(result, h)
 		}
 	}
-	return stored{}, platform.ErrUnavailable.New("the configuration changed during each of %d reads", loadTries)
+	return stored{}, backing.ErrUnavailable.New("the configuration changed during each of %d reads", loadTries)
 }
 
-func decodeStored(result platform.RangeResult, headEntry platform.Entry) (stored, error) {
+func decodeStored(result backing.RangeResult, headEntry backing.Entry) (stored, error) {
 	h, err := decodeHead(headEntry.Value)
 	if err != nil {
 		return stored{}, err
@@ -85,13 +85,13 @@
 	if err != nil {
 		return false, unavailable(err)
 	}
-	object := platform.Write{Key: objectKey(c.Ref), Delete: true}
+	object := backing.Write{Key: objectKey(c.Ref), Delete: true}
 	if after := next.Get(c.Ref); after != nil {
 		if object, err = put(objectKey(c.Ref), after); err != nil {
 			return false, unavailable(err)
 		}
 	}
-	writes := []platform.Write{object}
+	writes := []backing.Write{object}
 	for key, value := range map[string]any{
 		headKey:                     head{Revision: next.Revision(), AuditFloor: floor},
 		auditKey(next.Revision()):   newAuditRecord(base.snapshot, next, c, now),
@@ -103,8 +103,8 @@
 		}
 		writes = append(writes, w)
 	}
-	result, err := s.kv.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+	result, err := s.kv.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{
 			{Key: headKey, ModRevision: base.headModRevision},
 			{Key: operationKey(c.OperationID)},
 		},
@@ -114,18 +114,18 @@
 }
 
 // trim returns the deletions of old audit records and their operation ids, and the new floor.
-func (s store) trim(ctx context.Context, h head, next int64) ([]platform.Write, int64, error) {
+func (s store) trim(ctx context.Context, h head, next int64) ([]backing.Write, int64, error) {
 	floor := max(h.AuditFloor, 1)
-	var writes []platform.Write
+	var writes []backing.Write
 	for n := 0; n < trimBatch && floor <= next-s.auditLimit; n++ {
 		e, err := s.kv.Get(ctx, auditKey(floor))
 		if err != nil {
 			return nil, 0, err
 		}
 		if e.ModRevision != 0 {
-			writes = append(writes, platform.Write{Key: e.Key, Delete: true})
+			writes = append(writes, backing.Write{Key: e.Key, Delete: true})
 			if r, err := decodeRecord(e.Key, e.Value); err == nil && r.OperationID != "" {
-				writes = append(writes, platform.Write{Key: operationKey(r.OperationID), Delete: true})
+				writes = append(writes, backing.Write{Key: operationKey(r.OperationID), Delete: true})
 			}
 		}
 		floor++
@@ -147,10 +147,10 @@
 }
 
 // put returns the write of a value in JSON.
-func put(key string, value any) (platform.Write, error) {
+func put(key string, value any) (backing.Write, error) {
 	text, err := json.Marshal(value)
 	if err != nil {
-		return platform.Write{}, Error.Wrap(err)
+		return backing.Write{}, Error.Wrap(err)
 	}
-	return platform.Write{Key: key, Value: text}, nil
+	return backing.Write{Key: key, Value: text}, nil
 }
--- a/service/configuration/store_test.go
+++ b/service/configuration/store_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // Guards against a configuration that is put together from the objects of one revision and the head of another, when a
@@ -20,7 +20,7 @@
 				return
 			}
 			landed = true
-			_, err := r.kv.KV.Commit(t.Context(), platform.Txn{Writes: []platform.Write{
+			_, err := r.kv.KV.Commit(t.Context(), backing.Txn{Writes: []backing.Write{
 				{Key: headKey, Value: []byte(`{"Revision":2}`)},
 				{Key: objectKey(west), Value: []byte(`{"Kind":"data_centre","Name":"west","Revision":2,"DataCentre":{}}`)},
 			}})
--- a/service/configuration/watcher.go
+++ b/service/configuration/watcher.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 const (
@@ -35,12 +35,12 @@
 }
 
 // NewWatcher returns a Watcher that always follows the service.
-func NewWatcher(log *zap.Logger, kv platform.KV, keeper *Keeper) *Watcher {
+func NewWatcher(log *zap.Logger, kv backing.KV, keeper *Keeper) *Watcher {
 	return NewRelayWatcher(log, kv, keeper, latest.New(true))
 }
 
 // NewRelayWatcher returns a Watcher that follows the service while relay holds true.
-func NewRelayWatcher(log *zap.Logger, kv platform.KV, keeper *Keeper, relay *latest.Value[bool]) *Watcher {
+func NewRelayWatcher(log *zap.Logger, kv backing.KV, keeper *Keeper, relay *latest.Value[bool]) *Watcher {
 	return &Watcher{log: log, store: newStore(kv), keeper: keeper, relay: relay, restored: -1}
 }
 
@@ -146,7 +146,7 @@
 }
 
 // next returns the snapshot after a batch.
-func (w *Watcher) next(ctx context.Context, s *config.Snapshot, batch platform.WatchBatch) (*config.Snapshot, error) {
+func (w *Watcher) next(ctx context.Context, s *config.Snapshot, batch backing.WatchBatch) (*config.Snapshot, error) {
 	next, err := applyBatch(s, batch)
 	if errReadAgain.Has(err) {
 		current, err := w.load(ctx)
--- a/service/development/seed.go
+++ b/service/development/seed.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/platform"
 	"azuredyke.dev/azuredyke/service/configuration"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // seed writes the configuration of a development site.
-func seed(ctx context.Context, kv platform.KV) error {
+func seed(ctx context.Context, kv backing.KV) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	keeper := configuration.NewKeeper(zap.NewNop())
--- a/service/development/site.go
+++ b/service/development/site.go
@@ -11,13 +11,13 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing/hostlist"
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/common/settings"
 	fakeengine "azuredyke.dev/azuredyke/fake/engine"
 	fakehostlist "azuredyke.dev/azuredyke/fake/hostlist"
 	"azuredyke.dev/azuredyke/fake/plainservice"
-	"azuredyke.dev/azuredyke/platform/hostlist"
-	"azuredyke.dev/azuredyke/platform/memory"
 	"azuredyke.dev/azuredyke/service/node"
 )
 
--- a/service/hosts/poller.go
+++ b/service/hosts/poller.go
@@ -7,21 +7,21 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/message"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // Poller is the task that reads the list of hosts at a fixed interval. After a failed read the last list stays in force.
 type Poller struct {
 	log      *zap.Logger
-	source   platform.HostList
+	source   backing.HostList
 	interval time.Duration
 	current  *latest.Value[[]message.Host]
 }
 
 // NewPoller returns a Poller with an empty list.
-func NewPoller(log *zap.Logger, source platform.HostList, interval time.Duration) *Poller {
+func NewPoller(log *zap.Logger, source backing.HostList, interval time.Duration) *Poller {
 	return &Poller{log: log, source: source, interval: interval, current: latest.New[[]message.Host](nil)}
 }
 
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -8,11 +8,11 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/metrics"
 	"azuredyke.dev/azuredyke/common/settings"
 	decision "azuredyke.dev/azuredyke/decision/membership"
-	"azuredyke.dev/azuredyke/platform"
 	"azuredyke.dev/azuredyke/service/claims"
 	"azuredyke.dev/azuredyke/service/configuration"
 	"azuredyke.dev/azuredyke/service/dispatcher"
@@ -37,7 +37,7 @@
 	root         *zap.Logger
 	log          *zap.Logger
 	settings     settings.Settings
-	kv           platform.KV
+	kv           backing.KV
 	metrics      *metrics.Registry
 	listeners    listeners
 	certificates certificates
@@ -66,7 +66,7 @@
 }
 
 // New assembles a node and opens its listeners, so that its addresses are known.
-func New(log *zap.Logger, s settings.Settings, kv platform.KV, list platform.HostList) (*Node, error) {
+func New(log *zap.Logger, s settings.Settings, kv backing.KV, list backing.HostList) (*Node, error) {
 	n := &Node{root: log, log: logging.For(log, logging.Node), kv: kv, metrics: metrics.NewRegistry()}
 	secret, err := readSecret(s.PeerKeyFile)
 	if err != nil {
@@ -93,7 +93,7 @@
 }
 
 // assembleControl builds the parts that agree with other nodes and the platform.
-func (n *Node) assembleControl(list platform.HostList) {
+func (n *Node) assembleControl(list backing.HostList) {
 	s := n.settings
 	configLog := logging.For(n.root, logging.Configuration)
 	n.keeper = configuration.NewKeeper(configLog)
--- a/service/operator/convert_error.go
+++ b/service/operator/convert_error.go
@@ -6,9 +6,9 @@
 
 	"connectrpc.com/connect"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/config"
 	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // errorToConnect translates an error of a change or a read to an RPC code: ABORTED for conflicts (with a
@@ -35,7 +35,7 @@
 		return connect.NewError(connect.CodeAlreadyExists, err)
 	case errors.As(err, &restored):
 		return connect.NewError(connect.CodeFailedPrecondition, err)
-	case platform.ErrUnknownOutcome.Has(err):
+	case backing.ErrUnknownOutcome.Has(err):
 		return connect.NewError(connect.CodeUnknown, err)
 	case errors.Is(err, context.DeadlineExceeded):
 		return connect.NewError(connect.CodeDeadlineExceeded, err)
--- a/service/operator/rig_test.go
+++ b/service/operator/rig_test.go
@@ -11,10 +11,10 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/settings"
 	operatorv1 "azuredyke.dev/azuredyke/gen/azuredyke/operator/v1"
 	"azuredyke.dev/azuredyke/gen/azuredyke/operator/v1/operatorv1connect"
-	"azuredyke.dev/azuredyke/platform/memory"
 	"azuredyke.dev/azuredyke/service/configuration"
 )
 
--- a/service/ownership/attempt.go
+++ b/service/ownership/attempt.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/ownership"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // attempt is the state of the calls about one resource, of which one runs at a time.
@@ -22,7 +22,7 @@
 // attemptMessage is the result of a call about one resource.
 type attemptMessage struct {
 	resource string
-	lease    platform.LeaseID
+	lease    backing.LeaseID
 	result   ownerResult
 	err      error
 }
@@ -69,7 +69,7 @@
 	if m.err != nil {
 		a.failures++
 		a.next = now.Add(retryDelay(a.failures, k.options.RenewInterval))
-		if platform.ErrLeaseNotFound.Has(m.err) {
+		if backing.ErrLeaseNotFound.Has(m.err) {
 			// The renewal finds out whether the lease is lost.
 			k.lease.next = now
 		}
--- a/service/ownership/follower.go
+++ b/service/ownership/follower.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // ownersMessage carries all owner records at one revision.
@@ -17,7 +17,7 @@
 
 // ownerEventMessage carries the changes of one revision.
 type ownerEventMessage struct {
-	events []platform.WatchEvent
+	events []backing.WatchEvent
 }
 
 // follow is the task that reads the owner records and follows their changes until ctx ends.
--- a/service/ownership/keeper.go
+++ b/service/ownership/keeper.go
@@ -9,11 +9,11 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/decision/ownership"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // Error is the class of the errors of this package.
@@ -38,7 +38,7 @@
 // service run in goroutines that send their results back, so a slow service does not delay what the task learns.
 type Keeper struct {
 	log      *zap.Logger
-	kv       platform.KV
+	kv       backing.KV
 	options  Options
 	config   *latest.Value[*config.Snapshot]
 	members  *latest.Value[[]string]
@@ -71,7 +71,7 @@
 }
 
 // NewKeeper returns a Keeper that owns nothing.
-func NewKeeper(log *zap.Logger, kv platform.KV, options Options, current *latest.Value[*config.Snapshot]) *Keeper {
+func NewKeeper(log *zap.Logger, kv backing.KV, options Options, current *latest.Value[*config.Snapshot]) *Keeper {
 	members := options.Members
 	if members == nil {
 		members = latest.New([]string{options.NodeID})
--- a/service/ownership/lease.go
+++ b/service/ownership/lease.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"azuredyke.dev/azuredyke/platform"
+	"azuredyke.dev/azuredyke/backing"
 )
 
 // firstRetry is the mean wait after the first failed call; it doubles up to the renewal interval.
@@ -15,7 +15,7 @@
 
 // lease is the state of the node's lease.
 type lease struct {
-	id platform.LeaseID
+	id backing.LeaseID
 	// confirmedAt is the time before the last successful grant or renewal was sent.
 	confirmedAt time.Time
 	// busy says that a call about the lease is running.
@@ -27,7 +27,7 @@
 
 // leaseMessage is the result of a grant, a renewal or a revocation.
 type leaseMessage struct {
-	id     platform.LeaseID
+	id     backing.LeaseID
 	before time.Time
 	err    error
 }
@@ -76,7 +76,7 @@
 		}
 		l.id, l.confirmedAt, l.failures = m.id, m.before, 0
 		l.next = m.before.Add(k.options.RenewInterval)
-	case platform.ErrLeaseNotFound.Has(m.err):
+	case backing.ErrLeaseNotFound.Has(m.err):
 		k.log.Warn("lease lost", zap.Error(m.err))
 		l.id = 0
 		l.next = now
--- a/service/ownership/owner_writer.go
+++ b/service/ownership/owner_writer.go
@@ -4,16 +4,16 @@
 	"context"
 	"encoding/json"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/message"
-	"azuredyke.dev/azuredyke/platform"
 )
 
 // ownerWriter makes the calls about one owner record under one lease.
 type ownerWriter struct {
-	kv            platform.KV
+	kv            backing.KV
 	node, address string
 	resource      string
-	lease         platform.LeaseID
+	lease         backing.LeaseID
 }
 
 // ownerResult says what is known about the record after a call.
@@ -71,18 +71,18 @@
 	if err != nil {
 		return ownerResult{}, Error.Wrap(err)
 	}
-	result, err := w.kv.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+	result, err := w.kv.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{
 			{Key: OwnerKey(w.resource)}, {Key: fenceKey(w.resource), ModRevision: fenceRevision},
 		},
-		Writes: []platform.Write{
+		Writes: []backing.Write{
 			{Key: OwnerKey(w.resource), Value: record, Lease: w.lease}, {Key: fenceKey(w.resource), Value: counter},
 		},
 	})
 	if err == nil && result.Committed {
 		return ownerResult{owned: true, fence: fence, revision: result.Revision}, nil
 	}
-	if err != nil && !platform.ErrUnknownOutcome.Has(err) {
+	if err != nil && !backing.ErrUnknownOutcome.Has(err) {
 		return ownerResult{}, err
 	}
 	return w.verify(ctx)
@@ -103,11 +103,11 @@
 
 // release deletes the record of the given revision.
 func (w ownerWriter) release(ctx context.Context, fence uint64, revision int64) (ownerResult, error) {
-	result, err := w.kv.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: OwnerKey(w.resource), ModRevision: revision}},
-		Writes:     []platform.Write{{Key: OwnerKey(w.resource), Delete: true}},
+	result, err := w.kv.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{{Key: OwnerKey(w.resource), ModRevision: revision}},
+		Writes:     []backing.Write{{Key: OwnerKey(w.resource), Delete: true}},
 	})
-	if err != nil && !platform.ErrUnknownOutcome.Has(err) {
+	if err != nil && !backing.ErrUnknownOutcome.Has(err) {
 		return ownerResult{}, err
 	}
 	released := ownerResult{fence: fence, reason: "released"}
--- a/service/ownership/site_test.go
+++ b/service/ownership/site_test.go
@@ -10,11 +10,11 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/backing/memory"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/decision/ownership"
 	"azuredyke.dev/azuredyke/fake/faultykv"
-	"azuredyke.dev/azuredyke/platform/memory"
 )
 
 // testNode is one node of a testSite.
--- a/test/harness/site.go
+++ b/test/harness/site.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"azuredyke.dev/azuredyke/backing/hostlist"
 	"azuredyke.dev/azuredyke/common/keyhash"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/decision/admission"
@@ -15,7 +16,6 @@
 	fakehostlist "azuredyke.dev/azuredyke/fake/hostlist"
 	"azuredyke.dev/azuredyke/fake/kvserver"
 	"azuredyke.dev/azuredyke/fake/plainservice"
-	"azuredyke.dev/azuredyke/platform/hostlist"
 )
 
 // startTimeout bounds the wait until a site is ready.
