--- /dev/null
+++ b/cmd/azuredyked/edge.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/logging"
+	"azuredyke.dev/azuredyke/common/metrics"
+	"azuredyke.dev/azuredyke/common/settings"
+	"azuredyke.dev/azuredyke/platform/boot"
+	"azuredyke.dev/azuredyke/platform/front"
+	"azuredyke.dev/azuredyke/platform/records"
+	"azuredyke.dev/azuredyke/platform/store"
+	"azuredyke.dev/azuredyke/platform/workers"
+	"azuredyke.dev/azuredyke/service/edge"
+)
+
+// newEdgeCommand returns the command that runs a node on the users' platform.
+func newEdgeCommand() *cobra.Command {
+	path := os.Getenv(boot.SettingsVariable)
+	cmd := &cobra.Command{
+		Use:   "edge",
+		Short: "Runs a node on the users' platform until SIGTERM, then stops gracefully",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return runEdge(cmd, path) },
+	}
+	cmd.Flags().StringVar(&path, "settings", path, "path of the YAML settings file; "+boot.SettingsVariable+" gives the default")
+	return cmd
+}
+
+func runEdge(cmd *cobra.Command, path string) error {
+	s, err := settings.LoadEdge(path)
+	if err != nil {
+		return err
+	}
+	log, err := logging.New(s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	registry := metrics.NewRegistry()
+	defer func() { _ = registry.Close() }()
+	node := edge.New(log, s, edge.Dependencies{
+		Store:     store.New(s.Store.Address, registry.Scope.SubScope("store")),
+		Translate: records.Change,
+		Sender:    workers.New(),
+		StreamOf:  func(r io.Reader) exchange.Stream { return workers.NewEventStream(r) },
+		Front:     func(server *edge.Server, budget int64) http.Handler { return front.New(server, budget) },
+		Metrics:   registry,
+	})
+	return node.Run(cmd.Context())
+}
--- a/cmd/azuredyked/root.go
+++ b/cmd/azuredyked/root.go
@@ -10,6 +10,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServeCommand(), newCheckCommand(), newDevCommand())
+	root.AddCommand(newServeCommand(), newCheckCommand(), newDevCommand(), newEdgeCommand())
 	return root
 }
--- /dev/null
+++ b/common/catalog/repeatability.go
@@ -0,0 +1,11 @@
+package catalog
+
+// Repeatability says how often a request of a route may run.
+type Repeatability uint8
+
+const (
+	// Once is the zero value: the request may run at most once.
+	Once Repeatability = iota
+	// Repeatable requests may run any number of times.
+	Repeatable
+)
--- a/common/settings/load.go
+++ b/common/settings/load.go
@@ -25,17 +25,28 @@
 // Parse decodes and checks settings.
 func Parse(data []byte) (Settings, error) {
 	s := Default()
+	err := decode(data, &s, func() []problem {
+		s.fill()
+		return s.check()
+	})
+	if err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// decode reads the file into target, which holds the defaults, and checks it.
+func decode(data []byte, target any, check func() []problem) error {
 	index := newKeyIndex(data)
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	decoder.KnownFields(true)
-	if err := decoder.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
-		return Settings{}, Error.Wrap(errors.Join(index.describe(err)...))
+	if err := decoder.Decode(target); err != nil && !errors.Is(err, io.EOF) {
+		return Error.Wrap(errors.Join(index.describe(err)...))
 	}
-	s.fill()
-	if problems := s.check(); len(problems) > 0 {
-		return Settings{}, Error.Wrap(errors.Join(index.locate(problems)...))
+	if problems := check(); len(problems) > 0 {
+		return Error.Wrap(errors.Join(index.locate(problems)...))
 	}
-	return s, nil
+	return nil
 }
 
 // fill derives values that default to others.
--- /dev/null
+++ b/decision/dispatch/place.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/placement"
+)
+
+// Place chooses an endpoint for a request and counts the run until its release, or says why it may not be sent now.
+func (t *Table) Place(now time.Time, r Request) (Placed, Refusal) {
+	chosen, refusal := t.choose(now, &r)
+	if refusal != "" {
+		return Placed{}, refusal
+	}
+	if r.Repeat {
+		budget := t.budget(r.Service)
+		switch {
+		case r.Free:
+			budget.Charge(now)
+		case !budget.Take(now, t.params.RetryRatio, t.params.RetryAllowance/float64(t.nodes)):
+			return Placed{}, RetryBudget
+		}
+	}
+	placed := Placed{Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight}
+	started := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.PromptTokens}
+	chosen.own.InFlight++
+	chosen.own.Tokens += r.Tokens
+	chosen.own.Prefill += r.PromptTokens
+	chosen.sent(now)
+	if backup := t.chooseBackup(now, &r, chosen); backup != nil {
+		backup.own.Tokens += r.Tokens
+		started.backup = backup
+		placed.Backup = backup.Endpoint
+	}
+	t.number++
+	placed.Run = t.number
+	t.runs[t.number] = started
+	return placed, ""
+}
+
+// choose returns the endpoint for a request.
+func (t *Table) choose(now time.Time, r *Request) (*endpoint, Refusal) {
+	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
+	known, admitted := 0, 0
+	for _, e := range t.services[r.Service] {
+		if r.Only != "" && e.ID != r.Only || e.Leaving || e.out {
+			continue
+		}
+		known++
+		if !e.refresh(now, t.params.DataCentre) {
+			continue
+		}
+		admitted++
+		if !e.coldAdmits(now, t.params, t.nodes) {
+			continue
+		}
+		t.eligible = append(t.eligible, e)
+		t.candidates = append(t.candidates, &e.candidate)
+	}
+	query := &placement.Request{
+		Exclude: r.Exclude, PromptTokens: r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
+	}
+	policies := []*placement.Policy{t.plain}
+	if r.Tokens > 0 {
+		// An engine on which the memory does not fit is better than none: it queues the request.
+		policies = []*placement.Policy{t.engineStrict, t.engine}
+	}
+	for _, p := range policies {
+		if i, ok := p.Choose(query, t.candidates); ok {
+			return t.eligible[i], ""
+		}
+	}
+	switch {
+	case known == 0:
+		return nil, NoEndpoint
+	case admitted > 0 && len(t.eligible) == 0:
+		return nil, AllCold
+	default:
+		return nil, AllFull
+	}
+}
+
+// chooseBackup returns the endpoint that is to keep a copy of a run's memory, or nil.
+func (t *Table) chooseBackup(now time.Time, r *Request, primary *endpoint) *endpoint {
+	if !r.Backup || primary.service.Engine == nil || !primary.service.Engine.Backups {
+		return nil
+	}
+	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
+	for _, e := range t.services[r.Service] {
+		if e == primary || e.isCold(now) || !e.refresh(now, t.params.DataCentre) {
+			continue
+		}
+		t.eligible = append(t.eligible, e)
+		t.candidates = append(t.candidates, &e.candidate)
+	}
+	query := &placement.Request{Exclude: r.Exclude, Memory: placement.FlatForecast(float64(r.Tokens))}
+	if i, ok := t.engineStrict.Choose(query, t.candidates); ok {
+		return t.eligible[i]
+	}
+	return nil
+}
--- /dev/null
+++ b/decision/dispatch/request.go
@@ -0,0 +1,24 @@
+package dispatch
+
+import "time"
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	ID      string
+	Service string
+	// PromptTokens and Tokens are the size of the prompt and the expected size of prompt and answer; 0 for plain calls.
+	PromptTokens int
+	Tokens       int
+	// Repeat is set for every arrival after the request's first.
+	Repeat bool
+	// Free repeats are charged to the retry budget but never refused, since they continue a run.
+	Free bool
+	// Exclude lists endpoints that must not be chosen.
+	Exclude []string
+	// Only names the endpoint that must be chosen; empty means any.
+	Only string
+	// Backup asks for a second endpoint that keeps a copy of the run's memory.
+	Backup bool
+	// Objective is the time to the first byte that is on time.
+	Objective time.Duration
+}
--- /dev/null
+++ b/decision/dispatch/table.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/decision/placement"
+	"azuredyke.dev/azuredyke/decision/retry"
+)
+
+// peerSilence is how long the load that a node reported counts after its last report.
+const peerSilence = 3 * time.Second
+
+// Table is the state of placement at one node. It belongs to one task.
+type Table struct {
+	params    Params
+	nodes     int
+	endpoints map[string]*endpoint
+	services  map[string][]*endpoint
+	runs      map[uint64]*run
+	budgets   map[string]*retry.WindowBudget
+	// heard is when each node's load was last reported.
+	heard  map[string]time.Time
+	number uint64
+
+	engine, engineStrict, plain *placement.Policy
+	candidates                  []*placement.Candidate
+	eligible                    []*endpoint
+}
+
+// NewTable returns a table without endpoints.
+func NewTable(params Params, random *rand.Rand) *Table {
+	return &Table{
+		params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
+		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, heard: map[string]time.Time{},
+		engine:       placement.NewSharedEnginePolicy(random, false),
+		engineStrict: placement.NewSharedEnginePolicy(random, true),
+		plain:        placement.NewSharedPlainPolicy(random),
+	}
+}
+
+// SetNodes sets the number of nodes that share the limits. It never falls below the largest number that was known, since
+// a node that is out of touch keeps using its share.
+func (t *Table) SetNodes(n int) { t.nodes = max(t.nodes, n) }
+
+// SetSnapshot takes over the endpoints of a snapshot.
+func (t *Table) SetSnapshot(now time.Time, s *fleet.Snapshot) {
+	before := t.endpoints
+	t.endpoints = make(map[string]*endpoint, len(before))
+	t.services = map[string][]*endpoint{}
+	if s.Configuration == nil {
+		return
+	}
+	for name, list := range s.Endpoints {
+		service := s.Configuration.Services[name]
+		if service == nil {
+			continue
+		}
+		for _, listed := range list {
+			e := before[listed.ID]
+			if e == nil || !e.Same(&listed.Endpoint) {
+				e = &endpoint{peers: map[string]Load{}}
+				if old := before[listed.ID]; old != nil {
+					e.peers = old.peers
+				}
+			}
+			wasOut := e.out
+			e.Endpoint, e.service, e.out = listed, service, s.Out[listed.DataCentre]
+			if listed.ColdUntil.Add(coldMargin).After(e.coldUntil) && listed.ColdFor > 0 {
+				e.coldUntil = listed.ColdUntil.Add(coldMargin)
+			}
+			if wasOut && !e.out {
+				// Endpoints may have become cold while their data centre was out, before their entries say so.
+				e.coldUntil = now.Add(service.ColdStart + coldMargin)
+			}
+			t.endpoints[e.ID] = e
+			t.services[name] = append(t.services[name], e)
+		}
+	}
+}
+
+// SetPeer takes over what another node has in flight.
+func (t *Table) SetPeer(now time.Time, node string, loads []Load) {
+	t.heard[node] = now
+	t.forgetPeer(node)
+	for _, l := range loads {
+		if e := t.endpoints[l.Endpoint]; e != nil {
+			e.peers[node] = l
+		}
+	}
+}
+
+func (t *Table) forgetPeer(node string) {
+	for _, e := range t.endpoints {
+		delete(e.peers, node)
+	}
+}
+
+// Expire forgets the load of nodes that have fallen silent.
+func (t *Table) Expire(now time.Time) {
+	maps.DeleteFunc(t.heard, func(node string, at time.Time) bool {
+		if now.Sub(at) < peerSilence {
+			return false
+		}
+		t.forgetPeer(node)
+		return true
+	})
+}
+
+// Own returns what this node has in flight, sorted by endpoint.
+func (t *Table) Own() []Load {
+	var loads []Load
+	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
+		if l := t.endpoints[id].own; l != (Load{}) {
+			l.Endpoint = id
+			loads = append(loads, l)
+		}
+	}
+	return loads
+}
+
+// Requested counts a new request of a service for the retry budget.
+func (t *Table) Requested(now time.Time, service string) { t.budget(service).Requested(now) }
+
+func (t *Table) budget(service string) *retry.WindowBudget {
+	b := t.budgets[service]
+	if b == nil {
+		b = retry.NewWindowBudget(t.params.RetryWindow)
+		t.budgets[service] = b
+	}
+	return b
+}
+
+// Began notes the first event of a run, after which its prompt is no longer computed.
+func (t *Table) Began(number uint64) {
+	r := t.runs[number]
+	if r == nil || r.began {
+		return
+	}
+	r.began = true
+	r.endpoint.own.Prefill -= r.prefill
+}
+
+// Release ends a run and learns from its outcome.
+func (t *Table) Release(now time.Time, number uint64, o Outcome) {
+	r := t.runs[number]
+	if r == nil {
+		return
+	}
+	delete(t.runs, number)
+	e := r.endpoint
+	e.own.InFlight--
+	e.own.Tokens -= r.tokens
+	if !r.began {
+		e.own.Prefill -= r.prefill
+	}
+	e.ended(now, o)
+	if r.backup != nil {
+		r.backup.own.Tokens -= r.tokens
+	}
+}
--- /dev/null
+++ b/decision/fleet/endpoint_written.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"azuredyke.dev/azuredyke/common/catalog"
+)
+
+// EndpointWritten says that an endpoint wrote its entry.
+type EndpointWritten struct {
+	Endpoint catalog.Endpoint
+}
+
+func (c EndpointWritten) apply(s *State, now time.Time) bool {
+	known, ok := s.endpoints[c.Endpoint.ID]
+	if ok && known.endpoint.Revision > c.Endpoint.Revision {
+		return false
+	}
+	m := &member{endpoint: c.Endpoint, coldUntil: now.Add(c.Endpoint.ColdFor)}
+	if ok && known.endpoint.Same(&c.Endpoint) {
+		if known.endpoint.Leaving {
+			// An incarnation that leaves does not come back.
+			m.endpoint.Leaving = true
+		}
+	}
+	s.endpoints[c.Endpoint.ID] = m
+	return true
+}
+
+// String implements fmt.Stringer.
+func (c EndpointWritten) String() string {
+	e := c.Endpoint
+	return fmt.Sprintf("endpoint %s of %s at %s in %s, leaving: %t, cold for %v", e.ID, e.Service, e.Address, e.DataCentre, e.Leaving, e.ColdFor)
+}
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -23,4 +23,8 @@
 	Prefill int
 	// Steps predicts the time between tokens; nil when it is unknown.
 	Steps *StepModel
+	// Failures is the share of recent requests that the endpoint failed, from 0 to 1.
+	Failures float64
+	// Nearby is set for endpoints in the data centre of this node.
+	Nearby bool
 }
--- a/decision/placement/forecast.go
+++ b/decision/placement/forecast.go
@@ -34,6 +34,15 @@
 	return f
 }
 
+// FlatForecast returns the forecast of a request that is expected to use the same memory at every horizon.
+func FlatForecast(tokens float64) Forecast {
+	var f Forecast
+	for i := range f.mean {
+		f.mean[i] = tokens
+	}
+	return f
+}
+
 // Add adds the forecast of another request.
 func (f *Forecast) Add(o *Forecast) {
 	for i := range f.mean {
--- /dev/null
+++ b/decision/placement/shared_policies.go
@@ -0,0 +1,46 @@
+package placement
+
+import "math/rand/v2"
+
+// Weights of the policies of nodes that share endpoints without an owner. A failing endpoint weighs more than any load,
+// and distance only breaks near ties.
+const (
+	reliabilityWeight  = 2
+	sharedMemoryWeight = 1
+	sharedPrefill      = 0.5
+	sharedOutstanding  = 0.5
+	nearbyWeight       = 0.1
+)
+
+// NewSharedEnginePolicy returns the policy for model engines that several nodes use at once. Strict leaves out the
+// engines on which the expected memory does not fit.
+func NewSharedEnginePolicy(random *rand.Rand, strict bool) *Policy {
+	p := &Policy{
+		Filters: []Filter{AdmissibleFilter{}, ExcludeFilter{}},
+		Scorers: []WeightedScorer{
+			{Scorer: ExpectedMemoryScorer{}, Weight: sharedMemoryWeight},
+			{Scorer: PrefillScorer{}, Weight: sharedPrefill},
+			{Scorer: LeastOutstandingScorer{}, Weight: sharedOutstanding},
+			{Scorer: ReliabilityScorer{}, Weight: reliabilityWeight},
+			{Scorer: NearbyScorer{}, Weight: nearbyWeight},
+		},
+		Picker: MaxScorePicker{Random: random},
+	}
+	if strict {
+		p.Filters = append(p.Filters, ExpectedMemoryFilter{})
+	}
+	return p
+}
+
+// NewSharedPlainPolicy returns the policy for plain services that several nodes use at once.
+func NewSharedPlainPolicy(random *rand.Rand) *Policy {
+	return &Policy{
+		Filters: []Filter{AdmissibleFilter{}, ExcludeFilter{}},
+		Scorers: []WeightedScorer{
+			{Scorer: LeastOutstandingScorer{}, Weight: 1},
+			{Scorer: ReliabilityScorer{}, Weight: reliabilityWeight},
+			{Scorer: NearbyScorer{}, Weight: nearbyWeight},
+		},
+		Picker: MaxScorePicker{Random: random},
+	}
+}
--- /dev/null
+++ b/service/edge/node.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/logging"
+	"azuredyke.dev/azuredyke/common/settings"
+	"azuredyke.dev/azuredyke/common/sockopt"
+	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/transport/peer"
+)
+
+const (
+	// runtimeShare is the part of the process's memory that the Go runtime may use; the rest is for stacks of the kernel
+	// and unread bytes.
+	runtimeShare = 0.7
+	// bodyShare is the part that bodies may use.
+	bodyShare = 0.25
+	// headerTimeout and maxHeaderBytes hold until the configuration's limits are known.
+	headerTimeout  = 3 * time.Second
+	maxHeaderBytes = 16 << 10
+	// idleTimeout is above the time for which the platform's callers keep connections.
+	idleTimeout = time.Minute
+)
+
+// Node is one node.
+type Node struct {
+	log      *zap.Logger
+	settings settings.Edge
+	deps     Dependencies
+
+	view       *view
+	dispatcher *dispatcher
+	peers      *peers
+	hub        *peer.Hub
+	server     *Server
+	ready      *readiness
+}
+
+// New returns a node that has not started.
+func New(log *zap.Logger, s settings.Edge, d Dependencies) *Node {
+	n := &Node{log: logging.For(log, logging.Node), settings: s, deps: d}
+	n.view = newView(logging.For(log, logging.Configuration), s.Node.ID, d.Translate)
+	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), dispatch.Params{
+		DataCentre: s.Node.DataCentre, RetryRatio: s.Bounds.RetryRatio, RetryAllowance: s.Bounds.RetryAllowance,
+		RetryWindow: s.Bounds.RetryWindow, ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
+	}, n.view.current)
+	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
+		NodeID: s.Node.ID, TrustedNetwork: s.Peers.TrustedNetwork, Scope: d.Metrics.Scope.SubScope("peer"),
+	})
+	n.peers = &peers{
+		log: logging.For(log, logging.Peer), hub: n.hub, seeds: s.Peers.Seeds, known: n.view.current,
+		view: n.view.messages, dispatcher: n.dispatcher.messages,
+	}
+	n.peers.register()
+	n.server = &Server{
+		log: logging.For(log, logging.Gateway), known: n.view.current, placer: placer{messages: n.dispatcher.messages},
+		sender: d.Sender, streamOf: d.StreamOf, revoke: s.Bounds.Revoke, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
+	}
+	n.ready = &readiness{server: n.server}
+	return n
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(runtimeShare * float64(n.settings.Limits.MemoryMB) * 1e6))
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var running sync.WaitGroup
+	for _, run := range n.tasks() {
+		running.Go(func() { run(tasks) })
+	}
+	servers, err := n.listen(tasks)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		running.Go(func() { failed <- s.run() })
+	}
+	n.log.Info("node started", zap.String("node", n.settings.Node.ID), zap.String("data_centre", n.settings.Node.DataCentre),
+		zap.String("callers", n.settings.Listen.Callers), zap.String("peers", n.settings.Listen.Peers))
+	select {
+	case <-ctx.Done():
+		n.stop(servers[0])
+	case err = <-failed:
+	}
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+	stopTasks()
+	running.Wait()
+	n.log.Info("node stopped", zap.Error(err))
+	return Error.Wrap(err)
+}
+
+// tasks returns the tasks of the node.
+func (n *Node) tasks() []func(context.Context) {
+	follow := &follower{log: n.view.log, store: n.deps.Store, view: n.view.messages}
+	register := &registration{
+		log: n.log, store: n.deps.Store,
+		member: Member{ID: n.settings.Node.ID, Address: n.settings.Listen.Peers, DataCentre: n.settings.Node.DataCentre},
+	}
+	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, register.run}
+}
+
+// listen opens all listeners; the first is that for callers.
+func (n *Node) listen(ctx context.Context) ([]*httpServer, error) {
+	pages := mux.NewRouter()
+	pages.Handle("/metrics", n.deps.Metrics.Handler)
+	budget := int64(bodyShare * float64(n.settings.Limits.MemoryMB) * 1e6)
+	var servers []*httpServer
+	for _, one := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Listen.Callers, n.deps.Front(n.server, budget)},
+		{n.settings.Listen.Readiness, n.ready},
+		{n.settings.Listen.Metrics, pages},
+		{n.settings.Listen.Peers, n.hub.Handler()},
+	} {
+		config := net.ListenConfig{Control: sockopt.Control, KeepAlive: -1}
+		listener, err := config.Listen(ctx, "tcp", one.address)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		servers = append(servers, &httpServer{listener: listener, server: &http.Server{
+			Handler: one.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		}})
+	}
+	return servers, nil
+}
--- /dev/null
+++ b/service/edge/place_reply.go
@@ -0,0 +1,9 @@
+package edge
+
+import "azuredyke.dev/azuredyke/decision/dispatch"
+
+// placeReply answers a placeMessage.
+type placeReply struct {
+	placed  dispatch.Placed
+	refusal dispatch.Refusal
+}
--- /dev/null
+++ b/service/edge/registration.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/backing"
+)
+
+const (
+	// registrationTTL is how long a dead node stays listed. The others only lose messages to it.
+	registrationTTL = time.Minute
+	// renewInterval leaves room for two failed renewals.
+	renewInterval = 20 * time.Second
+	// registrationRetry is the pause after a failed call.
+	registrationRetry = time.Second
+)
+
+// registration is the task that keeps the node's own entry in the store.
+type registration struct {
+	log    *zap.Logger
+	store  Store
+	member Member
+}
+
+// run writes the entry under a lease and renews the lease until ctx ends.
+func (r *registration) run(ctx context.Context) {
+	var lease backing.LeaseID
+	for {
+		pause := renewInterval
+		var err error
+		if lease == 0 {
+			lease, err = r.register(ctx)
+		} else if err = r.renew(ctx, lease); backing.ErrLeaseNotFound.Has(err) {
+			lease = 0
+		}
+		if err != nil && ctx.Err() == nil {
+			r.log.Warn("registration failed", zap.Int64("lease", int64(lease)), zap.Error(err))
+			pause = registrationRetry
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// register writes the entry. A write whose outcome is unknown is done again under a new lease, which replaces the first.
+func (r *registration) register(ctx context.Context) (backing.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	lease, err := r.store.GrantLease(ctx, registrationTTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.store.Commit(ctx, backing.Txn{
+		Writes: []backing.Write{{Key: memberPrefix + r.member.ID, Value: r.member.encode(), Lease: lease}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	r.log.Info("registered", zap.Int64("lease", int64(lease)), zap.String("address", r.member.Address))
+	return lease, nil
+}
+
+func (r *registration) renew(ctx context.Context, lease backing.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.store.RenewLease(ctx, lease)
+}
--- /dev/null
+++ b/service/edge/store.go
@@ -0,0 +1,18 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"azuredyke.dev/azuredyke/backing"
+)
+
+// Store is what a node uses of the platform's store.
+type Store interface {
+	Range(ctx context.Context, prefix string) (backing.RangeResult, error)
+	// Poll waits at most wait for changes below a prefix after a revision.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (backing.WatchBatch, error)
+	Commit(ctx context.Context, txn backing.Txn) (backing.CommitResult, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (backing.LeaseID, error)
+	RenewLease(ctx context.Context, id backing.LeaseID) error
+}
--- /dev/null
+++ b/service/edge/stream_relay.go
@@ -0,0 +1,195 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/fleet"
+)
+
+// moveOverlap is how long a run may go on at its old endpoint after it was sent to the next one. The platform allows
+// 400 ms.
+const moveOverlap = 300 * time.Millisecond
+
+// streamRelay passes the events of one generation on, over the endpoints on which it runs in turn.
+type streamRelay struct {
+	*session
+	ctx   context.Context
+	up    *upstream
+	items <-chan streamItem
+	// stopReading ends the reader of the current endpoint.
+	stopReading context.CancelFunc
+	// lastEvent is the id of the last event that the caller has; events counts them.
+	lastEvent string
+	events    int
+	// headerSent is set once the caller has the header of the answer.
+	headerSent bool
+	// stuck is set once the copy of the run's memory could not be used.
+	stuck bool
+}
+
+// relayStream passes a stream on. An error means that the caller has seen nothing of it.
+func (s *session) relayStream(ctx context.Context, up *upstream) error {
+	r := &streamRelay{session: s, ctx: ctx}
+	r.lastEvent = s.request.LastEvent
+	r.follow(up)
+	defer func() {
+		r.stopReading()
+		r.up.end(dispatch.Cancelled)
+	}()
+	return r.run()
+}
+
+// follow takes the stream of an endpoint as the one to pass on.
+func (r *streamRelay) follow(up *upstream) {
+	if r.stopReading != nil {
+		r.stopReading()
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.up, r.stopReading, r.stuck = up, cancel, false
+	r.items = readStream(ctx, r.server.streamOf(up.answer.Body))
+}
+
+// run passes events on until the stream ends.
+func (r *streamRelay) run() error {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return r.interrupted(r.ctx.Err())
+		case <-r.up.leaving:
+			r.move()
+		case item := <-r.items:
+			switch {
+			case item.err == io.EOF:
+				r.up.end(dispatch.Succeeded)
+				r.done(r.up)
+				return r.sendHeader()
+			case item.err != nil:
+				if r.ctx.Err() != nil {
+					return r.interrupted(item.err)
+				}
+				if err := r.resume(item.err); err != nil {
+					return err
+				}
+			default:
+				if err := r.pass(item); err != nil {
+					return nil
+				}
+			}
+		}
+	}
+}
+
+// pass hands an event to the caller. An error means that the caller has left.
+func (r *streamRelay) pass(item streamItem) error {
+	if err := r.sendHeader(); err != nil {
+		return err
+	}
+	if r.events == 0 {
+		r.server.metrics.firstByte.RecordDuration(time.Since(r.request.Received))
+	}
+	if err := r.caller.Write(item.event.Raw); err != nil {
+		return err
+	}
+	if item.event.ID != "" {
+		r.lastEvent = item.event.ID
+	}
+	r.events++
+	r.up.noteFirstEvent()
+	return nil
+}
+
+func (r *streamRelay) sendHeader() error {
+	if r.headerSent {
+		return nil
+	}
+	r.headerSent = true
+	return r.caller.Begin(r.up.answer.Status, r.up.answer.Header, -1)
+}
+
+// interrupted ends the stream because the caller left or the deadline passed.
+func (r *streamRelay) interrupted(err error) error {
+	if !r.headerSent {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "before the first event: %w", err)
+	}
+	r.up.end(dispatch.Cancelled)
+	r.cut(r.up, err)
+	return nil
+}
+
+// move lets the run go on at the endpoint that has a copy of its memory, since its own endpoint leaves. The events that
+// the old one makes meanwhile are not read, so that the next one's follow without a gap. If the copy cannot be used, the
+// run stays.
+func (r *streamRelay) move() {
+	backup := r.up.placed.Backup
+	if backup.ID == "" {
+		r.log(zap.WarnLevel, "endpoint leaves, no copy", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.Int("events", r.events))
+		return
+	}
+	old := r.up
+	overlap := time.AfterFunc(moveOverlap, old.cancel)
+	next, err := r.continueAt(&backup)
+	stopped := !overlap.Stop()
+	if err != nil {
+		r.stuck = true
+		r.server.metrics.lostMoves.Inc(1)
+		r.log(zap.WarnLevel, "run not moved", zap.String("endpoint", old.placed.Endpoint.ID), zap.String("to", backup.ID),
+			zap.Bool("stopped", stopped), zap.Error(err))
+		return
+	}
+	r.follow(next)
+	old.end(dispatch.Cancelled)
+	r.server.metrics.moves.Inc(1)
+	r.log(zap.InfoLevel, "run moved", zap.String("endpoint", old.placed.Endpoint.ID), zap.String("to", backup.ID), zap.Int("events", r.events))
+}
+
+// continueAt sends the request to the endpoint that has a copy of the run's memory.
+func (r *streamRelay) continueAt(at *fleet.Endpoint) (*upstream, error) {
+	next, err := r.send(r.ctx, sendOptions{copyAt: at, lastEvent: r.lastEvent})
+	if err == nil && !next.answer.Successful() {
+		next.end(dispatch.Failed)
+		return nil, verdict.New(verdict.Ran, verdict.ReasonEndpointFailed, "%s answered with status %d", at.ID, next.answer.Status)
+	}
+	return next, err
+}
+
+// resume goes on after the stream broke: from the copy of the run's memory, or for resumable streams anew from the last
+// event. Without either, the caller's answer is cut.
+func (r *streamRelay) resume(cause error) error {
+	old := r.up
+	old.end(dispatch.Broken)
+	r.tried = append(r.tried, old.placed.Endpoint.ID)
+	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placed.Endpoint.ID), zap.Int("events", r.events),
+		zap.String("last_event", r.lastEvent), zap.Error(cause))
+	if backup := old.placed.Backup; backup.ID != "" && !r.stuck {
+		if next, err := r.continueAt(&backup); err == nil {
+			r.follow(next)
+			r.server.metrics.moves.Inc(1)
+			return nil
+		}
+		r.server.metrics.lostMoves.Inc(1)
+	}
+	err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "stream of %s broke: %w", old.placed.Endpoint.ID, cause)
+	for r.mayTryAgain(r.ctx, err) {
+		next, failure := r.send(r.ctx, sendOptions{lastEvent: r.lastEvent})
+		if failure == nil && next.answer.Successful() {
+			r.follow(next)
+			return nil
+		}
+		if failure == nil {
+			next.end(dispatch.Failed)
+			break
+		}
+		err = verdict.Of(failure)
+	}
+	if !r.headerSent {
+		return err
+	}
+	r.cut(old, cause)
+	return nil
+}
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -35,7 +35,7 @@
 
 // dial opens a connection without authenticating it.
 func (h *Hub) dial(ctx context.Context, address string) (*websocket.Conn, error) {
-	if len(h.options.Secret) == 0 && !loopback(address) {
+	if h.needsSecret(address) {
 		return nil, Error.New("no shared secret is set, so %s is not dialled: it is not a loopback address", address)
 	}
 	scheme := "ws://"
@@ -52,7 +52,7 @@
 // Handler accepts links from other nodes. It serves every path that it is mounted on.
 func (h *Hub) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if len(h.options.Secret) == 0 && !loopback(r.RemoteAddr) {
+		if h.needsSecret(r.RemoteAddr) {
 			http.Error(w, "no shared secret is set", http.StatusForbidden)
 			return
 		}
@@ -70,6 +70,11 @@
 	})
 }
 
+// needsSecret reports whether a link to or from the address is refused because no shared secret is set.
+func (h *Hub) needsSecret(address string) bool {
+	return len(h.options.Secret) == 0 && !h.options.TrustedNetwork && !loopback(address)
+}
+
 func loopback(address string) bool {
 	a, err := netip.ParseAddrPort(address)
 	return err == nil && a.Addr().Unmap().IsLoopback()
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -12,8 +12,10 @@
 type Options struct {
 	// NodeID names this node to the other side of each link.
 	NodeID string
-	// Secret is shared by all nodes. An empty secret is accepted only on loopback addresses.
+	// Secret is shared by all nodes. An empty secret is accepted only on loopback addresses and on a trusted network.
 	Secret []byte
+	// TrustedNetwork is set where the network keeps everyone but the nodes out.
+	TrustedNetwork bool
 	// TLS returns the configuration of the next outgoing link, so that certificates and CAs can change; nil means plain
 	// text. The server name is set to the host that is dialled.
 	TLS func() *tls.Config
