Move runs off engines that leave, with a copy made then if none exists

Cause: a run whose copy was not there yet, or whose second engine had left, was cut when its own engine went. Change: the copy is asked for again, and otherwise the memory is copied in two steps, the second after the run was stopped.

--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -43,10 +43,12 @@
 	}
 	registry := metrics.NewRegistry()
 	defer func() { _ = registry.Close() }()
+	client := workers.New()
 	node := edge.New(log, s, edge.Dependencies{
 		Store:     store.New(s.Store.Address, registry.Scope.SubScope("store")),
 		Translate: records.Change,
-		Sender:    workers.New(),
+		Sender:    client,
+		Mover:     client,
 		StreamOf:  func(r io.Reader) exchange.Stream { return workers.NewEventStream(r) },
 		Front:     func(server *edge.Server, budget int64) http.Handler { return front.New(server, budget) },
 		Metrics:   registry,
--- /dev/null
+++ b/common/exchange/mover.go
@@ -0,0 +1,10 @@
+package exchange
+
+import "context"
+
+// Mover copies the memory of a running request from one endpoint to another.
+type Mover interface {
+	// Move copies what the target does not have yet and returns when that is done. Final stops the run first; its stream
+	// then ends without its end.
+	Move(ctx context.Context, m Move) Moved
+}
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -63,7 +63,7 @@
 	n.peers.register()
 	n.server = &Server{
 		log: logging.For(log, logging.Gateway), known: n.view.current, placer: placer{messages: n.dispatcher.messages},
-		sender: d.Sender, streamOf: d.StreamOf, revoke: s.Bounds.Revoke, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
+		sender: d.Sender, mover: d.Mover, streamOf: d.StreamOf, revoke: s.Bounds.Revoke, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
 	}
 	n.ready = &readiness{server: n.server}
 	return n
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -9,6 +9,7 @@
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
 // send places the request and sends it to one endpoint. The caller must end the result.
@@ -17,6 +18,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.sendTo(ctx, up, o)
+}
+
+// sendTo sends the request to an endpoint that was placed. The caller must end the result.
+func (s *session) sendTo(ctx context.Context, up *upstream, o sendOptions) (*upstream, error) {
 	sending, cancel := context.WithCancel(ctx)
 	up.cancel = cancel
 	first := s.sends == 0
@@ -40,8 +46,10 @@
 // failed ends an attempt without an answer.
 func (s *session) failed(ctx context.Context, up *upstream, err error, took time.Duration) error {
 	v := verdict.Of(err)
+	s.copyAt = fleet.Endpoint{}
 	if v.Verdict != verdict.NotRun {
 		s.runs++
+		s.copyAt = up.placed.Backup
 	}
 	outcome := outcomeOf(v)
 	if ctx.Err() != nil {
@@ -59,8 +67,9 @@
 	leaving := make(chan struct{}, 1)
 	m := placeMessage{request: s.placement(), first: s.sends == 0, priority: s.priority(), leaving: leaving}
 	m.until = s.request.Received.Add(s.route.Objective / waitShare)
-	if o.copyAt != nil {
-		m.request.Only, m.request.Free, m.request.Exclude, m.request.PromptTokens = o.copyAt.ID, true, nil, 0
+	if o.continues() {
+		m.request.Free, m.request.PromptTokens = true, 0
+		m.request.Only, m.request.Exclude = o.at, o.exclude
 		m.until = time.Now()
 	}
 	if m.until.After(s.deadline) {
@@ -87,9 +96,7 @@
 	if s.workspace != nil {
 		a.Workspace = s.workspace.Name
 	}
-	if o.copyAt != nil {
-		a.CopyAddress = o.copyAt.Address
-	}
+	a.CopyAddress, a.CopyHandle = o.copyAddress, o.copyHandle
 	return a
 }
 
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -24,6 +24,7 @@
 	known    *latest.Value[*Knowledge]
 	placer   placer
 	sender   exchange.Sender
+	mover    exchange.Mover
 	streamOf func(io.Reader) exchange.Stream
 	revoke   time.Duration
 	metrics  *serverMetrics
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -13,6 +13,7 @@
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
 const (
@@ -42,6 +43,8 @@
 	// sends counts the arrivals at endpoints, runs those that may have run the request.
 	sends, runs int
 	tried       []string
+	// copyAt keeps a copy of the memory of a run that ended without an answer; it has no ID when there is none.
+	copyAt fleet.Endpoint
 }
 
 // serve checks the request and answers it.
@@ -54,6 +57,10 @@
 	defer cancel()
 	for {
 		up, err := s.send(ctx, sendOptions{})
+		if err != nil && s.copyAt.ID != "" && ctx.Err() == nil {
+			// The run may have begun, and then only its copy may go on.
+			up, err = s.send(ctx, sendOptions{at: s.copyAt.ID, copyAddress: s.copyAt.Address})
+		}
 		if err == nil {
 			err = s.relay(ctx, up)
 		}
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -9,7 +9,6 @@
 
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
-	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
 // moveOverlap is how long a run may go on at its old endpoint after it was sent to the next one. The platform allows
@@ -29,8 +28,7 @@
 	events    int
 	// headerSent is set once the caller has the header of the answer.
 	headerSent bool
-	// stuck is set once the copy of the run's memory could not be used.
-	stuck bool
+	migration  migration
 }
 
 // relayStream passes a stream on. An error means that the caller has seen nothing of it.
@@ -40,6 +38,7 @@
 	r.follow(up)
 	defer func() {
 		r.stopReading()
+		r.dropTarget()
 		r.up.end(dispatch.Cancelled)
 	}()
 	return r.run()
@@ -51,7 +50,7 @@
 		r.stopReading()
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	r.up, r.stopReading, r.stuck = up, cancel, false
+	r.up, r.stopReading, r.migration = up, cancel, migration{}
 	r.items = readStream(ctx, r.server.streamOf(up.answer.Body))
 }
 
@@ -62,7 +61,13 @@
 		case <-r.ctx.Done():
 			return r.interrupted(r.ctx.Err())
 		case <-r.up.leaving:
-			r.move()
+			r.migrate()
+		case <-r.migration.retry:
+			r.migrate()
+		case step := <-r.migration.steps:
+			if err := r.advance(step); err != nil {
+				return err
+			}
 		case item := <-r.items:
 			switch {
 			case item.err == io.EOF:
@@ -73,6 +78,11 @@
 				if r.ctx.Err() != nil {
 					return r.interrupted(item.err)
 				}
+				if r.migration.stopped {
+					// The run was told to stop; it goes on once the rest of its memory is copied.
+					r.items = nil
+					continue
+				}
 				if err := r.resume(item.err); err != nil {
 					return err
 				}
@@ -122,42 +132,6 @@
 	return nil
 }
 
-// move lets the run go on at the endpoint that has a copy of its memory, since its own endpoint leaves. The events that
-// the old one makes meanwhile are not read, so that the next one's follow without a gap. If the copy cannot be used, the
-// run stays.
-func (r *streamRelay) move() {
-	backup := r.up.placed.Backup
-	if backup.ID == "" {
-		r.log(zap.WarnLevel, "endpoint leaves, no copy", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.Int("events", r.events))
-		return
-	}
-	old := r.up
-	overlap := time.AfterFunc(moveOverlap, old.cancel)
-	next, err := r.continueAt(&backup)
-	stopped := !overlap.Stop()
-	if err != nil {
-		r.stuck = true
-		r.server.metrics.lostMoves.Inc(1)
-		r.log(zap.WarnLevel, "run not moved", zap.String("endpoint", old.placed.Endpoint.ID), zap.String("to", backup.ID),
-			zap.Bool("stopped", stopped), zap.Error(err))
-		return
-	}
-	r.follow(next)
-	old.end(dispatch.Cancelled)
-	r.server.metrics.moves.Inc(1)
-	r.log(zap.InfoLevel, "run moved", zap.String("endpoint", old.placed.Endpoint.ID), zap.String("to", backup.ID), zap.Int("events", r.events))
-}
-
-// continueAt sends the request to the endpoint that has a copy of the run's memory.
-func (r *streamRelay) continueAt(at *fleet.Endpoint) (*upstream, error) {
-	next, err := r.send(r.ctx, sendOptions{copyAt: at, lastEvent: r.lastEvent})
-	if err == nil && !next.answer.Successful() {
-		next.end(dispatch.Failed)
-		return nil, verdict.New(verdict.Ran, verdict.ReasonEndpointFailed, "%s answered with status %d", at.ID, next.answer.Status)
-	}
-	return next, err
-}
-
 // resume goes on after the stream broke: from the copy of the run's memory, or for resumable streams anew from the last
 // event. Without either, the caller's answer is cut.
 func (r *streamRelay) resume(cause error) error {
@@ -166,10 +140,11 @@
 	r.tried = append(r.tried, old.placed.Endpoint.ID)
 	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placed.Endpoint.ID), zap.Int("events", r.events),
 		zap.String("last_event", r.lastEvent), zap.Error(cause))
-	if backup := old.placed.Backup; backup.ID != "" && !r.stuck {
-		if next, err := r.continueAt(&backup); err == nil {
-			r.follow(next)
-			r.server.metrics.moves.Inc(1)
+	r.dropTarget()
+	if backup := old.placed.Backup; backup.ID != "" {
+		next, err := r.continueWith(sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent})
+		if err == nil {
+			r.moved(old, next)
 			return nil
 		}
 		r.server.metrics.lostMoves.Inc(1)
