Keep copies out of memory that runs need, and count queued prompts

Change: copies are placed up to 75% of an engine's memory; a copy that was lost is replaced by one that stands by; prompts and batches are scored linearly.

--- a/common/exchange/mover.go
+++ b/common/exchange/mover.go
@@ -7,4 +7,6 @@
 	// Move copies what the target does not have yet and returns when that is done. Final stops the run first; its stream
 	// then ends without its end.
 	Move(ctx context.Context, m Move) Moved
+	// Free gives up a copy that is not needed any more, at both ends.
+	Free(ctx context.Context, source, handle string) error
 }
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -6,6 +6,10 @@
 	"azuredyke.dev/azuredyke/decision/placement"
 )
 
+// spareShare is the part of an engine's memory up to which copies are placed. The rest is for runs that grow longer than
+// expected and for those of engines that leave.
+const spareShare = 0.75
+
 // Place chooses an endpoint for a request and counts the run until its release, or says why it may not be sent now.
 func (t *Table) Place(now time.Time, r Request) (Placed, Refusal) {
 	chosen, refusal := t.choose(now, &r)
@@ -22,14 +26,14 @@
 		}
 	}
 	placed := Placed{Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight}
-	started := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.PromptTokens}
+	started := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill()}
 	chosen.own.InFlight++
 	chosen.own.Tokens += r.Tokens
-	chosen.own.Prefill += r.PromptTokens
+	chosen.own.Prefill += started.prefill
 	chosen.sent(now)
 	if backup := t.chooseBackup(now, &r, chosen); backup != nil {
-		backup.own.Tokens += r.Tokens
-		started.backup = backup
+		backup.own.Tokens += copyTokens(&r)
+		started.backup, started.copied = backup, copyTokens(&r)
 		placed.Backup = backup.Endpoint
 	}
 	t.number++
@@ -54,6 +58,9 @@
 		if !e.coldAdmits(now, t.params, t.nodes) {
 			continue
 		}
+		if r.Spare {
+			e.candidate.Capacity *= spareShare
+		}
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
@@ -61,7 +68,10 @@
 		Exclude: r.Exclude, PromptTokens: r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
 	policies := []*placement.Policy{t.plain}
-	if r.Tokens > 0 {
+	switch {
+	case r.Spare:
+		policies = []*placement.Policy{t.engineStrict}
+	case r.Tokens > 0:
 		// An engine on which the memory does not fit is better than none: it queues the request.
 		policies = []*placement.Policy{t.engineStrict, t.engine}
 	}
@@ -80,6 +90,9 @@
 	}
 }
 
+// copyTokens returns the mean size of the copy of a run's memory over its life.
+func copyTokens(r *Request) int { return (r.PromptTokens + r.Tokens) / 2 }
+
 // chooseBackup returns the endpoint that is to keep a copy of a run's memory, or nil.
 func (t *Table) chooseBackup(now time.Time, r *Request, primary *endpoint) *endpoint {
 	if !r.Backup || primary.service.Engine == nil || !primary.service.Engine.Backups {
@@ -90,6 +103,7 @@
 		if e == primary || e.isCold(now) || !e.refresh(now, t.params.DataCentre) {
 			continue
 		}
+		e.candidate.Capacity *= spareShare
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -11,6 +11,10 @@
 	Tokens       int
 	// Repeat is set for every arrival after the request's first.
 	Repeat bool
+	// Resumed is set when the prompt is not computed again.
+	Resumed bool
+	// Spare requests may only take memory that will not be missed.
+	Spare bool
 	// Free repeats are charged to the retry budget but never refused, since they continue a run.
 	Free bool
 	// Exclude lists endpoints that must not be chosen.
@@ -22,3 +26,11 @@
 	// Objective is the time to the first byte that is on time.
 	Objective time.Duration
 }
+
+// prefill returns the number of prompt tokens that are computed.
+func (r *Request) prefill() int {
+	if r.Resumed {
+		return 0
+	}
+	return r.PromptTokens
+}
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -159,6 +159,6 @@
 	}
 	e.ended(now, o)
 	if r.backup != nil {
-		r.backup.own.Tokens -= r.tokens
+		r.backup.own.Tokens -= r.copied
 	}
 }
--- a/decision/fleet/data_centre_written.go
+++ b/decision/fleet/data_centre_written.go
@@ -24,4 +24,6 @@
 }
 
 // String implements fmt.Stringer.
-func (c DataCentreWritten) String() string { return fmt.Sprintf("data centre %s out: %t", c.Name, c.Out) }
+func (c DataCentreWritten) String() string {
+	return fmt.Sprintf("data centre %s out: %t", c.Name, c.Out)
+}
--- a/decision/mirror/mirror.go
+++ b/decision/mirror/mirror.go
@@ -123,4 +123,6 @@
 	}
 }
 
-func byRevision(a, b backing.WatchEvent) int { return cmp.Compare(a.Entry.ModRevision, b.Entry.ModRevision) }
+func byRevision(a, b backing.WatchEvent) int {
+	return cmp.Compare(a.Entry.ModRevision, b.Entry.ModRevision)
+}
--- a/decision/placement/shared_policies.go
+++ b/decision/placement/shared_policies.go
@@ -6,9 +6,9 @@
 // and distance only breaks near ties.
 const (
 	reliabilityWeight  = 2
-	sharedMemoryWeight = 1
-	sharedPrefill      = 0.5
-	sharedOutstanding  = 0.5
+	sharedMemoryWeight = 0.5
+	sharedQueueWeight  = 2
+	sharedBatchWeight  = 1
 	nearbyWeight       = 0.1
 )
 
@@ -19,8 +19,8 @@
 		Filters: []Filter{AdmissibleFilter{}, ExcludeFilter{}},
 		Scorers: []WeightedScorer{
 			{Scorer: ExpectedMemoryScorer{}, Weight: sharedMemoryWeight},
-			{Scorer: PrefillScorer{}, Weight: sharedPrefill},
-			{Scorer: LeastOutstandingScorer{}, Weight: sharedOutstanding},
+			{Scorer: PromptQueueScorer{}, Weight: sharedQueueWeight},
+			{Scorer: BatchScorer{}, Weight: sharedBatchWeight},
 			{Scorer: ReliabilityScorer{}, Weight: reliabilityWeight},
 			{Scorer: NearbyScorer{}, Weight: nearbyWeight},
 		},
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -34,14 +35,14 @@
 
 	snapshot *fleet.Snapshot
 	waiting  []placeMessage
-	leaving  map[uint64]leavingRun
+	leaving  map[uint64]*leavingRun
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, known *latest.Value[*Knowledge]) *dispatcher {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &dispatcher{
 		log: log, table: dispatch.NewTable(p, random), known: known,
-		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), leaving: map[uint64]leavingRun{},
+		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), leaving: map[uint64]*leavingRun{},
 	}
 }
 
@@ -80,18 +81,13 @@
 	}
 	d.snapshot = k.Fleet
 	d.table.SetSnapshot(time.Now(), k.Fleet)
-	for number, r := range d.leaving {
-		if !stays(k.Fleet, r) {
-			delete(d.leaving, number)
-			r.notify <- struct{}{}
-		}
-	}
+	maps.DeleteFunc(d.leaving, func(_ uint64, r *leavingRun) bool { return !r.tell(d.stays) })
 	d.retryWaiting()
 }
 
-// stays reports whether the endpoint of a run is listed and does not leave.
-func stays(s *fleet.Snapshot, r leavingRun) bool {
-	return slices.ContainsFunc(s.Endpoints[r.service], func(e fleet.Endpoint) bool { return e.ID == r.endpoint && !e.Leaving })
+// stays reports whether an endpoint is listed and does not leave.
+func (d *dispatcher) stays(service, endpoint string) bool {
+	return slices.ContainsFunc(d.snapshot.Endpoints[service], func(e fleet.Endpoint) bool { return e.ID == endpoint && !e.Leaving })
 }
 
 // try answers a request if it can be placed or can never be.
@@ -101,7 +97,9 @@
 		return false
 	}
 	if refusal == "" && m.leaving != nil {
-		d.leaving[placed.Run] = leavingRun{endpoint: placed.Endpoint.ID, service: m.request.Service, notify: m.leaving}
+		d.leaving[placed.Run] = &leavingRun{
+			service: m.request.Service, endpoint: placed.Endpoint.ID, backup: placed.Backup.ID, notify: m.leaving,
+		}
 	}
 	m.reply <- placeReply{placed: placed, refusal: refusal}
 	return true
--- a/service/edge/place_message.go
+++ b/service/edge/place_message.go
@@ -15,8 +15,8 @@
 	priority int
 	// until is how long the request may wait for an endpoint.
 	until time.Time
-	// leaving receives a value when the endpoint starts to leave while the run is open.
-	leaving chan<- struct{}
+	// leaving receives a value when the endpoint or that of the copy starts to leave while the run is open.
+	leaving chan<- departure
 	reply   chan<- placeReply
 	// gone is closed when the caller has left.
 	gone <-chan struct{}
--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -97,9 +97,10 @@
 }
 
 // done counts and logs an answer that was passed on.
-func (s *session) done(up *upstream) {
+func (s *session) done(up *upstream, fields ...zap.Field) {
 	s.server.metrics.completed.Inc(1)
-	s.log(zap.InfoLevel, "request answered", zap.String("endpoint", up.placed.Endpoint.ID), zap.Int("status", up.answer.Status))
+	s.log(zap.InfoLevel, "request answered", append(fields,
+		zap.String("endpoint", up.placed.Endpoint.ID), zap.Int("status", up.answer.Status))...)
 }
 
 // cut breaks the caller's answer off. It does not return.
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -64,11 +64,11 @@
 
 // place asks the dispatcher for an endpoint.
 func (s *session) place(ctx context.Context, o sendOptions) (*upstream, error) {
-	leaving := make(chan struct{}, 1)
+	leaving := make(chan departure, 2)
 	m := placeMessage{request: s.placement(), first: s.sends == 0, priority: s.priority(), leaving: leaving}
 	m.until = s.request.Received.Add(s.route.Objective / waitShare)
 	if o.continues() {
-		m.request.Free, m.request.PromptTokens = true, 0
+		m.request.Free, m.request.Resumed, m.request.Spare = true, true, o.spare
 		m.request.Only, m.request.Exclude = o.at, o.exclude
 		m.until = time.Now()
 	}
--- a/service/edge/send_options.go
+++ b/service/edge/send_options.go
@@ -11,6 +11,8 @@
 	copyHandle  string
 	// moves is set while the copy is still to be made.
 	moves bool
+	// spare is set for a copy that stands by, which only takes memory that will not be missed.
+	spare bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 }
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -26,6 +26,9 @@
 	// lastEvent is the id of the last event that the caller has; events counts them.
 	lastEvent string
 	events    int
+	// passedAt is when the caller got the last event; longestPause is the longest time between two.
+	passedAt     time.Time
+	longestPause time.Duration
 	// headerSent is set once the caller has the header of the answer.
 	headerSent bool
 	migration  migration
@@ -52,6 +55,15 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.up, r.stopReading, r.migration = up, cancel, migration{}
 	r.items = readStream(ctx, r.server.streamOf(up.answer.Body))
+	r.prepare()
+}
+
+// targetLeaving returns the channel that says that the endpoint of a copy that stands by leaves; nil while none does.
+func (r *streamRelay) targetLeaving() <-chan departure {
+	if r.migration.target == nil || r.migration.calling {
+		return nil
+	}
+	return r.migration.target.leaving
 }
 
 // run passes events on until the stream ends.
@@ -60,10 +72,17 @@
 		select {
 		case <-r.ctx.Done():
 			return r.interrupted(r.ctx.Err())
-		case <-r.up.leaving:
-			r.migrate()
-		case <-r.migration.retry:
-			r.migrate()
+		case d := <-r.up.leaving:
+			if err := r.depart(d); err != nil {
+				return err
+			}
+		case <-r.migration.next:
+			if err := r.migrate(); err != nil {
+				return err
+			}
+		case <-r.targetLeaving():
+			r.dropTarget()
+			r.retryMigration()
 		case step := <-r.migration.steps:
 			if err := r.advance(step); err != nil {
 				return err
@@ -72,7 +91,7 @@
 			switch {
 			case item.err == io.EOF:
 				r.up.end(dispatch.Succeeded)
-				r.done(r.up)
+				r.done(r.up, zap.Int("events", r.events), zap.Duration("longest_pause", r.longestPause))
 				return r.sendHeader()
 			case item.err != nil:
 				if r.ctx.Err() != nil {
@@ -100,9 +119,13 @@
 	if err := r.sendHeader(); err != nil {
 		return err
 	}
+	now := time.Now()
 	if r.events == 0 {
-		r.server.metrics.firstByte.RecordDuration(time.Since(r.request.Received))
+		r.server.metrics.firstByte.RecordDuration(now.Sub(r.request.Received))
+	} else {
+		r.longestPause = max(r.longestPause, now.Sub(r.passedAt))
 	}
+	r.passedAt = now
 	if err := r.caller.Write(item.event.Raw); err != nil {
 		return err
 	}
@@ -140,14 +163,8 @@
 	r.tried = append(r.tried, old.placed.Endpoint.ID)
 	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placed.Endpoint.ID), zap.Int("events", r.events),
 		zap.String("last_event", r.lastEvent), zap.Error(cause))
-	r.dropTarget()
-	if backup := old.placed.Backup; backup.ID != "" {
-		next, err := r.continueWith(sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent})
-		if err == nil {
-			r.moved(old, next)
-			return nil
-		}
-		r.server.metrics.lostMoves.Inc(1)
+	if r.continueBroken(old) {
+		return nil
 	}
 	err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "stream of %s broke: %w", old.placed.Endpoint.ID, cause)
 	for r.mayTryAgain(r.ctx, err) {
@@ -168,3 +185,25 @@
 	r.cut(old, cause)
 	return nil
 }
+
+// continueBroken goes on from a copy of the memory of a run whose endpoint is gone, and reports whether it does.
+func (r *streamRelay) continueBroken(old *upstream) bool {
+	var next *upstream
+	var err error
+	switch backup := old.placed.Backup; {
+	case r.migration.target != nil && r.migration.handle != "":
+		next, err = r.continueAtTarget(r.migration.handle)
+	case backup.ID != "":
+		r.dropTarget()
+		next, err = r.continueWith(sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent})
+	default:
+		r.dropTarget()
+		return false
+	}
+	if err != nil {
+		r.server.metrics.lostMoves.Inc(1)
+		return false
+	}
+	r.moved(old, next)
+	return true
+}
--- a/service/edge/upstream.go
+++ b/service/edge/upstream.go
@@ -11,8 +11,8 @@
 type upstream struct {
 	placed dispatch.Placed
 	answer *exchange.Answer
-	// leaving receives a value when the endpoint starts to leave.
-	leaving <-chan struct{}
+	// leaving receives a value when the endpoint or that of the copy starts to leave.
+	leaving <-chan departure
 	cancel  context.CancelFunc
 	placer  placer
 	began   bool
