Hand runs over without stopping them first

Cause: the last copy of a move waited behind the first copies of the other runs of the engine that left, for up to 1.2 s, so that 43 of 47 late notes had their longest pause there. Change: the run goes on from the copy that is there; the target computes anew what was made since. The second step of a move is gone.

--- a/common/exchange/move.go
+++ b/common/exchange/move.go
@@ -7,6 +7,4 @@
 	// Source and Target are the addresses of the endpoints.
 	Source string
 	Target string
-	// Final stops the run before the last part is copied.
-	Final bool
 }
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -40,11 +40,9 @@
 	target *upstream
 	// handle names the copy at the target; empty before the first is complete.
 	handle string
-	// steps receives the end of a call; calling is set while one is open.
-	steps   chan moveStep
+	// copied receives the end of a copy; calling is set while one is open.
+	copied  chan exchange.Moved
 	calling bool
-	// stopped is set once the run was told to stop, after which its stream ends without its end.
-	stopped bool
 	// refused lists the endpoints that had no room.
 	refused []string
 }
@@ -58,60 +56,93 @@
 }
 
 // depart takes the news that an endpoint of the run leaves.
-func (r *streamRelay) depart(d departure) error {
+func (r *streamRelay) depart(d departure) {
 	if r.route.MayRepeat() {
-		return nil
+		return
 	}
 	if d == backupLeaves {
 		r.up.placed.Backup.ID = ""
-		return r.migrate()
+	} else {
+		r.migration.leaving = true
 	}
-	r.migration.leaving = true
-	return r.migrate()
+	r.migrate()
 }
 
 // migrate takes the next step.
-func (r *streamRelay) migrate() error {
+func (r *streamRelay) migrate() {
 	m := &r.migration
 	m.next = nil
 	m.tries++
 	switch {
 	case m.tries > maxMigrations || m.calling:
-	case m.leaving && m.target != nil && m.handle != "":
-		r.callMove(true)
+	case m.leaving && m.handle != "":
+		r.continueAtStandby()
 	case m.target != nil:
-		r.callMove(false)
+		r.callMove()
 	case r.up.placed.Backup.ID == "":
 		r.startCopy()
 	case m.leaving:
 		if r.continueAtBackup() {
-			return nil
+			return
 		}
 		if m.tries >= copyTries {
 			r.up.placed.Backup.ID = ""
 		}
 		m.next = time.After(migrationRetry)
 	}
-	return nil
 }
 
-// continueAtBackup lets the run go on at the endpoint that has a copy of its memory, and reports whether it does. The
-// events that the old endpoint makes meanwhile are not read, so that the next one's follow without a gap. If the copy
-// cannot be used, the run stays.
+// continueAtBackup lets the run go on at the endpoint that has a copy of its memory, and reports whether it does.
 func (r *streamRelay) continueAtBackup() bool {
-	old, backup := r.up, r.up.placed.Backup
+	backup := r.up.placed.Backup
+	next, err := r.place(r.ctx, sendOptions{at: backup.ID, copyAddress: backup.Address})
+	if err != nil {
+		r.logUnusable(backup.ID, err)
+		return false
+	}
+	return r.handOver(next, sendOptions{copyAddress: backup.Address, lastEvent: r.lastEvent})
+}
+
+// continueAtStandby lets the run go on at the endpoint to which its memory was copied. What it has made since is computed
+// anew there, which takes some milliseconds; a last copy of it would wait behind those of the other runs that leave.
+func (r *streamRelay) continueAtStandby() {
+	target, o := r.takeTarget()
+	if !r.handOver(target, o) {
+		r.retryMigration()
+	}
+}
+
+// takeTarget takes the place of the copy that stands by out of the migration.
+func (r *streamRelay) takeTarget() (*upstream, sendOptions) {
+	m := &r.migration
+	target, o := m.target, sendOptions{
+		copyAddress: r.up.placed.Endpoint.Address, copyHandle: m.handle, lastEvent: r.lastEvent,
+	}
+	m.target, m.handle = nil, ""
+	return target, o
+}
+
+// handOver sends the request on to the next endpoint and takes its stream in place of the old one. The events that the old
+// endpoint makes meanwhile are not read, so that the next one's follow without a gap. If the copy cannot be used, the run
+// stays.
+func (r *streamRelay) handOver(next *upstream, o sendOptions) bool {
+	old, id := r.up, next.placed.Endpoint.ID
 	overlap := time.AfterFunc(moveOverlap, old.cancel)
-	next, err := r.continueWith(sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent})
-	stopped := !overlap.Stop()
+	next, err := r.continueOn(next, o)
+	overlap.Stop()
 	if err != nil {
-		r.log(zap.InfoLevel, "copy not usable", zap.String("endpoint", old.placed.Endpoint.ID), zap.String("to", backup.ID),
-			zap.Int("tries", r.migration.tries), zap.Bool("stopped", stopped), zap.Error(err))
+		r.logUnusable(id, err)
 		return false
 	}
 	r.moved(old, next)
 	return true
 }
 
+func (r *streamRelay) logUnusable(endpoint string, err error) {
+	r.log(zap.InfoLevel, "copy not usable", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.String("to", endpoint),
+		zap.Int("tries", r.migration.tries), zap.Error(err))
+}
+
 // startCopy takes a place on another endpoint and copies the run's memory there while it goes on.
 func (r *streamRelay) startCopy() {
 	m := &r.migration
@@ -123,8 +154,8 @@
 		r.retryMigration()
 		return
 	}
-	m.target, m.steps, m.handle = target, make(chan moveStep, 1), ""
-	r.callMove(false)
+	m.target, m.copied, m.handle = target, make(chan exchange.Moved, 1), ""
+	r.callMove()
 }
 
 // retryMigration looks again soon if the endpoint leaves, and otherwise when a copy would be refreshed.
@@ -138,49 +169,38 @@
 	r.migration.next = time.After(pause)
 }
 
-// callMove starts one call of the move; its end arrives in steps.
-func (r *streamRelay) callMove(final bool) {
+// callMove starts one copy; its end arrives in copied.
+func (r *streamRelay) callMove() {
 	m := &r.migration
-	m.stopped, m.calling = final, true
-	call := exchange.Move{
-		Request: r.request.ID, Source: r.up.placed.Endpoint.Address, Target: m.target.placed.Endpoint.Address, Final: final,
-	}
-	steps, mover, ctx := m.steps, r.server.mover, r.ctx
+	m.calling = true
+	call := exchange.Move{Request: r.request.ID, Source: r.up.placed.Endpoint.Address, Target: m.target.placed.Endpoint.Address}
+	copied, mover, ctx := m.copied, r.server.mover, r.ctx
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
-		steps <- moveStep{final: final, moved: mover.Move(ctx, call)}
+		copied <- mover.Move(ctx, call)
 	}()
 }
 
-// advance takes the end of a call. Once the endpoint leaves, the run is stopped after a copy and goes on at the target.
-func (r *streamRelay) advance(step moveStep) error {
+// advance takes the end of a copy. Once the endpoint leaves, the run goes on from it.
+func (r *streamRelay) advance(copied exchange.Moved) {
 	m := &r.migration
 	m.calling = false
-	done := step.moved.State == exchange.MoveDone
+	done := copied.State == exchange.MoveDone
 	r.log(zap.InfoLevel, "memory copied", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.String("to", m.target.placed.Endpoint.ID),
-		zap.Bool("final", step.final), zap.Bool("leaving", m.leaving), zap.Bool("done", done), zap.Error(step.moved.Err))
+		zap.Bool("leaving", m.leaving), zap.Bool("done", done), zap.Error(copied.Err))
 	switch {
-	case done && !step.final:
-		m.handle = step.moved.Handle
-		if m.leaving {
-			r.callMove(true)
-			return nil
-		}
-		r.retryMigration()
-		return nil
+	case done && m.leaving:
+		m.handle = copied.Handle
+		r.continueAtStandby()
+		return
 	case done:
-		return r.finishMove(step.moved.Handle)
-	case step.final && step.moved.Handle != "":
-		// The target has no room, but the source keeps the memory of the run that it stopped.
-		return r.returnToSource(step.moved.Handle)
-	case step.final && step.moved.State != exchange.MoveNoRun:
-		return r.resume(step.moved.Err)
+		m.handle = copied.Handle
+	default:
+		m.refused = append(m.refused, m.target.placed.Endpoint.ID)
+		r.dropTarget()
 	}
-	m.refused = append(m.refused, m.target.placed.Endpoint.ID)
-	r.dropTarget()
 	r.retryMigration()
-	return nil
 }
 
 // dropTarget gives back the place that was taken for a copy, and the copy.
@@ -201,83 +221,7 @@
 		}()
 	}
 	m.target.end(dispatch.Cancelled)
-	m.target, m.handle, m.stopped = nil, "", false
-}
-
-// finishMove passes on what the stopped run still had made, and goes on at the target.
-func (r *streamRelay) finishMove(handle string) error {
-	if err := r.drain(); err != nil {
-		return nil
-	}
-	next, err := r.continueAtTarget(handle)
-	if err != nil {
-		return r.resume(err)
-	}
-	r.moved(r.up, next)
-	return nil
-}
-
-// continueAtTarget sends the request on from the copy that was made for it.
-func (r *streamRelay) continueAtTarget(handle string) (*upstream, error) {
-	target := r.migration.target
-	r.migration.target, r.migration.handle = nil, ""
-	return r.continueOn(target, sendOptions{
-		copyAddress: r.up.placed.Endpoint.Address, copyHandle: handle, lastEvent: r.lastEvent,
-	})
-}
-
-// returnToSource lets a stopped run go on where it was.
-func (r *streamRelay) returnToSource(handle string) error {
-	r.migration.handle = ""
-	r.dropTarget()
-	if err := r.drain(); err != nil {
-		return nil
-	}
-	old := r.up
-	source := &upstream{placed: old.placed, cancel: func() {}, placer: r.server.placer}
-	next, err := r.continueOn(source, sendOptions{
-		copyAddress: old.placed.Endpoint.Address, copyHandle: handle, lastEvent: r.lastEvent,
-	})
-	if err != nil {
-		return r.resume(err)
-	}
-	old.ended = true
-	old.cancel()
-	r.follow(next)
-	return nil
-}
-
-// drain passes on the events of a stopped run until its stream ends. An error means that the caller has left.
-func (r *streamRelay) drain() error {
-	if r.items == nil {
-		return nil
-	}
-	timeout := time.NewTimer(moveOverlap)
-	defer timeout.Stop()
-	for {
-		select {
-		case item := <-r.items:
-			if item.err != nil {
-				return nil
-			}
-			if err := r.pass(item); err != nil {
-				return err
-			}
-		case <-timeout.C:
-			return nil
-		case <-r.ctx.Done():
-			return r.ctx.Err()
-		}
-	}
-}
-
-// continueWith sends the request on from a copy of its memory.
-func (r *streamRelay) continueWith(o sendOptions) (*upstream, error) {
-	up, err := r.place(r.ctx, o)
-	if err != nil {
-		return nil, err
-	}
-	return r.continueOn(up, o)
+	m.target, m.handle = nil, ""
 }
 
 // continueOn sends the request on from a copy of its memory to an endpoint that was placed.
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -73,20 +73,14 @@
 		case <-r.ctx.Done():
 			return r.interrupted(r.ctx.Err())
 		case d := <-r.up.leaving:
-			if err := r.depart(d); err != nil {
-				return err
-			}
+			r.depart(d)
 		case <-r.migration.next:
-			if err := r.migrate(); err != nil {
-				return err
-			}
+			r.migrate()
 		case <-r.targetLeaving():
 			r.dropTarget()
 			r.retryMigration()
-		case step := <-r.migration.steps:
-			if err := r.advance(step); err != nil {
-				return err
-			}
+		case copied := <-r.migration.copied:
+			r.advance(copied)
 		case item := <-r.items:
 			switch {
 			case item.err == io.EOF:
@@ -97,11 +91,6 @@
 				if r.ctx.Err() != nil {
 					return r.interrupted(item.err)
 				}
-				if r.migration.stopped {
-					// The run was told to stop; it goes on once the rest of its memory is copied.
-					r.items = nil
-					continue
-				}
 				if err := r.resume(item.err); err != nil {
 					return err
 				}
@@ -189,17 +178,22 @@
 // continueBroken goes on from a copy of the memory of a run whose endpoint is gone, and reports whether it does.
 func (r *streamRelay) continueBroken(old *upstream) bool {
 	var next *upstream
+	var o sendOptions
 	var err error
 	switch backup := old.placed.Backup; {
-	case r.migration.target != nil && r.migration.handle != "":
-		next, err = r.continueAtTarget(r.migration.handle)
+	case r.migration.handle != "":
+		next, o = r.takeTarget()
 	case backup.ID != "":
 		r.dropTarget()
-		next, err = r.continueWith(sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent})
+		o = sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent}
+		next, err = r.place(r.ctx, o)
 	default:
 		r.dropTarget()
 		return false
 	}
+	if err == nil {
+		next, err = r.continueOn(next, o)
+	}
 	if err != nil {
 		r.server.metrics.lostMoves.Inc(1)
 		return false
