Spread copies over the engines and count mean occupancy

Cause: all nodes copied the runs of an engine that left to the same fresh engine, whose link they filled, and engines counted as full at the final size of every run, so that runs had no copy. Change: the engine for a copy is chosen among a random third; a run counts with its mean size.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -8,7 +8,10 @@
 
 // spareShare is the part of an engine's memory up to which copies are placed. The rest is for runs that grow longer than
 // expected and for those of engines that leave.
-const spareShare = 0.75
+const spareShare = 0.8
+
+// copyChoices divides the engines among which the place for a copy is chosen.
+const copyChoices = 3
 
 // Place chooses an endpoint for a request and counts the run until its release, or says why it may not be sent now.
 func (t *Table) Place(now time.Time, r Request) (Placed, Refusal) {
@@ -75,6 +78,15 @@
 		// An engine on which the memory does not fit is better than none: it queues the request.
 		policies = []*placement.Policy{t.engineStrict, t.engine}
 	}
+	if r.Copies {
+		// Nodes look for room at the same moment when an engine leaves; a random choice keeps them from choosing the same.
+		t.random.Shuffle(len(t.eligible), func(i, j int) {
+			t.eligible[i], t.eligible[j] = t.eligible[j], t.eligible[i]
+			t.candidates[i], t.candidates[j] = t.candidates[j], t.candidates[i]
+		})
+		keep := (len(t.eligible) + copyChoices - 1) / copyChoices
+		t.eligible, t.candidates = t.eligible[:keep], t.candidates[:keep]
+	}
 	for _, p := range policies {
 		if i, ok := p.Choose(query, t.candidates); ok {
 			return t.eligible[i], ""
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -13,6 +13,8 @@
 	Repeat bool
 	// Resumed is set when the prompt is not computed again.
 	Resumed bool
+	// Copies is set when the run's memory is copied to the endpoint first, which takes about as long as computing it.
+	Copies bool
 	// Spare requests may only take memory that will not be missed.
 	Spare bool
 	// Free repeats are charged to the retry budget but never refused, since they continue a run.
@@ -29,7 +31,7 @@
 
 // prefill returns the number of prompt tokens that are computed.
 func (r *Request) prefill() int {
-	if r.Resumed {
+	if r.Resumed && !r.Copies {
 		return 0
 	}
 	return r.PromptTokens
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -26,6 +26,7 @@
 	heard  map[string]time.Time
 	number uint64
 
+	random                      *rand.Rand
 	engine, engineStrict, plain *placement.Policy
 	candidates                  []*placement.Candidate
 	eligible                    []*endpoint
@@ -36,6 +37,7 @@
 	return &Table{
 		params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, heard: map[string]time.Time{},
+		random:       random,
 		engine:       placement.NewSharedEnginePolicy(random, false),
 		engineStrict: placement.NewSharedEnginePolicy(random, true),
 		plain:        placement.NewSharedPlainPolicy(random),
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -186,6 +186,7 @@
 func (r *streamRelay) advance(copied exchange.Moved) {
 	m := &r.migration
 	m.calling = false
+	m.target.noteFirstEvent()
 	done := copied.State == exchange.MoveDone
 	r.log(zap.InfoLevel, "memory copied", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.String("to", m.target.placed.Endpoint.ID),
 		zap.Bool("leaving", m.leaving), zap.Bool("done", done), zap.Error(copied.Err))
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -68,7 +68,7 @@
 	m := placeMessage{request: s.placement(), first: s.sends == 0, priority: s.priority(), leaving: leaving}
 	m.until = s.request.Received.Add(s.route.Objective / waitShare)
 	if o.continues() {
-		m.request.Free, m.request.Resumed, m.request.Spare = true, true, o.spare
+		m.request.Free, m.request.Resumed, m.request.Spare, m.request.Copies = true, true, o.spare, o.moves
 		m.request.Only, m.request.Exclude = o.at, o.exclude
 		m.until = time.Now()
 	}
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -24,8 +24,9 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is told to come back.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
-	// lengthMargin multiplies the caller's estimate of the output, since about half of the answers are longer.
-	lengthMargin = 1.25
+	// lengthShare is the part of the caller's estimate of the output that a run holds on average: its memory grows from
+	// nothing, and about half of the answers are longer than estimated.
+	lengthShare = 0.6
 )
 
 // session is one request from its arrival to its answer.
@@ -196,12 +197,12 @@
 	return r
 }
 
-// expectedOutput returns the number of output tokens to reckon with.
+// expectedOutput returns the number of output tokens that the run holds on average.
 func (s *session) expectedOutput() int {
 	if s.request.LengthHint == 0 {
-		return s.request.MaxTokens
+		return s.request.MaxTokens / 2
 	}
-	return min(s.request.MaxTokens, int(lengthMargin*float64(s.request.LengthHint)))
+	return min(s.request.MaxTokens, int(lengthShare*float64(s.request.LengthHint)))
 }
 
 // priority returns the rank of the request; 0 is the most urgent.
