Exchange load and changes through relays

Change: two nodes of each data centre are relays. They add up the load of their data centre for the others, and one of them follows the store for it.

--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -41,8 +41,8 @@
 	out       bool
 
 	own Load
-	// peers is what other nodes have in flight, by node.
-	peers map[string]Load
+	// others is what all other nodes have in flight together.
+	others Load
 
 	avoidUntil time.Time
 	unreached  int
@@ -54,12 +54,8 @@
 
 // refresh brings the candidate up to date and reports whether it admits a request, leaving cold limits aside.
 func (e *endpoint) refresh(now time.Time, dataCentre string) bool {
-	inFlight, tokens, prefill := e.own.InFlight, e.own.Tokens, e.own.Prefill
-	for _, p := range e.peers {
-		inFlight += p.InFlight
-		tokens += p.Tokens
-		prefill += p.Prefill
-	}
+	inFlight := e.own.InFlight + e.others.InFlight
+	tokens, prefill := e.own.Tokens+e.others.Tokens, e.own.Prefill+e.others.Prefill
 	c := &e.candidate
 	c.ID, c.InFlight, c.Prefill, c.Other = e.ID, inFlight, prefill, float64(tokens)
 	c.Failures, c.Nearby = e.failures, e.DataCentre == dataCentre
--- a/decision/dispatch/load.go
+++ b/decision/dispatch/load.go
@@ -8,6 +8,4 @@
 	Tokens int `cbor:"3,keyasint,omitempty"`
 	// Prefill is the number of prompt tokens of runs without a first event.
 	Prefill int `cbor:"4,keyasint,omitempty"`
-	// Suspect is set while the node avoids the endpoint.
-	Suspect bool `cbor:"5,keyasint,omitempty"`
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -11,8 +11,8 @@
 	"azuredyke.dev/azuredyke/decision/retry"
 )
 
-// peerSilence is how long the load that a node reported counts after its last report.
-const peerSilence = 3 * time.Second
+// othersSilence is how long the load of the other nodes counts after it was last heard of.
+const othersSilence = 3 * time.Second
 
 // Table is the state of placement at one node. It belongs to one task.
 type Table struct {
@@ -22,8 +22,8 @@
 	services  map[string][]*endpoint
 	runs      map[uint64]*run
 	budgets   map[string]*retry.WindowBudget
-	// heard is when each node's load was last reported.
-	heard  map[string]time.Time
+	// heard is when the load of the others was last reported.
+	heard  time.Time
 	number uint64
 
 	random                      *rand.Rand
@@ -36,7 +36,7 @@
 func NewTable(params Params, random *rand.Rand) *Table {
 	return &Table{
 		params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
-		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, heard: map[string]time.Time{},
+		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{},
 		random:       random,
 		engine:       placement.NewSharedEnginePolicy(random, false),
 		engineStrict: placement.NewSharedEnginePolicy(random, true),
@@ -64,10 +64,7 @@
 		for _, listed := range list {
 			e := before[listed.ID]
 			if e == nil || !e.Same(&listed.Endpoint) {
-				e = &endpoint{peers: map[string]Load{}}
-				if old := before[listed.ID]; old != nil {
-					e.peers = old.peers
-				}
+				e = &endpoint{}
 			}
 			wasOut := e.out
 			e.Endpoint, e.service, e.out = listed, service, s.Out[listed.DataCentre]
@@ -84,32 +81,26 @@
 	}
 }
 
-// SetPeer takes over what another node has in flight.
-func (t *Table) SetPeer(now time.Time, node string, loads []Load) {
-	t.heard[node] = now
-	t.forgetPeer(node)
+// SetOthers takes over what all other nodes have in flight together.
+func (t *Table) SetOthers(now time.Time, loads []Load) {
+	t.heard = now
+	for _, e := range t.endpoints {
+		e.others = Load{}
+	}
 	for _, l := range loads {
 		if e := t.endpoints[l.Endpoint]; e != nil {
-			e.peers[node] = l
+			e.others = l
 		}
 	}
 }
 
-func (t *Table) forgetPeer(node string) {
-	for _, e := range t.endpoints {
-		delete(e.peers, node)
-	}
-}
-
-// Expire forgets the load of nodes that have fallen silent.
+// Expire forgets the load of the others when nothing has been heard of it for long.
 func (t *Table) Expire(now time.Time) {
-	maps.DeleteFunc(t.heard, func(node string, at time.Time) bool {
-		if now.Sub(at) < peerSilence {
-			return false
+	if now.Sub(t.heard) >= othersSilence {
+		for _, e := range t.endpoints {
+			e.others = Load{}
 		}
-		t.forgetPeer(node)
-		return true
-	})
+	}
 }
 
 // Own returns what this node has in flight, sorted by endpoint.
--- /dev/null
+++ b/decision/gather/doc.go
@@ -0,0 +1,15 @@
+// Package gather adds up what many nodes have in flight, so that each learns the sum of the others without talking to all of
+// them.
+//
+// In each data centre two nodes are relays. Nodes report to the relays of their data centre, relays tell those of the other
+// data centres their sum, and tell each node the sum of all others. The messages grow with the number of nodes, not with
+// its square.
+package gather
+
+import "time"
+
+// RelaysPerDataCentre lets one relay fail without a gap.
+const RelaysPerDataCentre = 2
+
+// silence is how long a report counts.
+const silence = 2 * time.Second
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/bootclock"
+	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/transport/peer"
 )
 
 const (
@@ -20,70 +23,185 @@
 	// callTimeout is how long an answer may take beyond a poll's wait. A store that is alive answers in milliseconds, and
 	// in some hundred when it is slow.
 	callTimeout = time.Second
-	// firstPause and maxPause bound the wait after failed calls.
-	firstPause = 100 * time.Millisecond
+	// syncWait is how long a question to another node waits for changes, and syncTimeout what its answer may take beyond
+	// that.
+	syncWait    = 700 * time.Millisecond
+	syncTimeout = 250 * time.Millisecond
+	// maxRelayAge is the age of a relay's knowledge from which a node asks the store itself; above a poll's wait and a
+	// lost call.
+	maxRelayAge = pollWait + callTimeout
+	// relayPause is how long a relay that did not help is left alone.
+	relayPause = 3 * time.Second
+	// firstPause and maxPause bound the wait between calls to a store that does not answer. Refused calls cost as well.
+	firstPause = 200 * time.Millisecond
 	maxPause   = time.Second
 )
 
-// follower is the task that reads the store for the view.
+// follower is the task that keeps the view up to date: from the relay of the data centre where there is one, else from the
+// store, and from any other node while the store does not answer.
 type follower struct {
 	log   *zap.Logger
 	store Store
+	hub   *peer.Hub
+	self  Member
+	seeds []string
+	known *latest.Value[*Knowledge]
 	view  mailbox.Mailbox[viewMessage]
+
+	// read is set once the node has read or been told everything; position is the revision up to which it has.
+	read     bool
+	position int64
+	// avoid says until when a relay is left alone, by address.
+	avoid map[string]time.Time
+	// storeFailed is set while the store does not answer; it is asked again after storeNext.
+	storeFailed bool
+	storeNext   time.Time
+	pause       time.Duration
+	source      string
 }
 
-// run reads everything and then follows the changes until ctx ends. After a failure it goes on from where it was, and
-// reads everything again only when the history is gone.
+// run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	pause := firstPause
-	position, failed := int64(0), false
+	f.pause = firstPause
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, position)
-		if err == nil {
-			if failed {
-				f.log.Info("store regained", zap.Int64("revision", next))
+		if f.read {
+			if address, ok := f.relay(); ok {
+				f.ask(ctx, address, syncWait)
+				continue
 			}
-			position, pause, failed = next, firstPause, false
+		}
+		if !time.Now().Before(f.storeNext) && f.askStore(ctx) {
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if address, ok := f.anyNode(); ok {
+			f.ask(ctx, address, min(syncWait, max(0, time.Until(f.storeNext))))
 		}
-		if backing.ErrCompacted.Has(err) {
-			f.log.Info("history lost, reading everything again", zap.Int64("revision", position))
-			position = 0
-			continue
+		f.sleep(ctx, min(firstPause, time.Until(f.storeNext)))
+	}
+}
+
+// relay returns the address of a relay of the data centre that stands before this node.
+func (f *follower) relay() (string, bool) {
+	t := newTopology(f.self, f.known.Load().Nodes)
+	now := time.Now()
+	for rank, m := range t.relays {
+		if t.rank >= 0 && rank >= t.rank {
+			break
+		}
+		if now.After(f.avoid[m.Address]) {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+// anyNode returns the address of some other node.
+func (f *follower) anyNode() (string, bool) {
+	addresses := append([]string(nil), f.seeds...)
+	for _, n := range f.known.Load().Nodes {
+		addresses = append(addresses, n.Address)
+	}
+	if len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[rand.IntN(len(addresses))], true
+}
+
+// ask asks another node for changes. One that does not answer, or knows no more, is left alone for a while.
+func (f *follower) ask(ctx context.Context, address string, wait time.Duration) {
+	asked := bootclock.Now()
+	call, cancel := context.WithTimeout(ctx, wait+syncTimeout)
+	defer cancel()
+	reply, err := peer.Call[syncRequest, syncReply](call, f.hub, address, kindSync,
+		syncRequest{Since: f.position, WaitMillis: wait.Milliseconds()})
+	age := time.Duration(reply.AgeMillis) * time.Millisecond
+	if err != nil || !reply.Known || age > maxRelayAge {
+		if ctx.Err() == nil {
+			f.avoid[address] = time.Now().Add(relayPause)
+			f.log.Info("no help from another node", zap.String("address", address), zap.Int64("revision", f.position),
+				zap.Duration("age", age), zap.Error(err))
 		}
-		if !failed {
-			f.log.Warn("store lost", zap.Int64("revision", position), zap.Error(err))
-			_ = f.view.Send(ctx, storeLostMessage{})
+		if err != nil || !reply.Known {
+			return
 		}
-		failed = true
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+	}
+	f.follow(address, reply.Position)
+	f.read = true
+	_ = f.view.Send(ctx, peerChangesMessage{reply: reply, asked: asked})
+}
+
+// askStore makes one call to the store and reports whether it was answered.
+func (f *follower) askStore(ctx context.Context) bool {
+	err := f.callStore(ctx)
+	switch {
+	case err == nil:
+		if f.storeFailed {
+			f.log.Info("store regained", zap.Int64("revision", f.position))
 		}
-		pause = min(maxPause, 2*pause)
+		f.storeFailed, f.pause = false, firstPause
+		return true
+	case ctx.Err() != nil:
+		return false
+	case backing.ErrCompacted.Has(err):
+		f.log.Info("history lost, reading everything again", zap.Int64("revision", f.position))
+		f.read, f.position = false, 0
+		return true
 	}
+	if !f.storeFailed {
+		f.log.Warn("store lost", zap.Int64("revision", f.position), zap.Error(err))
+		_ = f.view.Send(ctx, storeLostMessage{})
+	}
+	f.storeFailed = true
+	f.storeNext = time.Now().Add(f.pause)
+	f.pause = min(maxPause, 2*f.pause)
+	return false
 }
 
-// step makes one call and returns the position after it.
-func (f *follower) step(ctx context.Context, position int64) (int64, error) {
+// callStore reads everything, or what changed since.
+func (f *follower) callStore(ctx context.Context) error {
 	began := bootclock.Now()
-	if position == 0 {
+	if !f.read {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		all, err := f.store.Range(call, allKeys)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		return all.Revision, f.view.Send(ctx, storeReadMessage{result: all, asOf: began})
+		f.read = true
+		f.follow("store", all.Revision)
+		return f.view.Send(ctx, storeReadMessage{result: all, asOf: began})
 	}
 	call, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
 	defer cancel()
-	batch, err := f.store.Poll(call, allKeys, position, pollWait)
+	batch, err := f.store.Poll(call, allKeys, f.position, pollWait)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	f.follow("store", batch.Revision)
+	if len(batch.Events) == 0 && bootclock.Now().Sub(began) >= pollWait {
+		// The store has waited, so nothing had changed by the end of the wait.
+		began = began.Add(pollWait)
+	}
+	return f.view.Send(ctx, storeChangedMessage{batch: batch, asOf: began})
+}
+
+// follow notes how far the node's knowledge goes, and logs from where it comes.
+func (f *follower) follow(source string, revision int64) {
+	f.position = max(f.position, revision)
+	if f.source != source {
+		f.log.Info("following", zap.String("source", source), zap.String("before", f.source), zap.Int64("revision", revision))
+		f.source = source
+	}
+}
+
+func (f *follower) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return batch.Revision, f.view.Send(ctx, storeChangedMessage{batch: batch, asOf: began})
 }
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -12,9 +12,11 @@
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/logging"
+	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/common/sockopt"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/gather"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
 
@@ -36,6 +38,7 @@
 	log      *zap.Logger
 	settings settings.Edge
 	deps     Dependencies
+	self     Member
 
 	view       *view
 	dispatcher *dispatcher
@@ -56,11 +59,13 @@
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
 		NodeID: s.Node.ID, TrustedNetwork: s.Peers.TrustedNetwork, Scope: d.Metrics.Scope.SubScope("peer"),
 	})
+	n.self = Member{ID: s.Node.ID, Address: s.Listen.Peers, DataCentre: s.Node.DataCentre}
 	n.peers = &peers{
-		log: logging.For(log, logging.Peer), hub: n.hub, seeds: s.Peers.Seeds, known: n.view.current,
-		view: n.view.messages, dispatcher: n.dispatcher.messages,
+		log: logging.For(log, logging.Peer), hub: n.hub, self: n.self, known: n.view.current,
+		messages: mailbox.New[peersMessage](peersCapacity), dispatcher: n.dispatcher.messages, sums: gather.NewSums(),
 	}
 	n.peers.register()
+	handleSync(n.hub, n.view.current, n.view.messages)
 	n.server = &Server{
 		log: logging.For(log, logging.Gateway), known: n.view.current, placer: placer{messages: n.dispatcher.messages},
 		sender: d.Sender, mover: d.Mover, streamOf: d.StreamOf, revoke: s.Bounds.Revoke, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
@@ -104,11 +109,11 @@
 
 // tasks returns the tasks of the node.
 func (n *Node) tasks() []func(context.Context) {
-	follow := &follower{log: n.view.log, store: n.deps.Store, view: n.view.messages}
-	register := &registration{
-		log: n.log, store: n.deps.Store,
-		member: Member{ID: n.settings.Node.ID, Address: n.settings.Listen.Peers, DataCentre: n.settings.Node.DataCentre},
+	follow := &follower{
+		log: n.view.log, store: n.deps.Store, hub: n.hub, self: n.self, seeds: n.settings.Peers.Seeds,
+		known: n.view.current, view: n.view.messages, avoid: map[string]time.Time{},
 	}
+	register := &registration{log: n.log, store: n.deps.Store, member: n.self}
 	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, register.run}
 }
 
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -2,121 +2,102 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
-	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/gather"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
 
 const (
-	// loadInterval is how often nodes tell each other what they have in flight. Engines report half a second late.
-	loadInterval = 150 * time.Millisecond
-	// syncInterval is how often a node that hears nothing from the store asks another one.
-	syncInterval = 300 * time.Millisecond
-	// syncAfter is the age of its knowledge from which a node asks others; above a poll's wait.
-	syncAfter = pollWait + 300*time.Millisecond
-	// syncTimeout bounds one question.
-	syncTimeout = 250 * time.Millisecond
-	// kinds of messages between nodes.
-	kindLoad = "edge.load"
-	kindSync = "edge.sync"
+	// loadInterval is how often nodes tell what they have in flight. A sum reaches a node over two relays, and a prompt takes some 200 ms to compute.
+	loadInterval = 50 * time.Millisecond
+	// peersCapacity bounds the waiting messages of the task; further ones are dropped, since newer ones follow.
+	peersCapacity = 256
+	// Kinds of notices between nodes.
+	kindLoadReport = "edge.load_report"
+	kindLoadSum    = "edge.load_sum"
+	kindLoadOthers = "edge.load_others"
 )
 
-// peers is the task that exchanges load and changes with the other nodes.
+// peers is the task that exchanges with the other nodes what each has in flight.
 type peers struct {
 	log        *zap.Logger
 	hub        *peer.Hub
-	seeds      []string
+	self       Member
 	known      *latest.Value[*Knowledge]
-	view       mailbox.Mailbox[viewMessage]
+	messages   mailbox.Mailbox[peersMessage]
 	dispatcher mailbox.Mailbox[dispatcherMessage]
-	// helped is set while another node stands in for the store.
-	helped bool
+
+	sums *gather.Sums
+	// heardFirst is when the relay in charge was last heard.
+	heardFirst time.Time
+	rank       int
 }
 
 // register installs the handlers; it is called before the hub runs.
 func (p *peers) register() {
-	peer.HandleNotice(p.hub, kindLoad, 0, func(ctx context.Context, from string, n loadNotice) {
-		_ = p.dispatcher.Send(ctx, peerLoadMessage{node: from, loads: n.Loads})
-	})
-	peer.Handle(p.hub, kindSync, 0, func(ctx context.Context, _ string, q syncRequest) (syncReply, error) {
-		return mailbox.Call(ctx, p.view, func(reply chan<- syncReply) viewMessage {
-			return syncMessage{since: q.Since, reply: reply}
-		})
-	})
+	peer.HandleNotice(p.hub, kindLoadReport, 0, func(_ context.Context, _ string, m loadReport) { p.messages.TrySend(m) })
+	peer.HandleNotice(p.hub, kindLoadSum, 0, func(_ context.Context, _ string, m loadSum) { p.messages.TrySend(m) })
+	peer.HandleNotice(p.hub, kindLoadOthers, 0, func(_ context.Context, _ string, m loadOthers) { p.messages.TrySend(m) })
 }
 
 // run exchanges until ctx ends.
 func (p *peers) run(ctx context.Context) {
-	load := time.NewTicker(loadInterval)
-	defer load.Stop()
-	sync := time.NewTicker(syncInterval)
-	defer sync.Stop()
+	tick := time.NewTicker(loadInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-load.C:
-			p.tellLoad(ctx)
-		case <-sync.C:
-			p.sync(ctx)
+		case m := <-p.messages.Receive():
+			m.apply(p)
+		case <-tick.C:
+			p.exchange(ctx)
 		}
 	}
 }
 
-// tellLoad sends what this node has in flight to all others.
-func (p *peers) tellLoad(ctx context.Context) {
+// exchange tells the others what they need to know.
+func (p *peers) exchange(ctx context.Context) {
 	nodes := p.known.Load().Nodes
 	if len(nodes) == 0 {
 		return
 	}
-	loads, err := mailbox.Call(ctx, p.dispatcher, func(reply chan<- []dispatch.Load) dispatcherMessage {
+	own, err := mailbox.Call(ctx, p.dispatcher, func(reply chan<- []dispatch.Load) dispatcherMessage {
 		return ownLoadMessage{reply: reply}
 	})
 	if err != nil {
 		return
 	}
-	for _, n := range nodes {
-		peer.Notify(p.hub, n.Address, kindLoad, loadNotice{Loads: loads})
-	}
-}
-
-// sync asks another node for changes when the store has been silent.
-func (p *peers) sync(ctx context.Context) {
-	k := p.known.Load()
-	if age := bootclock.Now().Sub(k.Confirmed); age < syncAfter {
-		if p.helped {
-			p.helped = false
-			p.log.Info("store heard directly again", zap.Duration("age", age))
-		}
-		return
+	t := newTopology(p.self, nodes)
+	if t.rank != p.rank {
+		p.log.Info("rank among relays changed", zap.Int("from", p.rank), zap.Int("to", t.rank), zap.Int("nodes", len(nodes)+1))
+		p.rank = t.rank
 	}
-	addresses := append([]string(nil), p.seeds...)
-	for _, n := range k.Nodes {
-		addresses = append(addresses, n.Address)
+	report := loadReport{Node: p.self.ID, Loads: own}
+	for _, m := range t.relays {
+		peer.Notify(p.hub, m.Address, kindLoadReport, report)
 	}
-	if len(addresses) == 0 {
-		return
+	if t.rank >= 0 {
+		p.relay(t, report)
 	}
-	address := addresses[rand.IntN(len(addresses))]
-	asked := bootclock.Now()
-	call, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	reply, err := peer.Call[syncRequest, syncReply](call, p.hub, address, kindSync, syncRequest{Since: k.Position})
-	if err != nil || !reply.Known {
-		p.log.Debug("no help from another node", zap.String("address", address), zap.Error(err))
-		return
+}
+
+// relay passes sums on.
+func (p *peers) relay(t topology, own loadReport) {
+	now := time.Now()
+	p.sums.Report(now, own.Node, own.Loads)
+	sum := loadSum{DataCentre: p.self.DataCentre, Loads: p.sums.Own(now)}
+	for _, m := range t.remote {
+		peer.Notify(p.hub, m.Address, kindLoadSum, sum)
 	}
-	if !p.helped {
-		p.helped = true
-		p.log.Info("another node stands in for the store", zap.String("address", address),
-			zap.Int64("revision", reply.Position), zap.Int64("age_ms", reply.AgeMillis))
+	for _, m := range t.local {
+		peer.Notify(p.hub, m.Address, kindLoadOthers, loadOthers{Rank: t.rank, Loads: p.sums.Others(now, m.ID)})
 	}
-	_ = p.view.Send(ctx, peerChangesMessage{reply: reply, asked: asked})
+	loadOthers{Rank: 0, Loads: p.sums.Others(now, p.self.ID)}.apply(p)
 }
--- a/service/edge/store_changed_message.go
+++ b/service/edge/store_changed_message.go
@@ -9,7 +9,7 @@
 // storeChangedMessage carries the answer of a poll.
 type storeChangedMessage struct {
 	batch backing.WatchBatch
-	// asOf is when the poll began, on the boot clock.
+	// asOf is when the batch was known to be complete, on the boot clock.
 	asOf time.Time
 }
 
