--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/logging"
@@ -37,10 +41,21 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(s.Log.Level, s.Log.Format)
+	writer := logging.NewAsyncWriter()
+	log, level, err := logging.NewAsync(s.Log.Level, s.Log.Format, writer)
 	if err != nil {
 		return err
 	}
+	writing, stopWriting := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		writer.Run(writing, os.Stdout)
+		close(written)
+	}()
+	defer func() {
+		stopWriting()
+		<-written
+	}()
 	registry := metrics.NewRegistry()
 	defer func() { _ = registry.Close() }()
 	client := workers.New()
@@ -53,5 +68,20 @@
 		Front:     func(server *edge.Server, budget int64) http.Handler { return front.New(server, budget) },
 		Metrics:   registry,
 	})
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go reload(hangups, path, node, level)
 	return node.Run(cmd.Context())
 }
+
+// reload reads the settings file again at each signal. One that cannot be used is logged, and the old settings stay.
+func reload(hangups <-chan os.Signal, path string, node *edge.Node, level zap.AtomicLevel) {
+	for range hangups {
+		s, err := settings.LoadEdge(path)
+		if err == nil {
+			err = level.UnmarshalText([]byte(s.Log.Level))
+		}
+		node.Reload(s, err)
+	}
+}
--- a/common/logging/logging.go
+++ b/common/logging/logging.go
@@ -26,3 +26,18 @@
 	log, err := cfg.Build()
 	return log, Error.Wrap(err)
 }
+
+// NewAsync returns a logger that writes to an AsyncWriter, and its level, which can be changed while it runs.
+func NewAsync(level, format string, w *AsyncWriter) (*zap.Logger, zap.AtomicLevel, error) {
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, parsed, Error.New("level %q is not one of debug, info, warn, error", level)
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoder := zapcore.NewJSONEncoder(config)
+	if format == "console" {
+		encoder = zapcore.NewConsoleEncoder(config)
+	}
+	return zap.New(zapcore.NewCore(encoder, w, parsed)), parsed, nil
+}
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -44,6 +44,12 @@
 	}
 }
 
+// SetParams puts other bounds in force. The length of the retry window stays as it was at the start.
+func (t *Table) SetParams(p Params) {
+	p.RetryWindow = t.params.RetryWindow
+	t.params = p
+}
+
 // SetNodes sets the number of nodes that share the limits. It never falls below the largest number that was known, since
 // a node that is out of touch keeps using its share.
 func (t *Table) SetNodes(n int) { t.nodes = max(t.nodes, n) }
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -15,7 +15,6 @@
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/common/sockopt"
-	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/gather"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
@@ -52,10 +51,7 @@
 func New(log *zap.Logger, s settings.Edge, d Dependencies) *Node {
 	n := &Node{log: logging.For(log, logging.Node), settings: s, deps: d}
 	n.view = newView(logging.For(log, logging.Configuration), s.Node.ID, d.Translate)
-	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), dispatch.Params{
-		DataCentre: s.Node.DataCentre, RetryRatio: s.Bounds.RetryRatio, RetryAllowance: s.Bounds.RetryAllowance,
-		RetryWindow: s.Bounds.RetryWindow, ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
-	}, n.view.current)
+	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), paramsOf(s), n.view.current)
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
 		NodeID: s.Node.ID, TrustedNetwork: s.Peers.TrustedNetwork, Scope: d.Metrics.Scope.SubScope("peer"),
 	})
@@ -68,8 +64,9 @@
 	handleSync(n.hub, n.view.current, n.view.messages)
 	n.server = &Server{
 		log: logging.For(log, logging.Gateway), known: n.view.current, placer: placer{messages: n.dispatcher.messages},
-		sender: d.Sender, mover: d.Mover, streamOf: d.StreamOf, revoke: s.Bounds.Revoke, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
+		sender: d.Sender, mover: d.Mover, streamOf: d.StreamOf, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
 	}
+	n.server.revoke.Store(int64(s.Bounds.Revoke))
 	n.ready = &readiness{server: n.server}
 	return n
 }
--- a/service/edge/readiness.go
+++ b/service/edge/readiness.go
@@ -23,5 +23,5 @@
 // ready reports whether the node can serve: it knows a configuration that is recent enough to check keys by.
 func (r *readiness) ready() bool {
 	return !r.stopping.Load() && r.server.known.Load().Fleet.Configuration != nil &&
-		r.server.knowledgeAge() < r.server.revoke-revokeMargin
+		r.server.knowledgeAge() < r.server.revokeBound()-revokeMargin
 }
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -26,8 +26,9 @@
 	sender   exchange.Sender
 	mover    exchange.Mover
 	streamOf func(io.Reader) exchange.Stream
-	revoke   time.Duration
 	metrics  *serverMetrics
+	// revoke is the bound of the settings in nanoseconds.
+	revoke atomic.Int64
 	// stopping is set once the node refuses work that it could not finish.
 	stopping atomic.Bool
 	active   atomic.Int64
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -83,7 +83,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonNoConfiguration, "no configuration yet").WithRetryAfter(minRetryAfter)
 	}
 	age := s.server.knowledgeAge()
-	stale := age > s.server.revoke-revokeMargin
+	stale := age > s.server.revokeBound()-revokeMargin
 	s.route = c.Route(s.request.Host, s.request.URL.Path)
 	if s.route == nil {
 		if stale {
