--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/placement"
@@ -50,7 +51,7 @@
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
 	known, admitted := 0, 0
 	for _, e := range t.services[r.Service] {
-		if r.Only != "" && e.ID != r.Only || e.Leaving || e.out {
+		if r.Only != "" && e.ID != r.Only || e.Leaving || e.out || slices.Contains(r.Exclude, e.ID) {
 			continue
 		}
 		known++
@@ -68,7 +69,7 @@
 		t.candidates = append(t.candidates, &e.candidate)
 	}
 	query := &placement.Request{
-		Exclude: r.Exclude, PromptTokens: r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
+		PromptTokens: r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
 	policies := []*placement.Policy{t.plain}
 	switch {
@@ -78,28 +79,38 @@
 		// An engine on which the memory does not fit is better than none: it queues the request.
 		policies = []*placement.Policy{t.engineStrict, t.engine}
 	}
+	if e := t.pick(r, query, policies); e != nil {
+		return e, ""
+	}
+	switch {
+	case known == 0:
+		return nil, NoEndpoint
+	case admitted > 0 && len(t.eligible) == 0:
+		return nil, AllCold
+	default:
+		return nil, AllFull
+	}
+}
+
+// pick chooses among the eligible endpoints. For a copy it looks at a random part of them first: nodes look for room at the
+// same moment when an engine leaves, and must not all choose the same.
+func (t *Table) pick(r *Request, query *placement.Request, policies []*placement.Policy) *endpoint {
 	if r.Copies {
-		// Nodes look for room at the same moment when an engine leaves; a random choice keeps them from choosing the same.
 		t.random.Shuffle(len(t.eligible), func(i, j int) {
 			t.eligible[i], t.eligible[j] = t.eligible[j], t.eligible[i]
 			t.candidates[i], t.candidates[j] = t.candidates[j], t.candidates[i]
 		})
-		keep := (len(t.eligible) + copyChoices - 1) / copyChoices
-		t.eligible, t.candidates = t.eligible[:keep], t.candidates[:keep]
+		part := (len(t.eligible) + copyChoices - 1) / copyChoices
+		if i, ok := t.engineStrict.Choose(query, t.candidates[:part]); ok {
+			return t.eligible[i]
+		}
 	}
 	for _, p := range policies {
 		if i, ok := p.Choose(query, t.candidates); ok {
-			return t.eligible[i], ""
+			return t.eligible[i]
 		}
 	}
-	switch {
-	case known == 0:
-		return nil, NoEndpoint
-	case admitted > 0 && len(t.eligible) == 0:
-		return nil, AllCold
-	default:
-		return nil, AllFull
-	}
+	return nil
 }
 
 // copyTokens returns the mean size of the copy of a run's memory over its life.
--- /dev/null
+++ b/decision/dispatch/table_test.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/catalog"
+	"azuredyke.dev/azuredyke/decision/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+var params = Params{DataCentre: "a", RetryRatio: 0.2, RetryAllowance: 8, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5}
+
+// newTable returns a table of engines with memory for 10,000 tokens each.
+func newTable(coldFor time.Duration, ids ...string) (*Table, *fleet.Snapshot) {
+	s := &fleet.Snapshot{
+		Configuration: &catalog.Configuration{Services: map[string]*catalog.Service{"s": {
+			Name: "s", ColdRate: 10, Engine: &catalog.Engine{Slots: 8, Capacity: 10_000, Backups: true, Moves: true},
+		}}},
+		Out: map[string]bool{}, Endpoints: map[string][]fleet.Endpoint{},
+	}
+	for _, id := range ids {
+		e := fleet.Endpoint{Endpoint: catalog.Endpoint{ID: id, Service: "s", DataCentre: "a", Slots: 8, ColdFor: coldFor}}
+		e.ColdUntil = start.Add(coldFor)
+		s.Endpoints["s"] = append(s.Endpoints["s"], e)
+	}
+	t := NewTable(params, rand.New(rand.NewPCG(1, 2)))
+	t.SetSnapshot(start, s)
+	return t, s
+}
+
+func request(tokens int) Request { return Request{Service: "s", PromptTokens: tokens, Tokens: tokens} }
+
+// Guards against more requests on a cold endpoint than all nodes together may send, when each knows only its own.
+func TestColdLimitIsSharedBetweenNodes(t *testing.T) {
+	const nodes = 4
+	sent := 0
+	for range nodes {
+		table, _ := newTable(time.Minute, "cold")
+		table.SetNodes(nodes)
+		for range 100 {
+			placed, refusal := table.Place(start, request(1))
+			if refusal == "" {
+				sent++
+				table.Release(start, placed.Run, Succeeded)
+			}
+		}
+	}
+	assert.Assert(t, sent > 0 && float64(sent) <= 10*params.ColdOverage+params.ColdSlack)
+}
+
+// Guards against a share below one request a second that rounds up for every node.
+func TestColdLimitHoldsForManyNodes(t *testing.T) {
+	table, _ := newTable(time.Hour, "cold")
+	table.SetNodes(200)
+	sent := 0
+	for i := range 1000 {
+		placed, refusal := table.Place(start.Add(time.Duration(i)*10*time.Millisecond), request(1))
+		if refusal == "" {
+			sent++
+			table.Release(start, placed.Run, Succeeded)
+		}
+	}
+	// 20 requests a second for 200 nodes are one in 10 s for each.
+	assert.Assert(t, sent <= 2, "%d sent in 10 s", sent)
+}
+
+// Guards against repeats beyond the budget of all nodes.
+func TestRepeatsKeepToTheShareOfTheBudget(t *testing.T) {
+	table, _ := newTable(0, "a")
+	table.SetNodes(4)
+	repeats := 0
+	for range 100 {
+		r := request(1)
+		r.Repeat = true
+		if placed, refusal := table.Place(start, r); refusal == "" {
+			repeats++
+			table.Release(start, placed.Run, Succeeded)
+		}
+	}
+	assert.Equal(t, repeats, 2)
+}
+
+// Guards against new work for endpoints that leave, in data centres that are out, or that just accepted no connection.
+func TestClosedEndpointsGetNoWork(t *testing.T) {
+	table, s := newTable(0, "leaves", "out", "dead", "open")
+	next := *s
+	next.Out = map[string]bool{"b": true}
+	next.Endpoints = map[string][]fleet.Endpoint{"s": append([]fleet.Endpoint(nil), s.Endpoints["s"]...)}
+	next.Endpoints["s"][0].Leaving = true
+	next.Endpoints["s"][1].DataCentre = "b"
+	table.SetSnapshot(start, &next)
+	for {
+		r := request(1)
+		r.Only = "dead"
+		placed, refusal := table.Place(start, r)
+		if refusal != "" {
+			break
+		}
+		table.Release(start, placed.Run, Unreachable)
+	}
+	for range 8 {
+		placed, refusal := table.Place(start, request(1))
+		assert.Equal(t, refusal, Refusal(""))
+		assert.Equal(t, placed.Endpoint.ID, "open")
+	}
+}
+
+// Guards against a copy on the engine that runs the request, on a full one, or none although there is room. The random part
+// of the engines that is looked at first must not hide the others.
+func TestCopyTakesRoomWhereverItIs(t *testing.T) {
+	for seed := range uint64(50) {
+		table, _ := newTable(0, "runs", "full", "room")
+		table.random = rand.New(rand.NewPCG(seed, 0))
+		full := request(9000)
+		full.Only = "full"
+		_, refusal := table.Place(start, full)
+		assert.Equal(t, refusal, Refusal(""))
+		r := request(2000)
+		r.Exclude, r.Copies, r.Spare, r.Resumed = []string{"runs"}, true, true, true
+		placed, refusal := table.Place(start, r)
+		assert.Equal(t, refusal, Refusal(""))
+		assert.Equal(t, placed.Endpoint.ID, "room")
+	}
+}
+
+// Guards against load that stays counted after its runs have ended, or twice for a restarted endpoint.
+func TestReleasedRunsAreNotCounted(t *testing.T) {
+	table, s := newTable(0, "a", "b")
+	r := request(100)
+	r.Backup = true
+	placed, _ := table.Place(start, r)
+	assert.Equal(t, len(table.Own()), 2)
+	table.Began(placed.Run)
+	table.Release(start, placed.Run, Succeeded)
+	assert.Equal(t, len(table.Own()), 0)
+	placed, _ = table.Place(start, r)
+	reborn := *s
+	reborn.Endpoints = map[string][]fleet.Endpoint{"s": append([]fleet.Endpoint(nil), s.Endpoints["s"]...)}
+	for i := range reborn.Endpoints["s"] {
+		reborn.Endpoints["s"][i].Born = 2
+	}
+	table.SetSnapshot(start, &reborn)
+	table.Release(start, placed.Run, Broken)
+	assert.Equal(t, len(table.Own()), 0)
+}
--- /dev/null
+++ b/fake/metastore/server.go
@@ -0,0 +1,172 @@
+package metastore
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"azuredyke.dev/azuredyke/backing"
+)
+
+// Server answers calls from a key-value service.
+type Server struct {
+	kv backing.KV
+	// refusing is set while every call is answered 503.
+	refusing atomic.Bool
+	calls    atomic.Int64
+}
+
+// New returns a server over a service, which tests also write to as operators and endpoints do.
+func New(kv backing.KV) *Server { return &Server{kv: kv} }
+
+// Refuse makes the server answer every call with 503, or ends that.
+func (s *Server) Refuse(on bool) { s.refusing.Store(on) }
+
+// Calls returns the number of calls.
+func (s *Server) Calls() int64 { return s.calls.Load() }
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/kv-range", s.rangeKeys).Methods(http.MethodGet)
+	r.HandleFunc("/kv-watch", s.watch).Methods(http.MethodGet)
+	r.HandleFunc("/kv-txn", s.txn).Methods(http.MethodPost)
+	r.HandleFunc("/kv-lease", s.lease).Methods(http.MethodPost)
+	r.HandleFunc("/kv-keep/{id}", s.keep).Methods(http.MethodPost)
+	r.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+			s.calls.Add(1)
+			if s.refusing.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			next.ServeHTTP(w, in)
+		})
+	})
+	return r
+}
+
+// item is one key on the wire.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	LeaseID  int64  `json:"leaseId"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+func itemOf(e backing.Entry, deleted bool) item {
+	return item{e.Key, e.Value, e.ModRevision, e.CreateRevision, int64(e.Lease), deleted}
+}
+
+func (s *Server) rangeKeys(w http.ResponseWriter, in *http.Request) {
+	result, err := s.kv.Range(in.Context(), in.URL.Query().Get("pathPrefix"))
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	entries := []item{}
+	for _, e := range result.Entries {
+		entries = append(entries, itemOf(e, false))
+	}
+	reply(w, map[string]any{"entries": entries, "hasMore": false, "at": result.Revision})
+}
+
+func (s *Server) watch(w http.ResponseWriter, in *http.Request) {
+	query := in.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	ctx, cancel := context.WithTimeout(in.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	batches, err := s.kv.Watch(ctx, query.Get("pathPrefix"), after+1)
+	if err != nil {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	events, at := []item{}, after
+	for batch := range batches {
+		if backing.ErrCompacted.Has(batch.Err) {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		at = max(at, batch.Revision)
+		for _, e := range batch.Events {
+			events = append(events, itemOf(e.Entry, e.Deleted))
+		}
+		if len(events) > 0 {
+			break
+		}
+	}
+	reply(w, map[string]any{"events": events, "at": at})
+}
+
+func (s *Server) txn(w http.ResponseWriter, in *http.Request) {
+	var body struct {
+		Conditions []item   `json:"expectedRevision"`
+		Writes     []item   `json:"writes"`
+		Remove     []string `json:"remove"`
+	}
+	if json.NewDecoder(in.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var txn backing.Txn
+	for _, c := range body.Conditions {
+		txn.Conditions = append(txn.Conditions, backing.Condition{Key: c.Key, ModRevision: c.Revision})
+	}
+	for _, one := range body.Writes {
+		txn.Writes = append(txn.Writes, backing.Write{Key: one.Key, Value: one.Value, Lease: backing.LeaseID(one.LeaseID)})
+	}
+	for _, key := range body.Remove {
+		txn.Writes = append(txn.Writes, backing.Write{Key: key, Delete: true})
+	}
+	result, err := s.kv.Commit(in.Context(), txn)
+	switch {
+	case backing.ErrLeaseNotFound.Has(err):
+		w.WriteHeader(http.StatusNotFound)
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !result.Committed:
+		w.WriteHeader(http.StatusPreconditionFailed)
+		reply(w, map[string]any{"entries": []item{}})
+	default:
+		reply(w, map[string]any{"revision": result.Revision})
+	}
+}
+
+func (s *Server) lease(w http.ResponseWriter, in *http.Request) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if json.NewDecoder(in.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id, err := s.kv.GrantLease(in.Context(), time.Duration(body.TTLMs)*time.Millisecond)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, map[string]any{"leaseId": id, "ttlMs": body.TTLMs})
+}
+
+func (s *Server) keep(w http.ResponseWriter, in *http.Request) {
+	id, _ := strconv.ParseInt(mux.Vars(in)["id"], 10, 64)
+	if s.kv.RenewLease(in.Context(), backing.LeaseID(id)) != nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, map[string]any{"ttlMs": 0})
+}
+
+// reply writes a JSON body; a caller that has left does not matter to the stand-in.
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/fake/workers/worker.go
@@ -0,0 +1,150 @@
+package workers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// signature is the header by which callers know an answer of a worker.
+const signature = "X-Server-Signature"
+
+// Worker is the HTTP side of one worker.
+type Worker struct {
+	Fleet *Fleet
+	// ID is its own name, Address where it is reached.
+	ID      string
+	Address string
+	// Engine is set for model engines, whose answers are streams of Events events, one in each Interval.
+	Engine   bool
+	Events   int
+	Interval time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+	switch {
+	case w.Engine && in.URL.Path == "/kv-move":
+		w.move(out, in)
+		return
+	case w.Engine && strings.HasPrefix(in.URL.Path, "/kv-handle/"):
+		return
+	}
+	request := in.Header.Get("X-Request-Id")
+	out.Header().Set("X-Request-Id", request)
+	if want := in.Header.Get("X-Expected-Instance"); want != "" && want != w.ID {
+		out.Header().Set("X-Instance-Id", w.ID)
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	behaviour := ask(in.Context(), w.Fleet, func(s *state) Behaviour {
+		s.arrivals[request]++
+		return s.behaviours[w.ID]
+	})
+	from, ok := w.start(in)
+	if behaviour == Refuse || !ok {
+		out.Header().Set("X-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	run := &Run{
+		Worker: w.ID, Request: request, From: from, Workspace: in.Header.Get("X-Tenant"),
+		Authorization: in.Header.Get("Authorization"), DeadlineMs: in.Header.Get("X-Deadline-Ms"),
+	}
+	ask(in.Context(), w.Fleet, func(s *state) bool { s.runs = append(s.runs, run); return true })
+	defer func() {
+		// The request's own context has ended when its caller has left.
+		ask(context.Background(), w.Fleet, func(*state) bool { run.Ended = true; return true })
+	}()
+	out.Header().Set(signature, "signed-by-"+w.ID)
+	w.answer(out, in, behaviour, from)
+}
+
+// start returns the number of the first event to make; false when the copy to go on from does not exist.
+func (w *Worker) start(in *http.Request) (int, bool) {
+	copied := in.Header.Get("Kv-From")
+	if copied == "" {
+		return 1, true
+	}
+	known := ask(in.Context(), w.Fleet, func(s *state) bool {
+		_, ok := s.copies[copied]
+		delete(s.copies, copied)
+		return ok
+	})
+	last, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
+	return last + 1, known
+}
+
+// answer writes the answer as the behaviour says.
+func (w *Worker) answer(out http.ResponseWriter, in *http.Request, behaviour Behaviour, from int) {
+	switch behaviour {
+	case Fail:
+		out.WriteHeader(http.StatusInternalServerError)
+		_, _ = fmt.Fprint(out, "failed")
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Truncate:
+		out.Header().Set("Content-Length", "1000")
+		_, _ = fmt.Fprint(out, "only a part")
+		panic(http.ErrAbortHandler)
+	case Cross:
+		out.Header().Set("X-Request-Id", "another")
+		_, _ = fmt.Fprint(out, "answer of another request")
+	default:
+		if w.Engine {
+			w.stream(out, in, from)
+			return
+		}
+		_, _ = fmt.Fprintf(out, "%s %s by %s", in.Method, in.URL.RequestURI(), w.ID)
+	}
+}
+
+// stream makes events until the last one or until the caller leaves.
+func (w *Worker) stream(out http.ResponseWriter, in *http.Request, from int) {
+	out.Header().Set("Content-Type", "text/event-stream")
+	backup, request := in.Header.Get("X-Kv-Backup"), in.Header.Get("X-Request-Id")
+	for n := from; n <= w.Events; n++ {
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+			return
+		}
+		_ = http.NewResponseController(out).Flush()
+		if backup != "" {
+			ask(in.Context(), w.Fleet, func(s *state) bool { s.copies[backup+"/"+request] = n; return true })
+		}
+		select {
+		case <-time.After(w.Interval):
+		case <-in.Context().Done():
+			return
+		}
+	}
+}
+
+// move copies a run's memory.
+func (w *Worker) move(out http.ResponseWriter, in *http.Request) {
+	var body struct {
+		ID string `json:"id"`
+	}
+	if json.NewDecoder(in.Body).Decode(&body) != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	running := ask(in.Context(), w.Fleet, func(s *state) bool {
+		for _, r := range s.runs {
+			if r.Request == body.ID && r.Worker == w.ID && !r.Ended {
+				s.moves++
+				s.copies[w.Address+"/moved-"+body.ID] = 0
+				return true
+			}
+		}
+		return false
+	})
+	if !running {
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(out).Encode(map[string]any{"cacheHandle": "moved-" + body.ID, "created": 0})
+}
--- /dev/null
+++ b/test/edge/plain_test.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/fake/workers"
+	"azuredyke.dev/azuredyke/test/harness"
+)
+
+// Guards against an answer that is changed on the way, a key that is passed on and headers that a caller forges.
+func TestPlainRequestIsPassedOnUnchanged(t *testing.T) {
+	s, n := one(t)
+	req := s.Request(n, http.MethodGet, "/lookup/a%20b?x=1&y=%2F", "r1")
+	req.Header.Set("X-Tenant", "another")
+	req.Header.Set("Kv-From", "10.0.0.1:1/x")
+	resp, body, err := send(t, req)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "GET /lookup/a%20b?x=1&y=%2F by desk-1")
+	assert.Equal(t, resp.Header.Get("X-Server-Signature"), "signed-by-desk-1")
+	runs := s.Fleet.Runs(t.Context(), "r1")
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Workspace, harness.EdgeWorkspace)
+	assert.Equal(t, runs[0].Authorization, "")
+	assert.Assert(t, runs[0].DeadlineMs != "")
+}
+
+// Guards against a second run of a request that may run once, and against a status that says it has not run.
+func TestUnrepeatableRequestIsSentOnce(t *testing.T) {
+	for name, behaviour := range map[string]workers.Behaviour{
+		"reset": workers.Reset, "truncated": workers.Truncate, "crossed": workers.Cross, "failed": workers.Fail,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, n := one(t)
+			s.AddWorker("desk-2", false)
+			s.Fleet.Behave(t.Context(), "desk-1", behaviour)
+			s.Fleet.Behave(t.Context(), "desk-2", behaviour)
+			resp, _, err := send(t, s.Request(n, http.MethodPost, "/booking/1", "r1"))
+			assert.NilError(t, err)
+			want := http.StatusBadGateway
+			if behaviour == workers.Fail {
+				want = http.StatusInternalServerError
+			}
+			assert.Equal(t, resp.StatusCode, want)
+			assert.Equal(t, s.Fleet.Arrivals(t.Context(), "r1"), 1)
+		})
+	}
+}
+
+// Guards against failing a request that may be repeated while another endpoint would serve it.
+func TestRepeatableRequestIsTriedElsewhere(t *testing.T) {
+	for name, behaviour := range map[string]workers.Behaviour{
+		"reset": workers.Reset, "truncated": workers.Truncate, "crossed": workers.Cross, "failed": workers.Fail, "refused": workers.Refuse,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, n := one(t)
+			s.Fleet.Behave(t.Context(), "desk-1", behaviour)
+			s.AddWorker("desk-2", false)
+			s.Eventually("both endpoints are known", func() bool { return strings.Contains(n.Log(), "endpoint desk-2 of") })
+			for i := range 4 {
+				resp, body, err := send(t, s.Request(n, http.MethodGet, "/lookup/1", string(rune('a'+i))))
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				assert.Assert(t, strings.HasSuffix(body, "by desk-2"))
+			}
+		})
+	}
+}
+
+// Guards against a refusal that is not true, or that does not say when to come back.
+func TestRefusedRequestHasNotRun(t *testing.T) {
+	s, n := one(t)
+	s.Fleet.Behave(t.Context(), "desk-1", workers.Refuse)
+	resp, _, err := send(t, s.Request(n, http.MethodPost, "/booking/1", "r1"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(s.Fleet.Runs(t.Context(), "r1")), 0)
+}
+
+// Guards against bodies over the limit, unknown paths and unknown keys that reach an endpoint.
+func TestBadRequestsReachNoEndpoint(t *testing.T) {
+	s, n := one(t)
+	large := s.Request(n, http.MethodPost, "/booking/1", "large")
+	body := strings.Repeat("x", 70000)
+	large.Body, large.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	unknown := s.Request(n, http.MethodGet, "/nowhere/1", "unknown")
+	forged := s.Request(n, http.MethodGet, "/lookup/1", "forged")
+	forged.Header.Set("Authorization", "Bearer not-a-key")
+	for _, one := range []struct {
+		req    *http.Request
+		id     string
+		status int
+	}{{large, "large", http.StatusRequestEntityTooLarge}, {unknown, "unknown", http.StatusNotFound}, {forged, "forged", http.StatusUnauthorized}} {
+		resp, _, err := send(t, one.req)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, one.status)
+		assert.Equal(t, s.Fleet.Arrivals(t.Context(), one.id), 0)
+	}
+}
