Learn of changes from other nodes while the store is silent

Change: the load notices carry the revision that their sender knows; a node that is behind asks the sender, and one that has heard nothing for 1.8 s asks any.

--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,7 +10,6 @@
 	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
-	"azuredyke.dev/azuredyke/transport/peer"
 )
 
 const (
@@ -22,7 +20,7 @@
 	pollWait = 1500 * time.Millisecond
 	// callTimeout is how long an answer may take beyond a poll's wait. A store that is alive answers in milliseconds, and
 	// in some hundred when it is slow.
-	callTimeout = time.Second
+	callTimeout = 700 * time.Millisecond
 	// syncWait is how long a question to another node waits for changes, and syncTimeout what its answer may take beyond
 	// that.
 	syncWait    = 700 * time.Millisecond
@@ -37,25 +35,22 @@
 	maxPause   = time.Second
 )
 
-// follower is the task that keeps the view up to date: from the relay of the data centre where there is one, else from the
-// store, and from any other node while the store does not answer.
+// follower is the task that keeps the view up to date, from the relay of the data centre where there is one, else from the
+// store.
 type follower struct {
 	log   *zap.Logger
 	store Store
-	hub   *peer.Hub
+	asker asker
 	self  Member
-	seeds []string
 	known *latest.Value[*Knowledge]
 	view  mailbox.Mailbox[viewMessage]
 
-	// read is set once the node has read or been told everything; position is the revision up to which it has.
-	read     bool
+	// position is the revision up to which everything is known; 0 before the first read.
 	position int64
 	// avoid says until when a relay is left alone, by address.
 	avoid map[string]time.Time
-	// storeFailed is set while the store does not answer; it is asked again after storeNext.
+	// storeFailed is set while the store does not answer; it is asked again after pause.
 	storeFailed bool
-	storeNext   time.Time
 	pause       time.Duration
 	source      string
 }
@@ -64,19 +59,17 @@
 func (f *follower) run(ctx context.Context) {
 	f.pause = firstPause
 	for ctx.Err() == nil {
-		if f.read {
+		f.position = max(f.position, f.known.Load().Position)
+		if f.position > 0 {
 			if address, ok := f.relay(); ok {
-				f.ask(ctx, address, syncWait)
+				f.ask(ctx, address)
 				continue
 			}
 		}
-		if !time.Now().Before(f.storeNext) && f.askStore(ctx) {
-			continue
+		if !f.askStore(ctx) {
+			f.sleep(ctx, f.pause)
+			f.pause = min(maxPause, 2*f.pause)
 		}
-		if address, ok := f.anyNode(); ok {
-			f.ask(ctx, address, min(syncWait, max(0, time.Until(f.storeNext))))
-		}
-		f.sleep(ctx, min(firstPause, time.Until(f.storeNext)))
 	}
 }
 
@@ -95,39 +88,18 @@
 	return "", false
 }
 
-// anyNode returns the address of some other node.
-func (f *follower) anyNode() (string, bool) {
-	addresses := append([]string(nil), f.seeds...)
-	for _, n := range f.known.Load().Nodes {
-		addresses = append(addresses, n.Address)
-	}
-	if len(addresses) == 0 {
-		return "", false
-	}
-	return addresses[rand.IntN(len(addresses))], true
-}
-
-// ask asks another node for changes. One that does not answer, or knows no more, is left alone for a while.
-func (f *follower) ask(ctx context.Context, address string, wait time.Duration) {
-	asked := bootclock.Now()
-	call, cancel := context.WithTimeout(ctx, wait+syncTimeout)
-	defer cancel()
-	reply, err := peer.Call[syncRequest, syncReply](call, f.hub, address, kindSync,
-		syncRequest{Since: f.position, WaitMillis: wait.Milliseconds()})
+// ask waits at a relay for changes. One that does not answer, or whose own knowledge is old, is left alone for a while.
+func (f *follower) ask(ctx context.Context, address string) {
+	reply, err := f.asker.ask(ctx, address, f.position, syncWait)
 	age := time.Duration(reply.AgeMillis) * time.Millisecond
-	if err != nil || !reply.Known || age > maxRelayAge {
-		if ctx.Err() == nil {
-			f.avoid[address] = time.Now().Add(relayPause)
-			f.log.Info("no help from another node", zap.String("address", address), zap.Int64("revision", f.position),
-				zap.Duration("age", age), zap.Error(err))
-		}
-		if err != nil || !reply.Known {
-			return
-		}
+	if ctx.Err() == nil && (err != nil || !reply.Known || age > maxRelayAge) {
+		f.avoid[address] = time.Now().Add(relayPause)
+		f.log.Info("relay left alone", zap.String("address", address), zap.Int64("revision", f.position),
+			zap.Duration("age", age), zap.Error(err))
+	}
+	if err == nil && reply.Known {
+		f.follow(address, reply.Position)
 	}
-	f.follow(address, reply.Position)
-	f.read = true
-	_ = f.view.Send(ctx, peerChangesMessage{reply: reply, asked: asked})
 }
 
 // askStore makes one call to the store and reports whether it was answered.
@@ -144,33 +116,22 @@
 		return false
 	case backing.ErrCompacted.Has(err):
 		f.log.Info("history lost, reading everything again", zap.Int64("revision", f.position))
-		f.read, f.position = false, 0
-		return true
+		return f.readStore(ctx) == nil
 	}
 	if !f.storeFailed {
 		f.log.Warn("store lost", zap.Int64("revision", f.position), zap.Error(err))
 		_ = f.view.Send(ctx, storeLostMessage{})
 	}
 	f.storeFailed = true
-	f.storeNext = time.Now().Add(f.pause)
-	f.pause = min(maxPause, 2*f.pause)
 	return false
 }
 
 // callStore reads everything, or what changed since.
 func (f *follower) callStore(ctx context.Context) error {
-	began := bootclock.Now()
-	if !f.read {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		all, err := f.store.Range(call, allKeys)
-		if err != nil {
-			return err
-		}
-		f.read = true
-		f.follow("store", all.Revision)
-		return f.view.Send(ctx, storeReadMessage{result: all, asOf: began})
+	if f.position == 0 {
+		return f.readStore(ctx)
 	}
+	began := bootclock.Now()
 	call, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
 	defer cancel()
 	batch, err := f.store.Poll(call, allKeys, f.position, pollWait)
@@ -185,6 +146,19 @@
 	return f.view.Send(ctx, storeChangedMessage{batch: batch, asOf: began})
 }
 
+// readStore reads everything.
+func (f *follower) readStore(ctx context.Context) error {
+	began := bootclock.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	all, err := f.store.Range(call, allKeys)
+	if err != nil {
+		return err
+	}
+	f.follow("store", all.Revision)
+	return f.view.Send(ctx, storeReadMessage{result: all, asOf: began})
+}
+
 // follow notes how far the node's knowledge goes, and logs from where it comes.
 func (f *follower) follow(source string, revision int64) {
 	f.position = max(f.position, revision)
--- a/service/edge/load_others.go
+++ b/service/edge/load_others.go
@@ -14,6 +14,8 @@
 	// Rank is 0 for the relay in charge.
 	Rank  int             `cbor:"1,keyasint"`
 	Loads []dispatch.Load `cbor:"2,keyasint"`
+	// Position is the revision of the store up to which the sender knows everything.
+	Position int64 `cbor:"3,keyasint,omitempty"`
 }
 
 func (m loadOthers) apply(p *peers) {
--- a/service/edge/load_report.go
+++ b/service/edge/load_report.go
@@ -10,6 +10,8 @@
 type loadReport struct {
 	Node  string          `cbor:"1,keyasint"`
 	Loads []dispatch.Load `cbor:"2,keyasint"`
+	// Position is the revision of the store up to which the sender knows everything.
+	Position int64 `cbor:"3,keyasint,omitempty"`
 }
 
 func (m loadReport) apply(p *peers) { p.sums.Report(time.Now(), m.Node, m.Loads) }
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -59,6 +59,7 @@
 	n.peers = &peers{
 		log: logging.For(log, logging.Peer), hub: n.hub, self: n.self, known: n.view.current,
 		messages: mailbox.New[peersMessage](peersCapacity), dispatcher: n.dispatcher.messages, sums: gather.NewSums(),
+		hints: mailbox.New[hint](hintCapacity),
 	}
 	n.peers.register()
 	handleSync(n.hub, n.view.current, n.view.messages)
@@ -106,12 +107,14 @@
 
 // tasks returns the tasks of the node.
 func (n *Node) tasks() []func(context.Context) {
+	ask := asker{hub: n.hub, view: n.view.messages}
 	follow := &follower{
-		log: n.view.log, store: n.deps.Store, hub: n.hub, self: n.self, seeds: n.settings.Peers.Seeds,
+		log: n.view.log, store: n.deps.Store, asker: ask, self: n.self,
 		known: n.view.current, view: n.view.messages, avoid: map[string]time.Time{},
 	}
+	catch := &catchUp{log: n.view.log, asker: ask, seeds: n.settings.Peers.Seeds, known: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self}
-	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, register.run}
+	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, catch.run, register.run}
 }
 
 // listen opens all listeners; the first is that for callers.
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -32,6 +32,8 @@
 	known      *latest.Value[*Knowledge]
 	messages   mailbox.Mailbox[peersMessage]
 	dispatcher mailbox.Mailbox[dispatcherMessage]
+	// hints tells the catch-up task of nodes that know more of the store.
+	hints mailbox.Mailbox[hint]
 
 	sums *gather.Sums
 	// heardFirst is when the relay in charge was last heard.
@@ -41,9 +43,17 @@
 
 // register installs the handlers; it is called before the hub runs.
 func (p *peers) register() {
-	peer.HandleNotice(p.hub, kindLoadReport, 0, func(_ context.Context, _ string, m loadReport) { p.messages.TrySend(m) })
-	peer.HandleNotice(p.hub, kindLoadSum, 0, func(_ context.Context, _ string, m loadSum) { p.messages.TrySend(m) })
-	peer.HandleNotice(p.hub, kindLoadOthers, 0, func(_ context.Context, _ string, m loadOthers) { p.messages.TrySend(m) })
+	peer.HandleNotice(p.hub, kindLoadReport, 0, func(_ context.Context, from string, m loadReport) { p.receive(from, m.Position, m) })
+	peer.HandleNotice(p.hub, kindLoadSum, 0, func(_ context.Context, from string, m loadSum) { p.receive(from, m.Position, m) })
+	peer.HandleNotice(p.hub, kindLoadOthers, 0, func(_ context.Context, from string, m loadOthers) { p.receive(from, m.Position, m) })
+}
+
+// receive hands a notice to the task, and its position to the catch-up task if the sender knows more.
+func (p *peers) receive(from string, position int64, m peersMessage) {
+	p.messages.TrySend(m)
+	if position > p.known.Load().Position {
+		p.hints.TrySend(hint{node: from, position: position})
+	}
 }
 
 // run exchanges until ctx ends.
@@ -64,7 +74,8 @@
 
 // exchange tells the others what they need to know.
 func (p *peers) exchange(ctx context.Context) {
-	nodes := p.known.Load().Nodes
+	k := p.known.Load()
+	nodes := k.Nodes
 	if len(nodes) == 0 {
 		return
 	}
@@ -79,7 +90,7 @@
 		p.log.Info("rank among relays changed", zap.Int("from", p.rank), zap.Int("to", t.rank), zap.Int("nodes", len(nodes)+1))
 		p.rank = t.rank
 	}
-	report := loadReport{Node: p.self.ID, Loads: own}
+	report := loadReport{Node: p.self.ID, Loads: own, Position: k.Position}
 	for _, m := range t.relays {
 		peer.Notify(p.hub, m.Address, kindLoadReport, report)
 	}
@@ -92,12 +103,12 @@
 func (p *peers) relay(t topology, own loadReport) {
 	now := time.Now()
 	p.sums.Report(now, own.Node, own.Loads)
-	sum := loadSum{DataCentre: p.self.DataCentre, Loads: p.sums.Own(now)}
+	sum := loadSum{DataCentre: p.self.DataCentre, Loads: p.sums.Own(now), Position: own.Position}
 	for _, m := range t.remote {
 		peer.Notify(p.hub, m.Address, kindLoadSum, sum)
 	}
 	for _, m := range t.local {
-		peer.Notify(p.hub, m.Address, kindLoadOthers, loadOthers{Rank: t.rank, Loads: p.sums.Others(now, m.ID)})
+		peer.Notify(p.hub, m.Address, kindLoadOthers, loadOthers{Rank: t.rank, Loads: p.sums.Others(now, m.ID), Position: own.Position})
 	}
 	loadOthers{Rank: 0, Loads: p.sums.Others(now, p.self.ID)}.apply(p)
 }
--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -98,3 +98,16 @@
 		assert.Equal(t, status(t, s, n, "r-"+n.Settings.Node.ID), http.StatusOK)
 	}
 }
+
+// Guards against a node that learns of a change only when its silent call to the store has timed out.
+func TestChangeArrivesWhileTheStoreIsSilent(t *testing.T) {
+	s := harness.NewEdgeSite(t, 2)
+	s.AddWorker("desk-1", false)
+	s.Start()
+	silent := s.Nodes[1]
+	s.Eventually("the nodes know each other", func() bool { return strings.Contains(silent.Log(), `"others":1`) })
+	silent.Store.Stall()
+	s.Configure("another-key")
+	s.Eventually("the change arrives over the other node", func() bool { return status(t, s, silent, "r1") == http.StatusUnauthorized })
+	assert.Assert(t, !strings.Contains(silent.Log(), "store lost"), "the change came after the timeout of the call")
+}
