Notice within 1.1 s that all nodes that poll are cut off

Change: polls wait 0.8 s and time out 0.5 s later, nodes ask the store themselves when the knowledge of their relay is older than 1.1 s.

--- a/service/edge/catch_up.go
+++ b/service/edge/catch_up.go
@@ -17,9 +17,9 @@
 	// hintCapacity bounds the waiting hints; further ones are dropped, since each notice brings a new one.
 	hintCapacity = 64
 	// hintGrace is how long the node's own source may take to bring what another node already has.
-	hintGrace = 100 * time.Millisecond
-	// staleAfter is the age of its knowledge from which a node asks others; above a poll's wait.
-	staleAfter = pollWait + 300*time.Millisecond
+	hintGrace = 40 * time.Millisecond
+	// staleAfter is the age of its knowledge from which a node asks others; above a poll's wait and that at a relay.
+	staleAfter = pollWait + syncWait + 200*time.Millisecond
 	// staleInterval is how often it does.
 	staleInterval = 250 * time.Millisecond
 )
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -16,18 +16,18 @@
 	// allKeys is the prefix of all keys: one poll for everything costs as much as one for each part.
 	allKeys = ""
 	// pollWait is how long a poll waits for changes. An answer without changes confirms that the node is up to date, so it
-	// must be well below the time in which a revoked key must stop.
-	pollWait = 1500 * time.Millisecond
+	// must be well below the 2 s in which a change must be in force: all nodes that poll may be cut off at once, and the
+	// others then notice by the age of their knowledge.
+	pollWait = 800 * time.Millisecond
 	// callTimeout is how long an answer may take beyond a poll's wait. A store that is alive answers in milliseconds, and
 	// in some hundred when it is slow.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	// syncWait is how long a question to another node waits for changes, and syncTimeout what its answer may take beyond
 	// that.
-	syncWait    = 700 * time.Millisecond
+	syncWait    = 400 * time.Millisecond
 	syncTimeout = 250 * time.Millisecond
-	// maxRelayAge is the age of a relay's knowledge from which a node asks the store itself; above a poll's wait and a
-	// lost call.
-	maxRelayAge = pollWait + callTimeout
+	// maxRelayAge is the age of a relay's knowledge from which a node asks the store itself; above a poll's wait.
+	maxRelayAge = pollWait + 300*time.Millisecond
 	// relayPause is how long a relay that did not help is left alone.
 	relayPause = 3 * time.Second
 	// firstPause and maxPause bound the wait between calls to a store that does not answer. Refused calls cost as well.
