--- a/service/edge/catch_up.go
+++ b/service/edge/catch_up.go
@@ -18,8 +18,8 @@
 	hintCapacity = 64
 	// hintGrace is how long the node's own source may take to bring what another node already has.
 	hintGrace = 40 * time.Millisecond
-	// staleAfter is the age of its knowledge from which a node asks others; above a poll's wait and that at a relay.
-	staleAfter = pollWait + syncWait + 200*time.Millisecond
+	// staleAfter is the age of its knowledge from which a node asks others; above that of a relay and the wait there.
+	staleAfter = maxRelayAge + syncWait
 	// staleInterval is how often it does.
 	staleInterval = 250 * time.Millisecond
 )
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -18,7 +18,7 @@
 	// pollWait is how long a poll waits for changes. An answer without changes confirms that the node is up to date, so it
 	// must be well below the 2 s in which a change must be in force: all nodes that poll may be cut off at once, and the
 	// others then notice by the age of their knowledge.
-	pollWait = 800 * time.Millisecond
+	pollWait = 600 * time.Millisecond
 	// callTimeout is how long an answer may take beyond a poll's wait. A store that is alive answers in milliseconds, and
 	// in some hundred when it is slow.
 	callTimeout = 500 * time.Millisecond
@@ -26,8 +26,9 @@
 	// that.
 	syncWait    = 400 * time.Millisecond
 	syncTimeout = 250 * time.Millisecond
-	// maxRelayAge is the age of a relay's knowledge from which a node asks the store itself; above a poll's wait.
-	maxRelayAge = pollWait + 300*time.Millisecond
+	// maxRelayAge is the age of a relay's knowledge from which a node asks the store itself. An answer with changes
+	// confirms the start of its poll, so ages reach two waits.
+	maxRelayAge = 2*pollWait + 100*time.Millisecond
 	// relayPause is how long a relay that did not help is left alone.
 	relayPause = 3 * time.Second
 	// firstPause and maxPause bound the wait between calls to a store that does not answer. Refused calls cost as well.
