--- a/cmd/azuredykectl/root.go
+++ b/cmd/azuredykectl/root.go
@@ -34,6 +34,6 @@
 		root.AddCommand(newKindCommand(a, k))
 	}
 	root.AddCommand(newApplyCommand(a, nil), newNodesCommand(a), newEndpointsCommand(a), newCellsCommand(a),
-		newQueueCommand(a), newAuditCommand(a), newLoadCommand(), newExperimentCommand())
+		newQueueCommand(a), newAuditCommand(a), newLoadCommand(), newExperimentCommand(), newTraceCommand())
 	return root
 }
--- a/service/edge/catch_up.go
+++ b/service/edge/catch_up.go
@@ -10,6 +10,7 @@
 
 	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
 )
 
@@ -96,7 +97,7 @@
 	before := c.known.Load()
 	reply, err := c.asker.ask(ctx, address, before.Position, 0)
 	if err != nil || !reply.Known {
-		c.log.Info("no help from another node", zap.String("address", address), zap.Int64("revision", before.Position), zap.Error(err))
+		c.log.Info("no help from another node", zap.String("address", address), zap.Int64("revision", before.Position), logging.Cause(err))
 		return
 	}
 	if !c.helped {
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -9,6 +9,7 @@
 	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
 )
 
@@ -96,7 +97,7 @@
 	if ctx.Err() == nil && (err != nil || !reply.Known || age > maxRelayAge) {
 		f.avoid[address] = time.Now().Add(relayPause)
 		f.log.Info("relay left alone", zap.String("address", address), zap.Int64("revision", f.position),
-			zap.Duration("age", age), zap.Error(err))
+			zap.Duration("age", age), logging.Cause(err))
 	}
 	if err == nil && reply.Known {
 		f.follow(address, reply.Position)
@@ -120,7 +121,7 @@
 		return f.readStore(ctx) == nil
 	}
 	if !f.storeFailed {
-		f.log.Warn("store lost", zap.Int64("revision", f.position), zap.Error(err))
+		f.log.Warn("store lost", zap.Int64("revision", f.position), logging.Cause(err))
 		_ = f.view.Send(ctx, storeLostMessage{})
 	}
 	f.storeFailed = true
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 )
@@ -140,7 +141,7 @@
 
 func (r *streamRelay) logUnusable(endpoint string, err error) {
 	r.log(zap.InfoLevel, "copy not usable", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.String("to", endpoint),
-		zap.Int("tries", r.migration.tries), zap.Error(err))
+		zap.Int("tries", r.migration.tries), logging.Cause(err))
 }
 
 // startCopy takes a place on another endpoint and copies the run's memory there while it goes on.
@@ -150,7 +151,7 @@
 	target, err := r.place(r.ctx, sendOptions{moves: true, spare: !m.leaving, exclude: exclude})
 	if err != nil {
 		r.log(zap.InfoLevel, "no endpoint for a copy", zap.String("endpoint", r.up.placed.Endpoint.ID),
-			zap.Bool("leaving", m.leaving), zap.Error(err))
+			zap.Bool("leaving", m.leaving), logging.Cause(err))
 		r.retryMigration()
 		return
 	}
@@ -189,7 +190,7 @@
 	m.target.noteFirstEvent()
 	done := copied.State == exchange.MoveDone
 	r.log(zap.InfoLevel, "memory copied", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.String("to", m.target.placed.Endpoint.ID),
-		zap.Bool("leaving", m.leaving), zap.Bool("done", done), zap.Error(copied.Err))
+		zap.Bool("leaving", m.leaving), zap.Bool("done", done), logging.Cause(copied.Err))
 	switch {
 	case done && m.leaving:
 		m.handle = copied.Handle
@@ -217,7 +218,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 			defer cancel()
 			if err := mover.Free(ctx, source, handle); err != nil {
-				log.Debug("copy not freed", zap.String("source", source), zap.String("handle", handle), zap.Error(err))
+				log.Debug("copy not freed", zap.String("source", source), zap.String("handle", handle), logging.Cause(err))
 			}
 		}()
 	}
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -101,7 +101,7 @@
 	}
 	stopTasks()
 	running.Wait()
-	n.log.Info("node stopped", zap.Error(err))
+	n.log.Info("node stopped", logging.Cause(err))
 	return Error.Wrap(err)
 }
 
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// loadInterval is how often nodes tell what they have in flight. A sum reaches a node over two relays, and a prompt takes some 200 ms to compute.
+	// loadInterval is how often nodes tell what they have in flight. A sum reaches a node over two relays, and a prompt takes
+	// some 200 ms to compute.
 	loadInterval = 50 * time.Millisecond
 	// peersCapacity bounds the waiting messages of the task; further ones are dropped, since newer ones follow.
 	peersCapacity = 256
--- a/service/edge/registration.go
+++ b/service/edge/registration.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/common/logging"
 )
 
 const (
@@ -37,7 +38,7 @@
 			lease = 0
 		}
 		if err != nil && ctx.Err() == nil {
-			r.log.Warn("registration failed", zap.Int64("lease", int64(lease)), zap.Error(err))
+			r.log.Warn("registration failed", zap.Int64("lease", int64(lease)), logging.Cause(err))
 			pause = registrationRetry
 		}
 		select {
--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 )
@@ -58,7 +59,7 @@
 	}
 	up.end(outcome)
 	s.tried = append(s.tried, up.placed.Endpoint.ID)
-	s.log(zap.WarnLevel, "answer broke off", zap.String("endpoint", up.placed.Endpoint.ID), zap.Error(err))
+	s.log(zap.WarnLevel, "answer broke off", zap.String("endpoint", up.placed.Endpoint.ID), logging.Cause(err))
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "answer of %s broke off: %w", up.placed.Endpoint.ID, err)
 }
 
@@ -106,6 +107,6 @@
 // cut breaks the caller's answer off. It does not return.
 func (s *session) cut(up *upstream, err error) {
 	s.server.metrics.cut.Inc(1)
-	s.log(zap.WarnLevel, "answer cut", zap.String("endpoint", up.placed.Endpoint.ID), zap.Duration("age", time.Since(s.began)), zap.Error(err))
+	s.log(zap.WarnLevel, "answer cut", zap.String("endpoint", up.placed.Endpoint.ID), zap.Duration("age", time.Since(s.began)), logging.Cause(err))
 	s.caller.Abort()
 }
--- a/service/edge/reload.go
+++ b/service/edge/reload.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 )
@@ -13,7 +14,7 @@
 // that the file could not be used; the settings in force then stay.
 func (n *Node) Reload(s settings.Edge, err error) {
 	if err != nil {
-		n.log.Warn("settings not reloaded", zap.Error(err))
+		n.log.Warn("settings not reloaded", logging.Cause(err))
 		return
 	}
 	n.server.revoke.Store(int64(s.Bounds.Revoke))
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
@@ -58,7 +59,7 @@
 	up.end(outcome)
 	s.tried = append(s.tried, up.placed.Endpoint.ID)
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placed.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
-		zap.String("reason", string(v.Reason)), zap.Duration("took", took), zap.Error(err))
+		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
 	return err
 }
 
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -11,6 +11,7 @@
 
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
@@ -159,7 +160,7 @@
 func (s *session) refuse(err *verdict.Error) {
 	s.server.metrics.refused(err)
 	s.log(zap.WarnLevel, "request refused", zap.String("reason", string(err.Reason)), zap.Stringer("verdict", err.Verdict),
-		zap.Duration("retry_after", err.RetryAfter), zap.Error(err.Cause))
+		zap.Duration("retry_after", err.RetryAfter), logging.Cause(err.Cause))
 	select {
 	case <-s.caller.Gone():
 	default:
--- a/service/edge/stop.go
+++ b/service/edge/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/logging"
 )
 
 const (
@@ -26,6 +28,6 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Stop.Grace-stopReserve))
 	defer cancel()
 	if err := callers.server.Shutdown(ctx); err != nil {
-		n.log.Warn("requests cut at the end of the grace", zap.Int64("active", n.server.Active()), zap.Error(err))
+		n.log.Warn("requests cut at the end of the grace", zap.Int64("active", n.server.Active()), logging.Cause(err))
 	}
 }
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 )
@@ -151,7 +152,7 @@
 	old.end(dispatch.Broken)
 	r.tried = append(r.tried, old.placed.Endpoint.ID)
 	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placed.Endpoint.ID), zap.Int("events", r.events),
-		zap.String("last_event", r.lastEvent), zap.Error(cause))
+		zap.String("last_event", r.lastEvent), logging.Cause(cause))
 	if r.continueBroken(old) {
 		return nil
 	}
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -11,6 +11,7 @@
 	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/mirror"
@@ -83,7 +84,7 @@
 		}
 		change, err := v.translate(e)
 		if err != nil {
-			v.log.Warn("entry not usable", zap.String("key", e.Entry.Key), zap.Int64("revision", e.Entry.ModRevision), zap.Error(err))
+			v.log.Warn("entry not usable", zap.String("key", e.Entry.Key), zap.Int64("revision", e.Entry.ModRevision), logging.Cause(err))
 		}
 		if change != nil && v.state.Apply(now, change) {
 			changed = true
@@ -103,7 +104,7 @@
 	} else {
 		m, err := decodeMember(e.Entry.Value)
 		if err != nil {
-			v.log.Warn("entry of a node not usable", zap.String("key", e.Entry.Key), zap.Error(err))
+			v.log.Warn("entry of a node not usable", zap.String("key", e.Entry.Key), logging.Cause(err))
 			return
 		}
 		if m.ID == v.self {
