--- a/service/edge/peer_changes_message.go
+++ b/service/edge/peer_changes_message.go
@@ -11,7 +11,12 @@
 }
 
 func (m peerChangesMessage) apply(v *view) {
-	asOf := m.asked.Add(-time.Duration(m.reply.AgeMillis) * time.Millisecond)
+	age := time.Duration(m.reply.AgeMillis) * time.Millisecond
+	asOf := m.asked.Add(-age)
+	if age <= maxRelayAge {
+		// The other node hears the store, so entries that are removed from now on have not lapsed.
+		v.regained()
+	}
 	v.take(v.mirror.Apply(m.reply.Events, m.reply.Position, asOf))
 	v.publish()
 }
