--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/logging"
@@ -25,17 +24,31 @@
 
 // newEdgeCommand returns the command that runs a node on the users' platform.
 func newEdgeCommand() *cobra.Command {
-	path := os.Getenv(boot.SettingsVariable)
+	path, check := os.Getenv(boot.SettingsVariable), false
 	cmd := &cobra.Command{
 		Use:   "edge",
 		Short: "Runs a node on the users' platform until SIGTERM, then stops gracefully",
 		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return runEdge(cmd, path) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if check {
+				return checkEdge(cmd, path)
+			}
+			return runEdge(cmd, path)
+		},
 	}
+	cmd.Flags().BoolVar(&check, "check", false, "only check the settings file, and name the line and key of every error")
 	cmd.Flags().StringVar(&path, "settings", path, "path of the YAML settings file; "+boot.SettingsVariable+" gives the default")
 	return cmd
 }
 
+func checkEdge(cmd *cobra.Command, path string) error {
+	if _, err := settings.LoadEdge(path); err != nil {
+		return err
+	}
+	cmd.Println("settings are valid")
+	return nil
+}
+
 func runEdge(cmd *cobra.Command, path string) error {
 	s, err := settings.LoadEdge(path)
 	if err != nil {
@@ -71,17 +84,6 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	go reload(hangups, path, node, level)
+	go watchSettings(cmd.Context(), hangups, path, node, level)
 	return node.Run(cmd.Context())
 }
-
-// reload reads the settings file again at each signal. One that cannot be used is logged, and the old settings stay.
-func reload(hangups <-chan os.Signal, path string, node *edge.Node, level zap.AtomicLevel) {
-	for range hangups {
-		s, err := settings.LoadEdge(path)
-		if err == nil {
-			err = level.UnmarshalText([]byte(s.Log.Level))
-		}
-		node.Reload(s, err)
-	}
-}
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -1,10 +1,7 @@
 package dispatch
 
-import "time"
-
 // Request is what placement needs to know of a request.
 type Request struct {
-	ID      string
 	Service string
 	// PromptTokens and Tokens are the size of the prompt and the expected size of prompt and answer; 0 for plain calls.
 	PromptTokens int
@@ -25,8 +22,6 @@
 	Only string
 	// Backup asks for a second endpoint that keeps a copy of the run's memory.
 	Backup bool
-	// Objective is the time to the first byte that is on time.
-	Objective time.Duration
 }
 
 // prefill returns the number of prompt tokens that are computed.
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -187,9 +187,7 @@
 
 // placement returns what placement needs to know.
 func (s *session) placement() dispatch.Request {
-	r := dispatch.Request{
-		ID: s.request.ID, Service: s.service, Repeat: s.sends > 0, Exclude: s.tried, Objective: s.route.Objective,
-	}
+	r := dispatch.Request{Service: s.service, Repeat: s.sends > 0, Exclude: s.tried}
 	if s.request.PromptTokens > 0 {
 		r.PromptTokens = s.request.PromptTokens
 		r.Tokens = s.request.PromptTokens + s.expectedOutput()
