--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -77,6 +77,7 @@
 		Translate: records.Change,
 		Sender:    client,
 		Mover:     client,
+		Reporter:  client,
 		StreamOf:  func(r io.Reader) exchange.Stream { return workers.NewEventStream(r) },
 		Front:     func(server *edge.Server, budget int64) http.Handler { return front.New(server, budget) },
 		Metrics:   registry,
--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -44,6 +44,8 @@
 	// others is what all other nodes have in flight together.
 	others Load
 
+	// leaves is set once the endpoint itself said that it leaves.
+	leaves     bool
 	avoidUntil time.Time
 	unreached  int
 	failures   float64
@@ -63,7 +65,7 @@
 	if engine := e.service.Engine; engine != nil {
 		c.Limit, c.Capacity = max(1, engine.Slots), float64(engine.Capacity)
 	}
-	c.Admits = !e.Leaving && !e.out && !now.Before(e.avoidUntil) && inFlight < c.Limit
+	c.Admits = !e.Leaving && !e.leaves && !e.out && !now.Before(e.avoidUntil) && inFlight < c.Limit
 	return c.Admits
 }
 
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -121,6 +121,24 @@
 	return loads
 }
 
+// BusyEngines returns the model engines that run requests of this node and are not known to leave.
+func (t *Table) BusyEngines() []fleet.Endpoint {
+	var busy []fleet.Endpoint
+	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
+		if e := t.endpoints[id]; e.service.Engine != nil && e.own.InFlight > 0 && !e.Leaving && !e.leaves {
+			busy = append(busy, e.Endpoint)
+		}
+	}
+	return busy
+}
+
+// Leaves notes that an endpoint itself said that it leaves, before its entry does.
+func (t *Table) Leaves(id string) {
+	if e := t.endpoints[id]; e != nil {
+		e.leaves = true
+	}
+}
+
 // Requested counts a new request of a service for the retry budget.
 func (t *Table) Requested(now time.Time, service string) { t.budget(service).Requested(now) }
 
--- a/fake/workers/fleet.go
+++ b/fake/workers/fleet.go
@@ -23,6 +23,7 @@
 	copies     map[string]int
 	behaviours map[string]Behaviour
 	moves      int
+	leaving    map[string]bool
 }
 
 // NewFleet returns a fleet whose task must be run.
@@ -30,7 +31,7 @@
 
 // Run owns the state until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	s := &state{arrivals: map[string]int{}, copies: map[string]int{}, behaviours: map[string]Behaviour{}}
+	s := &state{arrivals: map[string]int{}, copies: map[string]int{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}}
 	for {
 		select {
 		case <-ctx.Done():
@@ -58,6 +59,11 @@
 	ask(ctx, f, func(s *state) bool { s.behaviours[worker] = b; return true })
 }
 
+// Leave lets a worker say in its report that it leaves.
+func (f *Fleet) Leave(ctx context.Context, worker string) {
+	ask(ctx, f, func(s *state) bool { s.leaving[worker] = true; return true })
+}
+
 // Arrivals returns how often a request reached any worker.
 func (f *Fleet) Arrivals(ctx context.Context, request string) int {
 	return ask(ctx, f, func(s *state) int { return s.arrivals[request] })
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -33,6 +33,10 @@
 		return
 	case w.Engine && strings.HasPrefix(in.URL.Path, "/kv-handle/"):
 		return
+	case w.Engine && in.URL.Path == "/report":
+		leaving := ask(in.Context(), w.Fleet, func(s *state) bool { return s.leaving[w.ID] })
+		_ = json.NewEncoder(out).Encode(map[string]any{"state": map[bool]string{false: "ready", true: "draining"}[leaving]})
+		return
 	}
 	request := in.Header.Get("X-Request-Id")
 	out.Header().Set("X-Request-Id", request)
--- a/service/edge/dependencies.go
+++ b/service/edge/dependencies.go
@@ -14,6 +14,7 @@
 	Translate Translator
 	Sender    exchange.Sender
 	Mover     exchange.Mover
+	Reporter  exchange.Reporter
 	// StreamOf reads the events of an answer's body.
 	StreamOf func(io.Reader) exchange.Stream
 	// Front makes the callers' HTTP handler; it keeps at most budget bytes of bodies in memory.
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -112,9 +112,10 @@
 		log: n.view.log, store: n.deps.Store, asker: ask, self: n.self,
 		known: n.view.current, view: n.view.messages, avoid: map[string]time.Time{},
 	}
+	probe := &prober{log: n.log, reporter: n.deps.Reporter, known: n.view.current, dispatcher: n.dispatcher.messages}
 	catch := &catchUp{log: n.view.log, asker: ask, seeds: n.settings.Peers.Seeds, known: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self}
-	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, catch.run, register.run}
+	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, catch.run, probe.run, register.run}
 }
 
 // listen opens all listeners; the first is that for callers.
--- a/test/edge/stream_test.go
+++ b/test/edge/stream_test.go
@@ -107,3 +107,20 @@
 		return len(runs) == 1 && runs[0].Ended
 	})
 }
+
+// Guards against a run that goes down with its engine because the store could not say that the engine leaves.
+func TestStreamGoesOnWhenOnlyTheEngineSaysThatItLeaves(t *testing.T) {
+	s, byID := engines(t)
+	for _, w := range byID {
+		w.Events = 400
+	}
+	ids, err := readEvents(t, s.Request(s.Nodes[0], http.MethodPost, "/note/1", "r1"), func(count int) {
+		if count == 10 {
+			s.Nodes[0].Store.Stall()
+			s.Fleet.Leave(t.Context(), runsOn(t, s, "r1"))
+		}
+	})
+	assert.NilError(t, err)
+	assertWhole(t, ids, 400)
+	assert.Equal(t, len(s.Fleet.Runs(t.Context(), "r1")), 2)
+}
