Work out the topology once, and join what stood twice in service/edge

Change: the view works the topology out when members change and publishes it with its knowledge; placeAtBackup and giveUp serve both places; the fields, the age and the claim are gone. No decision, bound or check changes.

--- a/common/catalog/service.go
+++ b/common/catalog/service.go
@@ -4,10 +4,7 @@
 
 // Service is a set of endpoints that run the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is what one endpoint accepts from all callers.
-	MaxConnections int
+	Name string
 	// ColdStart is how long an endpoint stays cold after its start.
 	ColdStart time.Duration
 	// ColdRate is the number of requests a second that a cold endpoint bears; 0 means that it is not limited.
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -42,8 +42,8 @@
 	chosen.own.Prefill += started.prefill
 	chosen.sent(now)
 	if backup := t.chooseBackup(now, &r, chosen); backup != nil {
-		backup.own.Tokens += copyTokens(&r)
 		started.backup, started.copied = backup, copyTokens(&r)
+		backup.own.Tokens += started.copied
 		placed.Backup = backup.Endpoint
 	}
 	t.number++
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -43,7 +43,6 @@
 	log   *zap.Logger
 	store Store
 	asker asker
-	self  Member
 	known *latest.Value[*Knowledge]
 	view  mailbox.Mailbox[viewMessage]
 
@@ -77,7 +76,7 @@
 
 // relay returns the address of a relay of the data centre that stands before this node.
 func (f *follower) relay() (string, bool) {
-	t := newTopology(f.self, f.known.Load().Nodes)
+	t := f.known.Load().topology
 	now := time.Now()
 	for rank, m := range t.relays {
 		if t.rank >= 0 && rank >= t.rank {
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -99,13 +99,20 @@
 
 // continueAtBackup lets the run go on at the endpoint that has a copy of its memory, and reports whether it does.
 func (r *streamRelay) continueAtBackup() bool {
-	backup := r.up.placed.Backup
-	next, err := r.place(r.ctx, sendOptions{at: backup.ID, copyAddress: backup.Address})
+	next, o, err := r.placeAtBackup()
 	if err != nil {
-		r.logUnusable(backup.ID, err)
+		r.logUnusable(o.at, err)
 		return false
 	}
-	return r.handOver(next, sendOptions{copyAddress: backup.Address, lastEvent: r.lastEvent})
+	return r.handOver(next, o)
+}
+
+// placeAtBackup takes a place at the endpoint that has a copy of the run's memory.
+func (r *streamRelay) placeAtBackup() (*upstream, sendOptions, error) {
+	backup := r.up.placed.Backup
+	o := sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent}
+	next, err := r.place(r.ctx, o)
+	return next, o, err
 }
 
 // continueAtStandby lets the run go on at the endpoint to which its memory was copied. What it has made since is computed
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -25,7 +25,7 @@
 	runtimeShare = 0.7
 	// bodyShare is the part that bodies may use.
 	bodyShare = 0.25
-	// headerTimeout and maxHeaderBytes hold until the configuration's limits are known.
+	// headerTimeout and maxHeaderBytes are the limits that the users' configurations state; those in force are not read.
 	headerTimeout  = 3 * time.Second
 	maxHeaderBytes = 16 << 10
 	// idleTimeout is above the time for which the platform's callers keep connections.
@@ -50,12 +50,12 @@
 // New returns a node that has not started.
 func New(log *zap.Logger, s settings.Edge, d Dependencies) *Node {
 	n := &Node{log: logging.For(log, logging.Node), settings: s, deps: d}
-	n.view = newView(logging.For(log, logging.Configuration), s.Node.ID, d.Translate)
+	n.self = Member{ID: s.Node.ID, Address: s.Listen.Peers, DataCentre: s.Node.DataCentre}
+	n.view = newView(logging.For(log, logging.Configuration), n.self, d.Translate)
 	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), paramsOf(s), n.view.current)
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
 		NodeID: s.Node.ID, TrustedNetwork: s.Peers.TrustedNetwork, Scope: d.Metrics.Scope.SubScope("peer"),
 	})
-	n.self = Member{ID: s.Node.ID, Address: s.Listen.Peers, DataCentre: s.Node.DataCentre}
 	n.peers = &peers{
 		log: logging.For(log, logging.Peer), hub: n.hub, self: n.self, known: n.view.current,
 		messages: mailbox.New[peersMessage](peersCapacity), dispatcher: n.dispatcher.messages, sums: gather.NewSums(),
@@ -109,7 +109,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	ask := asker{hub: n.hub, view: n.view.messages}
 	follow := &follower{
-		log: n.view.log, store: n.deps.Store, asker: ask, self: n.self,
+		log: n.view.log, store: n.deps.Store, asker: ask,
 		known: n.view.current, view: n.view.messages, avoid: map[string]time.Time{},
 	}
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, known: n.view.current, dispatcher: n.dispatcher.messages}
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return
 	}
-	t := newTopology(p.self, nodes)
+	t := k.topology
 	if t.rank != p.rank {
 		p.log.Info("rank among relays changed", zap.Int("from", p.rank), zap.Int("to", t.rank), zap.Int("nodes", len(nodes)+1))
 		p.rank = t.rank
--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -38,10 +37,8 @@
 		up.end(dispatch.Failed)
 		s.tried = append(s.tried, up.placed.Endpoint.ID)
 		failure := verdict.New(verdict.Ran, verdict.ReasonEndpointFailed, "%s failed with status %d", up.placed.Endpoint.ID, up.answer.Status)
-		if s.mayTryAgain(ctx, failure) {
-			if s.tryOther(ctx) {
-				return nil
-			}
+		if s.mayTryAgain(ctx, failure) && s.tryOther(ctx) {
+			return nil
 		}
 	} else {
 		up.end(dispatch.Succeeded)
@@ -53,12 +50,7 @@
 
 // broken ends an attempt whose answer broke off before the caller saw any of it.
 func (s *session) broken(ctx context.Context, up *upstream, err error) error {
-	outcome := dispatch.Broken
-	if ctx.Err() != nil {
-		outcome = dispatch.Cancelled
-	}
-	up.end(outcome)
-	s.tried = append(s.tried, up.placed.Endpoint.ID)
+	s.giveUp(ctx, up, dispatch.Broken)
 	s.log(zap.WarnLevel, "answer broke off", zap.String("endpoint", up.placed.Endpoint.ID), logging.Cause(err))
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "answer of %s broke off: %w", up.placed.Endpoint.ID, err)
 }
@@ -107,6 +99,6 @@
 // cut breaks the caller's answer off. It does not return.
 func (s *session) cut(up *upstream, err error) {
 	s.server.metrics.cut.Inc(1)
-	s.log(zap.WarnLevel, "answer cut", zap.String("endpoint", up.placed.Endpoint.ID), zap.Duration("age", time.Since(s.began)), logging.Cause(err))
+	s.log(zap.WarnLevel, "answer cut", zap.String("endpoint", up.placed.Endpoint.ID), logging.Cause(err))
 	s.caller.Abort()
 }
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -26,12 +26,11 @@
 func (s *session) sendTo(ctx context.Context, up *upstream, o sendOptions) (*upstream, error) {
 	sending, cancel := context.WithCancel(ctx)
 	up.cancel = cancel
-	first := s.sends == 0
-	s.sends++
-	s.server.metrics.attempts.Inc(1)
-	if !first {
+	if s.sends > 0 {
 		s.server.metrics.repeats.Inc(1)
 	}
+	s.sends++
+	s.server.metrics.attempts.Inc(1)
 	began := time.Now()
 	answer, err := s.server.sender.Send(sending, s.request, s.attempt(up.placed, o))
 	if err != nil {
@@ -52,17 +51,22 @@
 		s.runs++
 		s.copyAt = up.placed.Backup
 	}
-	outcome := outcomeOf(v)
-	if ctx.Err() != nil {
-		outcome = dispatch.Cancelled
-	}
-	up.end(outcome)
-	s.tried = append(s.tried, up.placed.Endpoint.ID)
+	s.giveUp(ctx, up, outcomeOf(v))
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placed.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
 		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
 	return err
 }
 
+// giveUp ends an attempt and leaves its endpoint out of the next ones. What ends with the request says nothing of the
+// endpoint.
+func (s *session) giveUp(ctx context.Context, up *upstream, o dispatch.Outcome) {
+	if ctx.Err() != nil {
+		o = dispatch.Cancelled
+	}
+	up.end(o)
+	s.tried = append(s.tried, up.placed.Endpoint.ID)
+}
+
 // place asks the dispatcher for an endpoint.
 func (s *session) place(ctx context.Context, o sendOptions) (*upstream, error) {
 	leaving := make(chan departure, 2)
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -46,7 +46,7 @@
 func (s *Server) Serve(ctx context.Context, r *exchange.Request, c exchange.Caller) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	one := &session{server: s, request: r, caller: c, began: time.Now()}
+	one := &session{server: s, request: r, caller: c}
 	one.serve(ctx)
 }
 
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -35,7 +35,6 @@
 	server  *Server
 	request *exchange.Request
 	caller  exchange.Caller
-	began   time.Time
 
 	known     *Knowledge
 	route     *catalog.Route
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -181,13 +181,12 @@
 	var next *upstream
 	var o sendOptions
 	var err error
-	switch backup := old.placed.Backup; {
+	switch {
 	case r.migration.handle != "":
 		next, o = r.takeTarget()
-	case backup.ID != "":
+	case old.placed.Backup.ID != "":
 		r.dropTarget()
-		o = sendOptions{at: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent}
-		next, err = r.place(r.ctx, o)
+		next, o, err = r.placeAtBackup()
 	default:
 		r.dropTarget()
 		return false
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -27,7 +27,7 @@
 // view is the task that owns what the node knows.
 type view struct {
 	log       *zap.Logger
-	self      string
+	self      Member
 	translate Translator
 	messages  mailbox.Mailbox[viewMessage]
 	current   *latest.Value[*Knowledge]
@@ -37,14 +37,15 @@
 	members  map[string]Member
 	snapshot *fleet.Snapshot
 	nodes    []Member
+	topology topology
 }
 
-func newView(log *zap.Logger, self string, translate Translator) *view {
-	state := fleet.NewState()
+func newView(log *zap.Logger, self Member, translate Translator) *view {
+	state, alone := fleet.NewState(), newTopology(self, nil)
 	return &view{
 		log: log, self: self, translate: translate, messages: mailbox.New[viewMessage](viewCapacity),
-		current: latest.New(&Knowledge{Fleet: state.Snapshot()}),
-		mirror:  mirror.New(), state: state, members: map[string]Member{}, snapshot: state.Snapshot(),
+		current: latest.New(&Knowledge{Fleet: state.Snapshot(), topology: alone}),
+		mirror:  mirror.New(), state: state, members: map[string]Member{}, snapshot: state.Snapshot(), topology: alone,
 	}
 }
 
@@ -107,7 +108,7 @@
 			v.log.Warn("entry of a node not usable", zap.String("key", e.Entry.Key), logging.Cause(err))
 			return
 		}
-		if m.ID == v.self {
+		if m.ID == v.self.ID {
 			return
 		}
 		v.members[id] = m
@@ -117,12 +118,13 @@
 		v.nodes = append(v.nodes, m)
 	}
 	slices.SortFunc(v.nodes, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	v.topology = newTopology(v.self, v.nodes)
 	v.log.Info("nodes changed", zap.Int("others", len(v.nodes)), zap.String("node", id), zap.Bool("left", e.Deleted))
 }
 
 func (v *view) publish() {
 	v.current.Publish(&Knowledge{
-		Fleet: v.snapshot, Nodes: v.nodes, Position: v.mirror.Position(), Confirmed: v.mirror.Confirmed(),
+		Fleet: v.snapshot, Nodes: v.nodes, topology: v.topology, Position: v.mirror.Position(), Confirmed: v.mirror.Confirmed(),
 	})
 }
 
--- a/service/edge/view_test.go
+++ b/service/edge/view_test.go
@@ -31,7 +31,7 @@
 // another node that has not.
 func TestRemovalsCountAgainOnceAnotherNodeHearsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newView(zap.NewNop(), "self", translate)
+		v := newView(zap.NewNop(), Member{ID: "self"}, translate)
 		entry := endpointEvent("a", 1, false).Entry
 		storeReadMessage{result: backing.RangeResult{Entries: []backing.Entry{entry}, Revision: 1}}.apply(v)
 		storeLostMessage{}.apply(v)
@@ -45,7 +45,7 @@
 // Guards against dropping live endpoints whose entries lapsed, on the word of a node that does not hear the store either.
 func TestLapsesStayLapsesWhileNobodyHearsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newView(zap.NewNop(), "self", translate)
+		v := newView(zap.NewNop(), Member{ID: "self"}, translate)
 		entry := endpointEvent("a", 1, false).Entry
 		storeReadMessage{result: backing.RangeResult{Entries: []backing.Entry{entry}, Revision: 1}}.apply(v)
 		storeLostMessage{}.apply(v)
