Add a fault soak with real processes, and log requests that could not be read

Cause: promises were tested for one fault at a time. The soak plays seeded plans of overlapping faults against three nodes as processes and checks 18 promises from what callers and endpoints saw.

It showed that requests which are refused before they are read (no configuration yet, body too large) left no line in the log. The front now hands them to the service, which logs them as other refusals. TestBadRequestsReachNoEndpoint failed before ("timeout hit after 20s: not yet: the refusal of large is logged") and passes now.

listen.peers_advertised is the address that other nodes dial, as for azuredyked serve; the soak puts a proxy there.

--- a/common/settings/edge.go
+++ b/common/settings/edge.go
@@ -48,6 +48,9 @@
 	c.address("listen.readiness", e.Listen.Readiness)
 	c.address("listen.metrics", e.Listen.Metrics)
 	c.address("listen.peers", e.Listen.Peers)
+	if e.Listen.PeersAdvertised != "" {
+		c.address("listen.peers_advertised", e.Listen.PeersAdvertised)
+	}
 	c.address("store.address", e.Store.Address)
 	for _, seed := range e.Peers.Seeds {
 		c.address("peers.seeds", seed)
--- a/common/settings/edge_listen.go
+++ b/common/settings/edge_listen.go
@@ -5,6 +5,7 @@
 	Callers   string `yaml:"callers"`
 	Readiness string `yaml:"readiness"`
 	Metrics   string `yaml:"metrics"`
-	// Peers is also the address that other nodes dial.
-	Peers string `yaml:"peers"`
+	Peers     string `yaml:"peers"`
+	// PeersAdvertised is the address that other nodes dial; empty means Peers.
+	PeersAdvertised string `yaml:"peers_advertised"`
 }
--- a/fake/metastore/server.go
+++ b/fake/metastore/server.go
@@ -18,7 +18,13 @@
 	kv backing.KV
 	// refusing is set while every call is answered 503.
 	refusing atomic.Bool
-	calls    atomic.Int64
+	// losing is set while writes are done and their answers lost.
+	losing atomic.Bool
+	// delay is how long each answer takes, in nanoseconds.
+	delay atomic.Int64
+	// oldest is the revision before which history is forgotten.
+	oldest atomic.Int64
+	calls  atomic.Int64
 }
 
 // New returns a server over a service, which tests also write to as operators and endpoints do.
@@ -27,6 +33,15 @@
 // Refuse makes the server answer every call with 503, or ends that.
 func (s *Server) Refuse(on bool) { s.refusing.Store(on) }
 
+// LoseAnswers makes the server do writes and close their connections without an answer, or ends that.
+func (s *Server) LoseAnswers(on bool) { s.losing.Store(on) }
+
+// Delay sets how long each answer takes.
+func (s *Server) Delay(d time.Duration) { s.delay.Store(int64(d)) }
+
+// Forget drops the history up to a revision: watches from before it are told to read everything again.
+func (s *Server) Forget(revision int64) { s.oldest.Store(revision) }
+
 // Calls returns the number of calls.
 func (s *Server) Calls() int64 { return s.calls.Load() }
 
@@ -41,11 +56,15 @@
 	r.Use(func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 			s.calls.Add(1)
+			time.Sleep(time.Duration(s.delay.Load()))
 			if s.refusing.Load() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
 			next.ServeHTTP(w, in)
+			if s.losing.Load() && in.Method == http.MethodPost {
+				panic(http.ErrAbortHandler)
+			}
 		})
 	})
 	return r
@@ -82,6 +101,10 @@
 	query := in.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	if after < s.oldest.Load() {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	ctx, cancel := context.WithTimeout(in.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
 	batches, err := s.kv.Watch(ctx, query.Get("pathPrefix"), after+1)
--- a/fake/workers/fleet.go
+++ b/fake/workers/fleet.go
@@ -17,13 +17,15 @@
 
 // state belongs to the task.
 type state struct {
-	arrivals map[string]int
+	arrivals []Arrival
 	runs     []*Run
-	// copies maps address and handle to the number of events that the copy holds.
-	copies     map[string]int
-	behaviours map[string]Behaviour
-	moves      int
-	leaving    map[string]bool
+	// copies maps address and handle to the copy.
+	copies map[string]copied
+	// generations counts the fresh starts.
+	generations int
+	behaviours  map[string]Behaviour
+	moves       int
+	leaving     map[string]bool
 }
 
 // NewFleet returns a fleet whose task must be run.
@@ -31,7 +33,7 @@
 
 // Run owns the state until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	s := &state{arrivals: map[string]int{}, copies: map[string]int{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}}
+	s := &state{copies: map[string]copied{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}}
 	for {
 		select {
 		case <-ctx.Done():
@@ -66,7 +68,26 @@
 
 // Arrivals returns how often a request reached any worker.
 func (f *Fleet) Arrivals(ctx context.Context, request string) int {
-	return ask(ctx, f, func(s *state) int { return s.arrivals[request] })
+	return ask(ctx, f, func(s *state) int {
+		count := 0
+		for _, a := range s.arrivals {
+			if a.Request == request {
+				count++
+			}
+		}
+		return count
+	})
+}
+
+// History returns all arrivals and runs in order.
+func (f *Fleet) History(ctx context.Context) History {
+	return ask(ctx, f, func(s *state) History {
+		h := History{Arrivals: slices.Clone(s.arrivals)}
+		for _, r := range s.runs {
+			h.Runs = append(h.Runs, *r)
+		}
+		return h
+	})
 }
 
 // Runs returns the runs of a request in order.
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -23,6 +23,9 @@
 	Engine   bool
 	Events   int
 	Interval time.Duration
+	// Zone is where it stands, ColdFor how much longer it is cold when its entry is written.
+	Zone    string
+	ColdFor time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -45,46 +48,71 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	from := in.Header.Get("Kv-From")
 	behaviour := ask(in.Context(), w.Fleet, func(s *state) Behaviour {
-		s.arrivals[request]++
+		s.arrivals = append(s.arrivals, Arrival{w.ID, w.service(), request, time.Now(), from != ""})
 		return s.behaviours[w.ID]
 	})
-	from, ok := w.start(in)
-	if behaviour == Refuse || !ok {
-		out.Header().Set("X-Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+	if behaviour == Refuse {
+		w.refuse(out)
 		return
 	}
 	run := &Run{
-		Worker: w.ID, Request: request, From: from, Workspace: in.Header.Get("X-Tenant"),
-		Authorization: in.Header.Get("Authorization"), DeadlineMs: in.Header.Get("X-Deadline-Ms"),
+		Worker: w.ID, Service: w.service(), Request: request, Method: in.Method, Path: in.URL.RequestURI(), Continued: from != "",
+		Workspace: in.Header.Get("X-Tenant"), Authorization: in.Header.Get("Authorization"),
+		DeadlineMs: in.Header.Get("X-Deadline-Ms"), Began: time.Now(),
+	}
+	if last, err := strconv.Atoi(in.Header.Get("Last-Event-Id")); err == nil {
+		run.From = last
+	}
+	run.From++
+	if !w.start(in.Context(), run, from) {
+		w.refuse(out)
+		return
 	}
-	ask(in.Context(), w.Fleet, func(s *state) bool { s.runs = append(s.runs, run); return true })
 	defer func() {
 		// The request's own context has ended when its caller has left.
-		ask(context.Background(), w.Fleet, func(*state) bool { run.Ended = true; return true })
+		ask(context.Background(), w.Fleet, func(*state) bool { run.Ended, run.EndedAt = true, time.Now(); return true })
 	}()
 	out.Header().Set(signature, "signed-by-"+w.ID)
-	w.answer(out, in, behaviour, from)
+	w.answer(out, in, behaviour, run)
 }
 
-// start returns the number of the first event to make; false when the copy to go on from does not exist.
-func (w *Worker) start(in *http.Request) (int, bool) {
-	copied := in.Header.Get("Kv-From")
-	if copied == "" {
-		return 1, true
+// service returns the service that the worker belongs to.
+func (w *Worker) service() string {
+	if w.Engine {
+		return "engines"
 	}
-	known := ask(in.Context(), w.Fleet, func(s *state) bool {
-		_, ok := s.copies[copied]
-		delete(s.copies, copied)
-		return ok
+	return "desk"
+}
+
+// refuse says that a request was not run.
+func (w *Worker) refuse(out http.ResponseWriter) {
+	out.Header().Set("X-Not-Executed", "1")
+	out.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// start notes a run, or returns false when the copy to go on from does not exist.
+func (w *Worker) start(ctx context.Context, run *Run, from string) bool {
+	return ask(ctx, w.Fleet, func(s *state) bool {
+		if from == "" {
+			s.generations++
+			run.Generation = s.generations
+		} else {
+			c, ok := s.copies[from]
+			if !ok {
+				return false
+			}
+			delete(s.copies, from)
+			run.Generation = c.generation
+		}
+		s.runs = append(s.runs, run)
+		return true
 	})
-	last, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
-	return last + 1, known
 }
 
 // answer writes the answer as the behaviour says.
-func (w *Worker) answer(out http.ResponseWriter, in *http.Request, behaviour Behaviour, from int) {
+func (w *Worker) answer(out http.ResponseWriter, in *http.Request, behaviour Behaviour, run *Run) {
 	switch behaviour {
 	case Fail:
 		out.WriteHeader(http.StatusInternalServerError)
@@ -100,7 +128,7 @@
 		_, _ = fmt.Fprint(out, "answer of another request")
 	default:
 		if w.Engine {
-			w.stream(out, in, from)
+			w.stream(out, in, run)
 			return
 		}
 		_, _ = fmt.Fprintf(out, "%s %s by %s", in.Method, in.URL.RequestURI(), w.ID)
@@ -108,16 +136,19 @@
 }
 
 // stream makes events until the last one or until the caller leaves.
-func (w *Worker) stream(out http.ResponseWriter, in *http.Request, from int) {
+func (w *Worker) stream(out http.ResponseWriter, in *http.Request, run *Run) {
 	out.Header().Set("Content-Type", "text/event-stream")
 	backup, request := in.Header.Get("X-Kv-Backup"), in.Header.Get("X-Request-Id")
-	for n := from; n <= w.Events; n++ {
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+	for n := run.From; n <= w.Events; n++ {
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %d of %s\n\n", n, run.Generation, request); err != nil {
 			return
 		}
 		_ = http.NewResponseController(out).Flush()
 		if backup != "" {
-			ask(in.Context(), w.Fleet, func(s *state) bool { s.copies[backup+"/"+request] = n; return true })
+			ask(in.Context(), w.Fleet, func(s *state) bool {
+				s.copies[backup+"/"+request] = copied{n, run.Generation}
+				return true
+			})
 		}
 		select {
 		case <-time.After(w.Interval):
@@ -140,7 +171,7 @@
 		for _, r := range s.runs {
 			if r.Request == body.ID && r.Worker == w.ID && !r.Ended {
 				s.moves++
-				s.copies[w.Address+"/moved-"+body.ID] = 0
+				s.copies[w.Address+"/moved-"+body.ID] = copied{0, r.Generation}
 				return true
 			}
 		}
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -50,7 +51,7 @@
 // New returns a node that has not started.
 func New(log *zap.Logger, s settings.Edge, d Dependencies) *Node {
 	n := &Node{log: logging.For(log, logging.Node), settings: s, deps: d}
-	n.self = Member{ID: s.Node.ID, Address: s.Listen.Peers, DataCentre: s.Node.DataCentre}
+	n.self = Member{ID: s.Node.ID, Address: cmp.Or(s.Listen.PeersAdvertised, s.Listen.Peers), DataCentre: s.Node.DataCentre}
 	n.view = newView(logging.For(log, logging.Configuration), n.self, d.Translate)
 	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), paramsOf(s), n.view.current)
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -12,6 +12,7 @@
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/verdict"
 )
 
 // revokeMargin is taken off the time in which a revoked key must stop, for a poll that hears nothing for a second although
@@ -50,6 +51,12 @@
 	one.serve(ctx)
 }
 
+// Reject refuses a request that could not be read.
+func (s *Server) Reject(r *exchange.Request, c exchange.Caller, err *verdict.Error) {
+	one := &session{server: s, request: r, caller: c, known: s.known.Load()}
+	one.refuse(err)
+}
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/test/edge/plain_test.go
+++ b/test/edge/plain_test.go
@@ -101,5 +101,8 @@
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, one.status)
 		assert.Equal(t, s.Fleet.Arrivals(t.Context(), one.id), 0)
+		s.Eventually("the refusal of "+one.id+" is logged", func() bool {
+			return strings.Contains(n.Log(), `request refused","request":"`+one.id+`"`)
+		})
 	}
 }
--- a/test/harness/edge_node.go
+++ b/test/harness/edge_node.go
@@ -13,6 +13,9 @@
 	Settings settings.Edge
 	// Store is the path of this node to the store.
 	Store *Link
+	// Callers is a path of callers to this node, Peers that of the other nodes.
+	Callers *Link
+	Peers   *Link
 }
 
 // Ready reports whether the node takes new connections.
--- a/test/harness/link.go
+++ b/test/harness/link.go
@@ -42,13 +42,22 @@
 func (l *Link) Address() string { return l.proxy.Listen }
 
 // Stall stops all data on all connections, old and new, without closing any.
-func (l *Link) Stall() { l.stall(false) }
+func (l *Link) Stall() { l.stall(false, directions...) }
 
 // StallPresent stops all data on the connections that are open now. New connections are not affected. It may be called
 // again for connections that were opened since.
-func (l *Link) StallPresent() { l.stall(true) }
+func (l *Link) StallPresent() { l.stall(true, directions...) }
 
-func (l *Link) stall(spareNew bool) {
+// StallOneWay stops all data to the server, or all data from it.
+func (l *Link) StallOneWay(toServer bool) {
+	if toServer {
+		l.stall(false, directions[0])
+		return
+	}
+	l.stall(false, directions[1])
+}
+
+func (l *Link) stall(spareNew bool, directions ...string) {
 	l.stalls++
 	for _, d := range directions {
 		toxic, err := l.add(fmt.Sprint(stallToxicType, l.stalls), d, stallToxicType, "{}")
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -61,6 +62,13 @@
 	p.Wait(exitTimeout)
 }
 
+// SendKill ends the process at once and does not wait for its end.
+func (p *Process) SendKill() { p.signal(syscall.SIGKILL) }
+
+// Exited returns the channel that receives the error with which the process ends. A caller that receives from it takes the
+// place of Wait.
+func (p *Process) Exited() <-chan error { return p.exited }
+
 // Pause stops the process without ending it, until Continue.
 func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
 
@@ -73,7 +81,12 @@
 // Terminate asks the process to stop gracefully.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
-func (p *Process) signal(s os.Signal) { assert.NilError(p.t, p.process.Signal(s)) }
+// signal sends a signal. A process that has ended meanwhile gets none.
+func (p *Process) signal(s os.Signal) {
+	if err := p.process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
+		assert.NilError(p.t, err)
+	}
+}
 
 // Wait returns the error with which the process ended. It fails the test when the process does not end in time.
 func (p *Process) Wait(limit time.Duration) error {
