Tell other nodes of placed prompts at once, and give up copies in data centres that are out

Cause: a node learned of the others' prompts 100 to 150 ms late (a report, a sum and a notice waited for a tick of 50 ms each). Ruled out: the age of the last notice (5 to 45 ms) and the scorers. Change: nodes and relays send what has changed, at most every 15 ms when a prompt was placed or computed, and everything once a second. Updates may be lost or change their order.

Data centres that are out. Only engines that leave were told to sessions. Now copies in data centres that are out are given up too, and a target that departs while its copy is made is not used. Data centres of the soak are out for longer than the bound.

Log lines of placed requests give the prompts that were computed there and the age of the load that decided it.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -35,7 +35,9 @@
 			return Placed{}, RetryBudget
 		}
 	}
-	placed := Placed{Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight}
+	placed := Placed{
+		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.heard),
+	}
 	started := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill()}
 	chosen.own.InFlight++
 	chosen.own.Tokens += r.Tokens
@@ -47,6 +49,7 @@
 		placed.Backup = backup.Endpoint
 	}
 	t.number++
+	t.changed = true
 	placed.Run = t.number
 	t.runs[t.number] = started
 	return placed, ""
--- a/decision/dispatch/placed.go
+++ b/decision/dispatch/placed.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "azuredyke.dev/azuredyke/decision/fleet"
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/fleet"
+)
 
 // Placed is the answer to a request that may be sent.
 type Placed struct {
@@ -11,4 +15,8 @@
 	Backup fleet.Endpoint
 	// InFlight is the number of requests that ran on the endpoint by this node's knowledge.
 	InFlight int
+	// Prefill is the number of prompt tokens that were computed there before it.
+	Prefill int
+	// LoadAge is how old the knowledge of the other nodes' load was.
+	LoadAge time.Duration
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -25,6 +25,8 @@
 	// heard is when the load of the others was last reported.
 	heard  time.Time
 	number uint64
+	// changed is set when the node's own load is not what Own returned last.
+	changed bool
 
 	random                      *rand.Rand
 	engine, engineStrict, plain *placement.Policy
@@ -57,6 +59,7 @@
 // SetSnapshot takes over the endpoints of a snapshot.
 func (t *Table) SetSnapshot(now time.Time, s *fleet.Snapshot) {
 	before := t.endpoints
+	t.changed = true
 	t.endpoints = make(map[string]*endpoint, len(before))
 	t.services = map[string][]*endpoint{}
 	if s.Configuration == nil {
@@ -109,8 +112,12 @@
 	}
 }
 
+// Changed reports whether the node's own load has changed since Own was called.
+func (t *Table) Changed() bool { return t.changed }
+
 // Own returns what this node has in flight, sorted by endpoint.
 func (t *Table) Own() []Load {
+	t.changed = false
 	var loads []Load
 	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
 		if l := t.endpoints[id].own; l != (Load{}) {
@@ -157,7 +164,7 @@
 	if r == nil || r.began {
 		return
 	}
-	r.began = true
+	r.began, t.changed = true, true
 	r.endpoint.own.Prefill -= r.prefill
 }
 
@@ -168,6 +175,7 @@
 		return
 	}
 	delete(t.runs, number)
+	t.changed = true
 	e := r.endpoint
 	e.own.InFlight--
 	e.own.Tokens -= r.tokens
--- a/decision/dispatch/table_test.go
+++ b/decision/dispatch/table_test.go
@@ -135,8 +135,12 @@
 	r.Backup = true
 	placed, _ := table.Place(start, r)
 	assert.Equal(t, len(table.Own()), 2)
+	assert.Assert(t, !table.Changed())
 	table.Began(placed.Run)
+	assert.Assert(t, table.Changed())
+	table.Own()
 	table.Release(start, placed.Run, Succeeded)
+	assert.Assert(t, table.Changed())
 	assert.Equal(t, len(table.Own()), 0)
 	placed, _ = table.Place(start, r)
 	reborn := *s
--- /dev/null
+++ b/decision/gather/pending_update.go
@@ -0,0 +1,27 @@
+package gather
+
+import "azuredyke.dev/azuredyke/decision/dispatch"
+
+// pendingUpdate is an update before its receiver is known.
+type pendingUpdate struct {
+	epoch, seq uint64
+	full       bool
+	touched    []string
+}
+
+// of builds the update from the loads of the receiver's view.
+func (u pendingUpdate) of(all []string, load func(endpoint string) dispatch.Load) Update {
+	result := Update{Epoch: u.epoch, Seq: u.seq, Full: u.full}
+	ids := u.touched
+	if u.full {
+		ids = all
+	}
+	for _, id := range ids {
+		l := load(id)
+		l.Endpoint = id
+		if !u.full || !idle(l) {
+			result.Loads = append(result.Loads, l)
+		}
+	}
+	return result
+}
--- a/decision/gather/sums.go
+++ b/decision/gather/sums.go
@@ -10,66 +10,146 @@
 
 // Sums is the state of a relay. It belongs to one task.
 type Sums struct {
-	// reports holds the loads of the nodes of the own data centre, by node; others those of other data centres.
-	reports map[string]report
-	others  map[string]report
+	outbox
+	// nodes holds the loads of the nodes of the own data centre, by node; remote those of other data centres, by data centre
+	// and by the relay that sent them.
+	nodes  map[string]*Image
+	remote map[string]map[string]*Image
+	// chosen is the relay of each data centre whose sum counts.
+	chosen map[string]string
+	// local is the sum of nodes, total that of everything.
+	local, total map[string]dispatch.Load
 }
 
-// report is what one sender has in flight.
-type report struct {
-	loads []dispatch.Load
-	at    time.Time
+// NewSums returns sums of nothing. The epoch differs from that of the node's earlier processes.
+func NewSums(epoch uint64) *Sums {
+	return &Sums{
+		outbox: newOutbox(epoch), nodes: map[string]*Image{}, remote: map[string]map[string]*Image{}, chosen: map[string]string{},
+		local: map[string]dispatch.Load{}, total: map[string]dispatch.Load{},
+	}
 }
 
-// NewSums returns sums of nothing.
-func NewSums() *Sums { return &Sums{reports: map[string]report{}, others: map[string]report{}} }
-
 // Report takes the loads of a node of the own data centre.
-func (s *Sums) Report(now time.Time, node string, loads []dispatch.Load) {
-	s.reports[node] = report{loads, now}
+func (s *Sums) Report(now time.Time, node string, u Update) {
+	image := s.nodes[node]
+	if image == nil {
+		image = &Image{}
+		s.nodes[node] = image
+	}
+	changes := image.Take(now, u)
+	apply(s.local, changes, sum)
+	s.apply(changes, sum)
+}
+
+// DataCentre takes the sum of another data centre from one of its relays.
+func (s *Sums) DataCentre(now time.Time, name, relay string, u Update) {
+	relays := s.remote[name]
+	if relays == nil {
+		relays = map[string]*Image{}
+		s.remote[name] = relays
+	}
+	if relays[relay] == nil {
+		relays[relay] = &Image{}
+	}
+	changes := relays[relay].Take(now, u)
+	if s.chosen[name] == relay {
+		s.apply(changes, sum)
+	}
+	s.choose(now, name)
 }
 
-// DataCentre takes the sum of another data centre.
-func (s *Sums) DataCentre(now time.Time, name string, loads []dispatch.Load) {
-	s.others[name] = report{loads, now}
+// choose lets the sum of the first relay that is not silent count.
+func (s *Sums) choose(now time.Time, name string) {
+	relays := s.remote[name]
+	next := ""
+	for _, relay := range slices.Sorted(maps.Keys(relays)) {
+		if now.Sub(relays[relay].at) <= relaySilence {
+			next = relay
+			break
+		}
+	}
+	before := s.chosen[name]
+	if next == "" || next == before {
+		return
+	}
+	if before != "" {
+		s.apply(relays[before].Loads(), difference)
+	}
+	s.apply(relays[next].Loads(), sum)
+	s.chosen[name] = next
 }
 
-// Own returns the sum of the own data centre.
-func (s *Sums) Own(now time.Time) []dispatch.Load { return s.sum(now, s.reports, "") }
+// Expire forgets the senders that have been silent for long.
+func (s *Sums) Expire(now time.Time) {
+	for node, image := range s.nodes {
+		if now.Sub(image.at) > silence {
+			changes := image.clear()
+			apply(s.local, changes, sum)
+			s.apply(changes, sum)
+			delete(s.nodes, node)
+		}
+	}
+	for name, relays := range s.remote {
+		s.choose(now, name)
+		for relay, image := range relays {
+			if now.Sub(image.at) <= silence {
+				continue
+			}
+			if s.chosen[name] == relay {
+				s.apply(image.clear(), sum)
+				delete(s.chosen, name)
+			}
+			delete(relays, relay)
+		}
+	}
+}
 
-// Others returns the sum of everything but one node.
-func (s *Sums) Others(now time.Time, node string) []dispatch.Load {
-	return add(s.sum(now, s.reports, node), s.sum(now, s.others, ""))
+// apply changes the total.
+func (s *Sums) apply(changes []dispatch.Load, operation func(string, dispatch.Load, dispatch.Load) dispatch.Load) {
+	apply(s.total, changes, operation)
+	s.touch(changes)
 }
 
-// sum adds up the reports that still count, without one sender's.
-func (s *Sums) sum(now time.Time, reports map[string]report, without string) []dispatch.Load {
-	maps.DeleteFunc(reports, func(_ string, r report) bool { return now.Sub(r.at) > silence })
-	var lists [][]dispatch.Load
-	for sender, r := range reports {
-		if sender != without {
-			lists = append(lists, r.loads)
+func apply(loads map[string]dispatch.Load, changes []dispatch.Load, operation func(string, dispatch.Load, dispatch.Load) dispatch.Load) {
+	for _, c := range changes {
+		if l := operation(c.Endpoint, loads[c.Endpoint], c); idle(l) {
+			delete(loads, c.Endpoint)
+		} else {
+			loads[c.Endpoint] = l
 		}
 	}
-	return add(lists...)
 }
 
-// add returns the loads by endpoint, sorted.
-func add(lists ...[]dispatch.Load) []dispatch.Load {
-	total := map[string]dispatch.Load{}
-	for _, list := range lists {
-		for _, l := range list {
-			t := total[l.Endpoint]
-			t.Endpoint = l.Endpoint
-			t.InFlight += l.InFlight
-			t.Tokens += l.Tokens
-			t.Prefill += l.Prefill
-			total[l.Endpoint] = t
+// Due returns when the next updates are to be sent.
+func (s *Sums) Due() time.Time { return s.due() }
+
+// Refresh makes the next updates full ones, for receivers that know nothing yet.
+func (s *Sums) Refresh() { s.full = true }
+
+// Announce lets the next updates go out soon although no load has changed.
+func (s *Sums) Announce() { s.news = true }
+
+// Next begins the updates for all receivers.
+func (s *Sums) Next(now time.Time) Updates {
+	return Updates{sums: s, update: s.next(now), all: slices.Sorted(maps.Keys(s.total))}
+}
+
+// Others returns what everything but one node has in flight, sorted by endpoint.
+func (s *Sums) Others(node string) []dispatch.Load {
+	var loads []dispatch.Load
+	for _, id := range slices.Sorted(maps.Keys(s.total)) {
+		if l := s.othersOf(node, id); !idle(l) {
+			loads = append(loads, l)
 		}
 	}
-	var sum []dispatch.Load
-	for _, id := range slices.Sorted(maps.Keys(total)) {
-		sum = append(sum, total[id])
+	return loads
+}
+
+// othersOf returns what everything but one node has in flight at an endpoint.
+func (s *Sums) othersOf(node, endpoint string) dispatch.Load {
+	own := dispatch.Load{}
+	if image := s.nodes[node]; image != nil {
+		own = image.of(endpoint)
 	}
-	return sum
+	return difference(endpoint, s.total[endpoint], own)
 }
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -32,6 +32,8 @@
 	table    *dispatch.Table
 	known    *latest.Value[*Knowledge]
 	messages mailbox.Mailbox[dispatcherMessage]
+	// own publishes what this node has in flight.
+	own *latest.Value[[]dispatch.Load]
 
 	snapshot *fleet.Snapshot
 	waiting  []placeMessage
@@ -42,7 +44,8 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &dispatcher{
 		log: log, table: dispatch.NewTable(p, random), known: known,
-		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), leaving: map[uint64]*leavingRun{},
+		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), own: latest.New[[]dispatch.Load](nil),
+		leaving: map[uint64]*leavingRun{},
 	}
 }
 
@@ -70,6 +73,9 @@
 		case now := <-expire.C:
 			d.table.Expire(now)
 		}
+		if d.table.Changed() {
+			d.own.Publish(d.table.Own())
+		}
 	}
 }
 
@@ -85,9 +91,11 @@
 	d.retryWaiting()
 }
 
-// stays reports whether an endpoint is listed and does not leave.
-func (d *dispatcher) stays(service, endpoint string) bool {
-	return slices.ContainsFunc(d.snapshot.Endpoints[service], func(e fleet.Endpoint) bool { return e.ID == endpoint && !e.Leaving })
+// stays reports whether an endpoint is listed and does not leave. For copies its data centre must not be out either.
+func (d *dispatcher) stays(service, endpoint string, copies bool) bool {
+	return slices.ContainsFunc(d.snapshot.Endpoints[service], func(e fleet.Endpoint) bool {
+		return e.ID == endpoint && !e.Leaving && !(copies && d.snapshot.Out[e.DataCentre])
+	})
 }
 
 // try answers a request if it can be placed or can never be.
@@ -98,7 +106,7 @@
 	}
 	if refusal == "" && m.leaving != nil {
 		d.leaving[placed.Run] = &leavingRun{
-			service: m.request.Service, endpoint: placed.Endpoint.ID, backup: placed.Backup.ID, notify: m.leaving,
+			service: m.request.Service, endpoint: placed.Endpoint.ID, backup: placed.Backup.ID, copies: m.request.Copies, notify: m.leaving,
 		}
 	}
 	m.reply <- placeReply{placed: placed, refusal: refusal}
--- a/service/edge/engine_leaves_message.go
+++ b/service/edge/engine_leaves_message.go
@@ -10,6 +10,8 @@
 func (m engineLeavesMessage) apply(d *dispatcher) {
 	d.table.Leaves(m.id)
 	maps.DeleteFunc(d.leaving, func(_ uint64, r *leavingRun) bool {
-		return !r.tell(func(service, endpoint string) bool { return endpoint != m.id && d.stays(service, endpoint) })
+		return !r.tell(func(service, endpoint string, copies bool) bool {
+			return endpoint != m.id && d.stays(service, endpoint, copies)
+		})
 	})
 }
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -118,6 +118,10 @@
 // continueAtStandby lets the run go on at the endpoint to which its memory was copied. What it has made since is computed
 // anew there, which takes some milliseconds; a last copy of it would wait behind those of the other runs that leave.
 func (r *streamRelay) continueAtStandby() {
+	if r.dropDepartedTarget() {
+		r.retryMigration()
+		return
+	}
 	target, o := r.takeTarget()
 	if !r.handOver(target, o) {
 		r.retryMigration()
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -59,7 +60,8 @@
 	})
 	n.peers = &peers{
 		log: logging.For(log, logging.Peer), hub: n.hub, self: n.self, known: n.view.current,
-		messages: mailbox.New[peersMessage](peersCapacity), dispatcher: n.dispatcher.messages, sums: gather.NewSums(),
+		messages: mailbox.New[peersMessage](peersCapacity), dispatcher: n.dispatcher.messages, own: n.dispatcher.own,
+		reporter: gather.NewReporter(rand.Uint64()), sums: gather.NewSums(rand.Uint64()), topology: n.view.topology,
 		hints: mailbox.New[hint](hintCapacity),
 	}
 	n.peers.register()
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// loadInterval is how often nodes tell what they have in flight. A sum reaches a node over two relays, and a prompt takes
-	// some 200 ms to compute.
-	loadInterval = 50 * time.Millisecond
 	// peersCapacity bounds the waiting messages of the task; further ones are dropped, since newer ones follow.
 	peersCapacity = 256
 	// Kinds of notices between nodes.
@@ -36,10 +33,17 @@
 	// hints tells the catch-up task of nodes that know more of the store.
 	hints mailbox.Mailbox[hint]
 
-	sums *gather.Sums
+	// own is what this node has in flight.
+	own      *latest.Value[[]dispatch.Load]
+	reporter *gather.Reporter
+	sums     *gather.Sums
+	// images are what the relays of the own data centre have told, by rank.
+	images [gather.RelaysPerDataCentre]gather.Image
 	// heardFirst is when the relay in charge was last heard.
 	heardFirst time.Time
-	rank       int
+	topology   topology
+	// position is the revision of the store up to which this node knows everything.
+	position int64
 }
 
 // register installs the handlers; it is called before the hub runs.
@@ -59,57 +63,87 @@
 
 // run exchanges until ctx ends.
 func (p *peers) run(ctx context.Context) {
-	tick := time.NewTicker(loadInterval)
-	defer tick.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	own, changed := p.own.Watch()
+	known, learned := p.known.Watch()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-p.messages.Receive():
 			m.apply(p)
-		case <-tick.C:
-			p.exchange(ctx)
+		case <-changed:
+			own, changed = p.own.Watch()
+			p.reporter.Note(time.Now(), own)
+		case <-learned:
+			known, learned = p.known.Watch()
+			p.learn(known)
+		case now := <-expire.C:
+			p.sums.Expire(now)
+		case <-timer.C:
 		}
+		p.exchange()
+		timer.Reset(time.Until(p.due()))
 	}
 }
 
-// exchange tells the others what they need to know.
-func (p *peers) exchange(ctx context.Context) {
-	k := p.known.Load()
-	nodes := k.Nodes
-	if len(nodes) == 0 {
-		return
+// learn takes over which nodes there are. Nodes that are new know nothing of earlier updates.
+func (p *peers) learn(k *Knowledge) {
+	if k.topology.rank != p.topology.rank {
+		p.log.Info("rank among relays changed", zap.Int("from", p.topology.rank), zap.Int("to", k.topology.rank), zap.Int("nodes", len(k.Nodes)+1))
 	}
-	own, err := mailbox.Call(ctx, p.dispatcher, func(reply chan<- []dispatch.Load) dispatcherMessage {
-		return ownLoadMessage{reply: reply}
-	})
-	if err != nil {
-		return
+	if k.topology.version != p.topology.version {
+		p.reporter.Refresh()
+		p.sums.Refresh()
 	}
-	t := k.topology
-	if t.rank != p.rank {
-		p.log.Info("rank among relays changed", zap.Int("from", p.rank), zap.Int("to", t.rank), zap.Int("nodes", len(nodes)+1))
-		p.rank = t.rank
+	if k.Position != p.position {
+		// Notices carry the revision that this node knows.
+		p.reporter.Announce()
+		p.sums.Announce()
 	}
-	report := loadReport{Node: p.self.ID, Loads: own, Position: k.Position}
-	for _, m := range t.relays {
-		peer.Notify(p.hub, m.Address, kindLoadReport, report)
+	p.topology, p.position = k.topology, k.Position
+}
+
+// due returns when something is to be sent.
+func (p *peers) due() time.Time {
+	at := p.reporter.Due()
+	if sums := p.sums.Due(); p.topology.rank >= 0 && sums.Before(at) {
+		return sums
 	}
-	if t.rank >= 0 {
-		p.relay(t, report)
+	return at
+}
+
+// exchange tells the others what is due.
+func (p *peers) exchange() {
+	now := time.Now()
+	if !now.Before(p.reporter.Due()) {
+		report := loadReport{Node: p.self.ID, Update: p.reporter.Next(now), Position: p.position}
+		for _, m := range p.topology.relays {
+			peer.Notify(p.hub, m.Address, kindLoadReport, report)
+		}
+		if p.topology.rank >= 0 {
+			p.sums.Report(now, p.self.ID, report.Update)
+		}
+	}
+	if p.topology.rank >= 0 && !now.Before(p.sums.Due()) {
+		p.relay(now)
 	}
 }
 
 // relay passes sums on.
-func (p *peers) relay(t topology, own loadReport) {
-	now := time.Now()
-	p.sums.Report(now, own.Node, own.Loads)
-	sum := loadSum{DataCentre: p.self.DataCentre, Loads: p.sums.Own(now), Position: own.Position}
-	for _, m := range t.remote {
+func (p *peers) relay(now time.Time) {
+	updates := p.sums.Next(now)
+	sum := loadSum{DataCentre: p.self.DataCentre, Update: updates.OfDataCentre(), Position: p.position, Relay: p.self.ID}
+	for _, m := range p.topology.remote {
 		peer.Notify(p.hub, m.Address, kindLoadSum, sum)
 	}
-	for _, m := range t.local {
-		peer.Notify(p.hub, m.Address, kindLoadOthers, loadOthers{Rank: t.rank, Loads: p.sums.Others(now, m.ID), Position: own.Position})
+	for _, m := range p.topology.local {
+		others := loadOthers{Rank: p.topology.rank, Update: updates.For(m.ID), Position: p.position}
+		peer.Notify(p.hub, m.Address, kindLoadOthers, others)
 	}
-	loadOthers{Rank: 0, Loads: p.sums.Others(now, p.self.ID)}.apply(p)
+	p.heardFirst = now
+	p.dispatcher.TrySend(othersMessage{loads: p.sums.Others(p.self.ID)})
 }
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -39,7 +39,8 @@
 	up.answer = answer
 	s.runs++
 	s.log(zap.InfoLevel, "endpoint answered", zap.String("endpoint", up.placed.Endpoint.ID), zap.Int("status", answer.Status),
-		zap.String("backup", up.placed.Backup.ID), zap.Int("in_flight", up.placed.InFlight), zap.Duration("took", time.Since(began)))
+		zap.String("backup", up.placed.Backup.ID), zap.Int("in_flight", up.placed.InFlight),
+		zap.Int("prefill", up.placed.Prefill), zap.Duration("load_age", up.placed.LoadAge), zap.Duration("took", time.Since(began)))
 	return up, nil
 }
 
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -73,6 +73,17 @@
 	r.retryMigration()
 }
 
+// dropDepartedTarget gives the copy up if its endpoint left while the copy was made, and reports whether it did.
+func (r *streamRelay) dropDepartedTarget() bool {
+	select {
+	case <-r.migration.target.leaving:
+		r.dropTarget()
+		return true
+	default:
+		return false
+	}
+}
+
 // dropTarget gives back the place that was taken for a copy, and the copy.
 func (r *streamRelay) dropTarget() {
 	m := &r.migration
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -182,7 +182,7 @@
 	var o sendOptions
 	var err error
 	switch {
-	case r.migration.handle != "":
+	case r.migration.handle != "" && !r.dropDepartedTarget():
 		next, o = r.takeTarget()
 	case old.placed.Backup.ID != "":
 		r.dropTarget()
--- a/service/edge/topology.go
+++ b/service/edge/topology.go
@@ -10,6 +10,8 @@
 type topology struct {
 	// rank is that of this node among the relays of its data centre; -1 when it is none.
 	rank int
+	// version counts the changes of the nodes that are known.
+	version int
 	// relays are the other relays of the own data centre, in order.
 	relays []Member
 	// local are the other nodes of the own data centre, remote the relays of the other ones.
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -118,7 +118,9 @@
 		v.nodes = append(v.nodes, m)
 	}
 	slices.SortFunc(v.nodes, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	version := v.topology.version + 1
 	v.topology = newTopology(v.self, v.nodes)
+	v.topology.version = version
 	v.log.Info("nodes changed", zap.Int("others", len(v.nodes)), zap.String("node", id), zap.Bool("left", e.Deleted))
 }
 
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -21,6 +21,8 @@
 	minFault = 100 * time.Millisecond
 	maxFault = 3 * time.Second
 	maxStore = 6 * time.Second
+	// minOut is above the time within which a data centre that is out gets no new work.
+	minOut = evacuateBound + time.Second
 )
 
 // weights says how often each kind is drawn. Signals and changes are frequent, so that they come in series.
@@ -109,6 +111,9 @@
 		longest = maxStore
 	}
 	f.length = minFault + time.Duration(random.Int64N(int64(longest-minFault)))
+	if f.kind == evacuate {
+		f.length += minOut
+	}
 	switch f.kind.scope() {
 	case onNode:
 		f.target %= nodeCount
