Keep engine memory for prompts before copies

Ruled out: queues of prompts, the age of the load.

Change: copies are placed up to 0.6 of an engine's memory, not 0.8, and not at all once 0.7 of the memory of all engines is taken; copies that stand by are then given up. A prompt waits up to an eighth of its objective for an engine on which it fits before it takes one on which it does not.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -7,9 +7,14 @@
 	"azuredyke.dev/azuredyke/decision/placement"
 )
 
-// spareShare is the part of an engine's memory up to which copies are placed. The rest is for runs that grow longer than
-// expected and for those of engines that leave.
-const spareShare = 0.8
+const (
+	// spareShare is the part of an engine's memory up to which copies are placed. The rest is for new runs, for those that
+	// grow longer than expected and for those of engines that leave.
+	spareShare = 0.6
+	// crowdedShare is the part of the memory of all engines of a service above which there are no copies: a prompt that waits
+	// for memory is late for certain, a run without a copy is lost only if its engine goes unseen.
+	crowdedShare = 0.7
+)
 
 const (
 	// nodesInStep is the number of nodes that seldom place requests at the same moment. With more of them, each looks at a
@@ -57,6 +62,9 @@
 
 // choose returns the endpoint for a request.
 func (t *Table) choose(now time.Time, r *Request) (*endpoint, Refusal) {
+	if r.Spare && t.Crowded(now, r.Service) {
+		return nil, AllFull
+	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
 	known, admitted := 0, 0
 	for _, e := range t.services[r.Service] {
@@ -84,6 +92,8 @@
 	switch {
 	case r.Spare:
 		policies = []*placement.Policy{t.engineStrict}
+	case r.Tokens > 0 && r.Patient:
+		policies = []*placement.Policy{t.engineStrict}
 	case r.Tokens > 0:
 		// An engine on which the memory does not fit is better than none: it queues the request.
 		policies = []*placement.Policy{t.engineStrict, t.engine}
@@ -128,12 +138,24 @@
 	return min(size, eligible)
 }
 
+// Crowded reports whether the engines of a service have no memory to spare for copies.
+func (t *Table) Crowded(now time.Time, service string) bool {
+	used, capacity := 0.0, 0.0
+	for _, e := range t.services[service] {
+		if e.refresh(now, t.params.DataCentre) {
+			used += e.candidate.Other
+			capacity += e.candidate.Capacity
+		}
+	}
+	return used > crowdedShare*capacity
+}
+
 // copyTokens returns the mean size of the copy of a run's memory over its life.
 func copyTokens(r *Request) int { return (r.PromptTokens + r.Tokens) / 2 }
 
 // chooseBackup returns the endpoint that is to keep a copy of a run's memory, or nil.
 func (t *Table) chooseBackup(now time.Time, r *Request, primary *endpoint) *endpoint {
-	if !r.Backup || primary.service.Engine == nil || !primary.service.Engine.Backups {
+	if !r.Backup || primary.service.Engine == nil || !primary.service.Engine.Backups || t.Crowded(now, r.Service) {
 		return nil
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -12,6 +12,8 @@
 	Resumed bool
 	// Copies is set when the run's memory is copied to the endpoint first, which takes about as long as computing it.
 	Copies bool
+	// Patient requests rather wait than take an engine on which their memory does not fit.
+	Patient bool
 	// Spare requests may only take memory that will not be missed.
 	Spare bool
 	// Free repeats are charged to the retry budget but never refused, since they continue a run.
--- a/decision/dispatch/table_test.go
+++ b/decision/dispatch/table_test.go
@@ -128,6 +128,47 @@
 	}
 }
 
+// Guards against copies in memory that new prompts wait for.
+func TestNoCopiesWhereMemoryIsScarce(t *testing.T) {
+	table, _ := newTable(0, "a", "b", "c", "d")
+	standby := request(1500)
+	standby.Spare, standby.Copies, standby.Resumed = true, true, true
+	standby.Exclude = []string{"a"}
+	for _, id := range []string{"a", "b", "c"} {
+		r := request(9000)
+		r.Only = id
+		_, refusal := table.Place(start, r)
+		assert.Equal(t, refusal, Refusal(""))
+	}
+	// Engine d is empty, but the four hold 27,000 of 40,000 tokens.
+	assert.Assert(t, !table.Crowded(start, "s"))
+	placed, refusal := table.Place(start, standby)
+	assert.Equal(t, refusal, Refusal(""))
+	assert.Equal(t, placed.Endpoint.ID, "d")
+	assert.Assert(t, table.Crowded(start, "s"))
+	_, refusal = table.Place(start, standby)
+	assert.Equal(t, refusal, AllFull)
+	backed := request(1000)
+	backed.Backup = true
+	placed, refusal = table.Place(start, backed)
+	assert.Equal(t, refusal, Refusal(""))
+	assert.Equal(t, placed.Backup.ID, "")
+}
+
+// Guards against a request that takes an engine on which its memory does not fit before it has waited.
+func TestPatientRequestsWaitForMemory(t *testing.T) {
+	table, _ := newTable(0, "a")
+	_, refusal := table.Place(start, request(8000))
+	assert.Equal(t, refusal, Refusal(""))
+	r := request(3000)
+	r.Patient = true
+	_, refusal = table.Place(start, r)
+	assert.Equal(t, refusal, AllFull)
+	r.Patient = false
+	_, refusal = table.Place(start, r)
+	assert.Equal(t, refusal, Refusal(""))
+}
+
 // Guards against load that stays counted after its runs have ended, or twice for a restarted endpoint.
 func TestReleasedRunsAreNotCounted(t *testing.T) {
 	table, s := newTable(0, "a", "b")
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -100,6 +100,7 @@
 
 // try answers a request if it can be placed or can never be.
 func (d *dispatcher) try(now time.Time, m placeMessage) bool {
+	m.request.Patient = now.Before(m.until)
 	placed, refusal := d.table.Place(now, m.request)
 	if refusal != "" && refusal != dispatch.RetryBudget && now.Before(m.until) {
 		return false
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -82,6 +82,10 @@
 	case m.tries > maxMigrations || m.calling:
 	case m.leaving && m.handle != "":
 		r.continueAtStandby()
+	case m.target != nil && !m.leaving && r.server.placer.crowded(r.ctx, r.service):
+		r.log(zap.InfoLevel, "copy given up for new runs", zap.String("endpoint", r.up.placed.Endpoint.ID), zap.String("to", m.target.placed.Endpoint.ID))
+		r.dropTarget()
+		r.retryMigration()
 	case m.target != nil:
 		r.callMove()
 	case r.up.placed.Backup.ID == "":
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// crowded asks whether the engines of a service have no memory to spare for copies.
+func (p placer) crowded(ctx context.Context, service string) bool {
+	crowded, err := mailbox.Call(ctx, p.messages, func(reply chan<- bool) dispatcherMessage {
+		return crowdedMessage{service: service, reply: reply}
+	})
+	return err == nil && crowded
+}
+
 // giveBack releases an endpoint that was granted to a caller that had left.
 func (p placer) giveBack(reply <-chan placeReply, until time.Time) {
 	timer := time.NewTimer(time.Until(until) + time.Second)
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -19,7 +19,7 @@
 
 const (
 	// waitShare is the part of the objective for which a request waits for an endpoint before it is refused.
-	waitShare = 4
+	waitShare = 8
 	// maxSends bounds the endpoints to which a request is offered, those that did not run it included.
 	maxSends = 4
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is told to come back.
