Space the polls of the store

Cause: a poll ends at the first change, and on a large fleet the next one starts within milliseconds. Change: polls start at least 150 ms apart. TestPollsOfABusyStoreAreSpaced failed before (64 polls in 3 s, where its view was full).

--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -20,6 +20,9 @@
 	// must be well below the 2 s in which a change must be in force: all nodes that poll may be cut off at once, and the
 	// others then notice by the age of their knowledge.
 	pollWait = 600 * time.Millisecond
+	// pollSpacing is the time between the starts of two polls. A poll ends at the first change, and on a large fleet the next
+	// one follows within milliseconds; each poll is charged.
+	pollSpacing = 150 * time.Millisecond
 	// callTimeout is how long an answer may take beyond a poll's wait. A store that is alive answers in milliseconds, and
 	// in some hundred when it is slow.
 	callTimeout = 500 * time.Millisecond
@@ -67,10 +70,13 @@
 				continue
 			}
 		}
-		if !f.askStore(ctx) {
-			f.sleep(ctx, f.pause)
-			f.pause = min(maxPause, 2*f.pause)
+		began := time.Now()
+		if f.askStore(ctx) {
+			f.sleep(ctx, time.Until(began.Add(pollSpacing)))
+			continue
 		}
+		f.sleep(ctx, f.pause)
+		f.pause = min(maxPause, 2*f.pause)
 	}
 }
 
--- /dev/null
+++ b/service/edge/follower_test.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/mailbox"
+)
+
+// busyStore has a change for every poll at once.
+type busyStore struct {
+	Store
+	polls int
+}
+
+func (s *busyStore) Range(context.Context, string) (backing.RangeResult, error) {
+	return backing.RangeResult{Revision: 1}, nil
+}
+
+func (s *busyStore) Poll(_ context.Context, _ string, after int64, _ time.Duration) (backing.WatchBatch, error) {
+	s.polls++
+	event := backing.WatchEvent{Entry: backing.Entry{Key: "servers/x", ModRevision: after + 1}}
+	return backing.WatchBatch{Revision: after + 1, Events: []backing.WatchEvent{event}}, nil
+}
+
+// Guards against calls to the store for every change of a large fleet.
+func TestPollsOfABusyStoreAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		store := &busyStore{}
+		f := &follower{
+			log: zap.NewNop(), store: store, known: latest.New(&Knowledge{topology: topology{rank: -1}}),
+			view: mailbox.New[viewMessage](viewCapacity), avoid: map[string]time.Time{},
+		}
+		f.run(ctx)
+		assert.Assert(t, store.polls > 10 && store.polls <= 30, "%d polls in 3 s", store.polls)
+	})
+}
