--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -30,9 +30,9 @@
 	metrics  *serverMetrics
 	// revoke is the bound of the settings in nanoseconds.
 	revoke atomic.Int64
-	// stopping is set once the node refuses work that it could not finish.
-	stopping atomic.Bool
-	active   atomic.Int64
+	// stopBy is when requests that still run are cut; nil while the node does not stop.
+	stopBy atomic.Pointer[time.Time]
+	active atomic.Int64
 }
 
 // Limits returns what callers may send by the configuration in force; all zero before the first one.
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -28,6 +28,10 @@
 	// lengthShare is the part of the caller's estimate of the output that a run holds on average: its memory grows from
 	// nothing, and about half of the answers are longer than estimated.
 	lengthShare = 0.6
+	// tokenTime is how long a busy engine takes for a token; one that runs a single request takes 7 ms.
+	tokenTime = 10 * time.Millisecond
+	// estimateMargin is how much longer than expected an answer may be that a stopping node still accepts.
+	estimateMargin = 3
 )
 
 // session is one request from its arrival to its answer.
@@ -100,7 +104,7 @@
 			return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "unknown key in version %d", c.Version)
 		}
 	}
-	if s.server.stopping.Load() && s.route.Streams {
+	if by := s.server.stopBy.Load(); by != nil && s.route.Streams && s.expectedEnd().After(*by) {
 		return verdict.New(verdict.NotRun, verdict.ReasonStopping, "the node is stopping").WithRetryAfter(minRetryAfter)
 	}
 	s.service = s.route.Service(xxh3.HashString(s.request.ID))
@@ -203,6 +207,11 @@
 	return min(s.request.MaxTokens, int(lengthShare*float64(s.request.LengthHint)))
 }
 
+// expectedEnd returns when a stream has ended most likely. The caller's estimate is often far off, so it counts more than once.
+func (s *session) expectedEnd() time.Time {
+	return s.request.Received.Add(s.route.Objective + time.Duration(estimateMargin*s.expectedOutput())*tokenTime)
+}
+
 // priority returns the rank of the request; 0 is the most urgent.
 func (s *session) priority() int {
 	if s.workspace != nil && s.workspace.HasPriority {
