--- a/decision/gather/sums.go
+++ b/decision/gather/sums.go
@@ -131,7 +131,11 @@
 
 // Next begins the updates for all receivers.
 func (s *Sums) Next(now time.Time) Updates {
-	return Updates{sums: s, update: s.next(now), all: slices.Sorted(maps.Keys(s.total))}
+	u := Updates{sums: s, update: s.next(now)}
+	if u.update.full {
+		u.all = slices.Sorted(maps.Keys(s.total))
+	}
+	return u
 }
 
 // Others returns what everything but one node has in flight, sorted by endpoint.
--- a/decision/gather/updates.go
+++ b/decision/gather/updates.go
@@ -6,7 +6,7 @@
 type Updates struct {
 	sums   *Sums
 	update pendingUpdate
-	// all lists the endpoints with a load.
+	// all lists the endpoints with a load; it is only set for full updates.
 	all []string
 }
 
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -67,8 +67,8 @@
 	defer expire.Stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	own, changed := p.own.Watch()
-	known, learned := p.known.Watch()
+	_, changed := p.own.Watch()
+	_, learned := p.known.Watch()
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,9 +76,11 @@
 		case m := <-p.messages.Receive():
 			m.apply(p)
 		case <-changed:
+			var own []dispatch.Load
 			own, changed = p.own.Watch()
 			p.reporter.Note(time.Now(), own)
 		case <-learned:
+			var known *Knowledge
 			known, learned = p.known.Watch()
 			p.learn(known)
 		case now := <-expire.C:
--- a/service/edge/registration.go
+++ b/service/edge/registration.go
@@ -15,8 +15,10 @@
 	registrationTTL = time.Minute
 	// renewInterval leaves room for two failed renewals.
 	renewInterval = 20 * time.Second
-	// registrationRetry is the pause after a failed call.
-	registrationRetry = time.Second
+	// firstRetry and maxRetry bound the pause after a failed call, which doubles with each failure in a row: refused calls are
+	// charged, and the entry outlives several pauses.
+	firstRetry = time.Second
+	maxRetry   = 8 * time.Second
 )
 
 // registration is the task that keeps the node's own entry in the store.
@@ -29,6 +31,7 @@
 // run writes the entry under a lease and renews the lease until ctx ends.
 func (r *registration) run(ctx context.Context) {
 	var lease backing.LeaseID
+	retry := firstRetry
 	for {
 		pause := renewInterval
 		var err error
@@ -39,7 +42,9 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			r.log.Warn("registration failed", zap.Int64("lease", int64(lease)), logging.Cause(err))
-			pause = registrationRetry
+			pause, retry = retry, min(maxRetry, 2*retry)
+		} else {
+			retry = firstRetry
 		}
 		select {
 		case <-ctx.Done():
