--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -67,8 +67,10 @@
 	defer expire.Stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	_, changed := p.own.Watch()
-	_, learned := p.known.Watch()
+	own, changed := p.own.Watch()
+	p.reporter.Note(time.Now(), own)
+	known, learned := p.known.Watch()
+	p.learn(known)
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,11 +78,9 @@
 		case m := <-p.messages.Receive():
 			m.apply(p)
 		case <-changed:
-			var own []dispatch.Load
 			own, changed = p.own.Watch()
 			p.reporter.Note(time.Now(), own)
 		case <-learned:
-			var known *Knowledge
 			known, learned = p.known.Watch()
 			p.learn(known)
 		case now := <-expire.C:
