--- a/common/settings/edge.go
+++ b/common/settings/edge.go
@@ -26,9 +26,14 @@
 	return ParseEdge(data)
 }
 
+// defaultEdge returns the settings of an empty file.
+func defaultEdge() Edge {
+	return Edge{Log: Log{Level: "info", Format: "json"}, Stop: EdgeStop{Grace: 8 * time.Second}}
+}
+
 // ParseEdge decodes and checks settings.
 func ParseEdge(data []byte) (Edge, error) {
-	e := Edge{Log: Log{Level: "info", Format: "json"}, Stop: EdgeStop{Grace: 8 * time.Second}}
+	e := defaultEdge()
 	if err := decode(data, &e, e.check); err != nil {
 		return Edge{}, err
 	}
--- a/common/settings/reference_test.go
+++ b/common/settings/reference_test.go
@@ -11,8 +11,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// referencePath is the settings reference, relative to this package.
-const referencePath = "../../docs/operating/settings.md"
+// Paths of the settings references, relative to this package.
+const (
+	referencePath     = "../../docs/operating/settings.md"
+	edgeReferencePath = "../../docs/operating/edge-settings.md"
+)
+
+// references are the pages and the settings with their defaults that they describe.
+var references = map[string]any{referencePath: Default(), edgeReferencePath: defaultEdge()}
 
 // Columns of the tables of the reference, of which each row begins and ends with a bar.
 const (
@@ -23,39 +29,43 @@
 
 // Guards against a setting that the reference leaves out, names twice or invents.
 func TestReferenceNamesEveryKey(t *testing.T) {
-	var documented, keys []string
-	for _, row := range referenceRows(t) {
-		documented = append(documented, row[keyColumn])
-	}
-	for key := range valuesOf(reflect.ValueOf(Default()), "") {
-		keys = append(keys, key)
+	for path, defaults := range references {
+		var documented, keys []string
+		for _, row := range referenceRows(t, path) {
+			documented = append(documented, row[keyColumn])
+		}
+		for key := range valuesOf(reflect.ValueOf(defaults), "") {
+			keys = append(keys, key)
+		}
+		slices.Sort(keys)
+		slices.Sort(documented)
+		assert.DeepEqual(t, documented, keys)
 	}
-	slices.Sort(keys)
-	slices.Sort(documented)
-	assert.DeepEqual(t, documented, keys)
 }
 
 // Guards against a default in the reference that is not the one in force. A default that is not a value, like "empty" or the
 // name of another key, stands for the zero value.
 func TestReferenceStatesDefaults(t *testing.T) {
-	values := valuesOf(reflect.ValueOf(Default()), "")
-	for _, row := range referenceRows(t) {
-		actual, ok := values[row[keyColumn]]
-		assert.Assert(t, ok, row[keyColumn])
-		stated := reflect.New(actual.Type())
-		text, quoted := strings.CutPrefix(row[defaultColumn], "`")
-		text = strings.TrimSuffix(text, "`")
-		if _, isKey := values[text]; quoted && !isKey {
-			assert.NilError(t, yaml.Unmarshal([]byte(text), stated.Interface()), row[keyColumn])
+	for path, defaults := range references {
+		values := valuesOf(reflect.ValueOf(defaults), "")
+		for _, row := range referenceRows(t, path) {
+			actual, ok := values[row[keyColumn]]
+			assert.Assert(t, ok, row[keyColumn])
+			stated := reflect.New(actual.Type())
+			text, quoted := strings.CutPrefix(row[defaultColumn], "`")
+			text = strings.TrimSuffix(text, "`")
+			if _, isKey := values[text]; quoted && !isKey {
+				assert.NilError(t, yaml.Unmarshal([]byte(text), stated.Interface()), row[keyColumn])
+			}
+			assert.DeepEqual(t, stated.Elem().Interface(), actual.Interface())
 		}
-		assert.DeepEqual(t, stated.Elem().Interface(), actual.Interface())
 	}
 }
 
 // referenceRows returns the cells of the rows of the reference whose first cell is a key, with the key unquoted.
-func referenceRows(t *testing.T) [][]string {
+func referenceRows(t *testing.T, path string) [][]string {
 	t.Helper()
-	page, err := os.ReadFile(referencePath)
+	page, err := os.ReadFile(path)
 	assert.NilError(t, err)
 	var rows [][]string
 	for _, line := range strings.Split(string(page), "\n") {
--- a/service/edge/reload.go
+++ b/service/edge/reload.go
@@ -18,7 +18,9 @@
 		return
 	}
 	n.server.revoke.Store(int64(s.Bounds.Revoke))
-	_ = n.dispatcher.messages.TrySend(paramsMessage{params: paramsOf(s)})
+	if !n.dispatcher.messages.TrySend(paramsMessage{params: paramsOf(s)}) {
+		n.log.Warn("limits not reloaded, the dispatcher is busy; send SIGHUP again")
+	}
 	n.log.Info("settings reloaded", zap.String("log_level", s.Log.Level), zap.Duration("revoke", s.Bounds.Revoke))
 }
 
