Join what stood twice in the exchange of load and in the servers

Found in a read-through; behaviour stays as it is.

- The silence of a relay was a constant in decision/gather and again in service/edge: gather.RelaySilence serves both.
- Reporter and Sums wrapped the same three methods of their outbox, which now has them.
Three loops that list the loads of busy endpoints are one function, and the operation that apply took is a sign of the changes.
- Whether a node stops was kept by the readiness page and by the server; the page now asks the server.
- A node's own load was listed by sorting all endpoints at each change; now only those with a load are sorted.
- common/httpserver takes the place of two types, common/pause of two functions and a select.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -90,9 +90,7 @@
 	}
 	policies := []*placement.Policy{t.plain}
 	switch {
-	case r.Spare:
-		policies = []*placement.Policy{t.engineStrict}
-	case r.Tokens > 0 && r.Patient:
+	case r.Spare, r.Tokens > 0 && r.Patient:
 		policies = []*placement.Policy{t.engineStrict}
 	case r.Tokens > 0:
 		// An engine on which the memory does not fit is better than none: it queues the request.
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/fleet"
@@ -121,12 +122,13 @@
 func (t *Table) Own() []Load {
 	t.changed = false
 	var loads []Load
-	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
-		if l := t.endpoints[id].own; l != (Load{}) {
+	for id, e := range t.endpoints {
+		if l := e.own; l != (Load{}) {
 			l.Endpoint = id
 			loads = append(loads, l)
 		}
 	}
+	slices.SortFunc(loads, func(a, b Load) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return loads
 }
 
--- a/decision/gather/doc.go
+++ b/decision/gather/doc.go
@@ -14,5 +14,5 @@
 // silence is how long a report counts.
 const silence = 2 * time.Second
 
-// relaySilence is how long a relay may be silent before the second one of its data centre counts in its place.
-const relaySilence = 400 * time.Millisecond
+// RelaySilence is how long a relay may be silent before the second one of its data centre counts in its place.
+const RelaySilence = 400 * time.Millisecond
--- a/decision/gather/image.go
+++ b/decision/gather/image.go
@@ -65,15 +65,7 @@
 func (i *Image) of(endpoint string) dispatch.Load { return i.entries[endpoint].load }
 
 // Loads returns all loads, sorted by endpoint.
-func (i *Image) Loads() []dispatch.Load {
-	var loads []dispatch.Load
-	for _, id := range slices.Sorted(maps.Keys(i.entries)) {
-		if l := i.entries[id].load; !idle(l) {
-			loads = append(loads, l)
-		}
-	}
-	return loads
-}
+func (i *Image) Loads() []dispatch.Load { return busy(slices.Sorted(maps.Keys(i.entries)), i.of) }
 
 func appendChange(changes []dispatch.Load, endpoint string, now, before dispatch.Load) []dispatch.Load {
 	if c := difference(endpoint, now, before); !idle(c) {
--- a/decision/gather/outbox.go
+++ b/decision/gather/outbox.go
@@ -45,8 +45,14 @@
 	}
 }
 
-// due returns when the next update is to be sent.
-func (o *outbox) due() time.Time {
+// Refresh makes the next update a full one, for receivers that know nothing yet.
+func (o *outbox) Refresh() { o.full = true }
+
+// Announce lets the next update go out soon although no load has changed.
+func (o *outbox) Announce() { o.news = true }
+
+// Due returns when the next update is to be sent.
+func (o *outbox) Due() time.Time {
 	switch {
 	case o.urgent:
 		return o.sentAt.Add(urgentSpacing)
--- a/decision/gather/pending_update.go
+++ b/decision/gather/pending_update.go
@@ -12,16 +12,14 @@
 // of builds the update from the loads of the receiver's view.
 func (u pendingUpdate) of(all []string, load func(endpoint string) dispatch.Load) Update {
 	result := Update{Epoch: u.epoch, Seq: u.seq, Full: u.full}
-	ids := u.touched
 	if u.full {
-		ids = all
+		result.Loads = busy(all, load)
+		return result
 	}
-	for _, id := range ids {
+	for _, id := range u.touched {
 		l := load(id)
 		l.Endpoint = id
-		if !u.full || !idle(l) {
-			result.Loads = append(result.Loads, l)
-		}
+		result.Loads = append(result.Loads, l)
 	}
 	return result
 }
--- a/decision/gather/reporter.go
+++ b/decision/gather/reporter.go
@@ -24,15 +24,6 @@
 	r.touch(r.own.Take(now, Update{Seq: r.seq, Full: true, Loads: own}))
 }
 
-// Due returns when the next update is to be sent.
-func (r *Reporter) Due() time.Time { return r.due() }
-
-// Refresh makes the next update a full one, for receivers that know nothing yet.
-func (r *Reporter) Refresh() { r.full = true }
-
-// Announce lets the next update go out soon although no load has changed.
-func (r *Reporter) Announce() { r.news = true }
-
 // Next returns the update to send.
 func (r *Reporter) Next(now time.Time) Update {
 	return r.next(now).of(slices.Sorted(maps.Keys(r.own.entries)), r.own.of)
--- a/decision/gather/sums.go
+++ b/decision/gather/sums.go
@@ -37,8 +37,8 @@
 		s.nodes[node] = image
 	}
 	changes := image.Take(now, u)
-	apply(s.local, changes, sum)
-	s.apply(changes, sum)
+	apply(s.local, changes)
+	s.apply(changes)
 }
 
 // DataCentre takes the sum of another data centre from one of its relays.
@@ -53,7 +53,7 @@
 	}
 	changes := relays[relay].Take(now, u)
 	if s.chosen[name] == relay {
-		s.apply(changes, sum)
+		s.apply(changes)
 	}
 	s.choose(now, name)
 }
@@ -63,7 +63,7 @@
 	relays := s.remote[name]
 	next := ""
 	for _, relay := range slices.Sorted(maps.Keys(relays)) {
-		if now.Sub(relays[relay].at) <= relaySilence {
+		if now.Sub(relays[relay].at) <= RelaySilence {
 			next = relay
 			break
 		}
@@ -73,9 +73,9 @@
 		return
 	}
 	if before != "" {
-		s.apply(relays[before].Loads(), difference)
+		s.apply(negated(relays[before].Loads()))
 	}
-	s.apply(relays[next].Loads(), sum)
+	s.apply(relays[next].Loads())
 	s.chosen[name] = next
 }
 
@@ -84,8 +84,8 @@
 	for node, image := range s.nodes {
 		if now.Sub(image.at) > silence {
 			changes := image.clear()
-			apply(s.local, changes, sum)
-			s.apply(changes, sum)
+			apply(s.local, changes)
+			s.apply(changes)
 			delete(s.nodes, node)
 		}
 	}
@@ -96,7 +96,7 @@
 				continue
 			}
 			if s.chosen[name] == relay {
-				s.apply(image.clear(), sum)
+				s.apply(image.clear())
 				delete(s.chosen, name)
 			}
 			delete(relays, relay)
@@ -105,14 +105,14 @@
 }
 
 // apply changes the total.
-func (s *Sums) apply(changes []dispatch.Load, operation func(string, dispatch.Load, dispatch.Load) dispatch.Load) {
-	apply(s.total, changes, operation)
+func (s *Sums) apply(changes []dispatch.Load) {
+	apply(s.total, changes)
 	s.touch(changes)
 }
 
-func apply(loads map[string]dispatch.Load, changes []dispatch.Load, operation func(string, dispatch.Load, dispatch.Load) dispatch.Load) {
+func apply(loads map[string]dispatch.Load, changes []dispatch.Load) {
 	for _, c := range changes {
-		if l := operation(c.Endpoint, loads[c.Endpoint], c); idle(l) {
+		if l := sum(c.Endpoint, loads[c.Endpoint], c); idle(l) {
 			delete(loads, c.Endpoint)
 		} else {
 			loads[c.Endpoint] = l
@@ -120,15 +120,6 @@
 	}
 }
 
-// Due returns when the next updates are to be sent.
-func (s *Sums) Due() time.Time { return s.due() }
-
-// Refresh makes the next updates full ones, for receivers that know nothing yet.
-func (s *Sums) Refresh() { s.full = true }
-
-// Announce lets the next updates go out soon although no load has changed.
-func (s *Sums) Announce() { s.news = true }
-
 // Next begins the updates for all receivers.
 func (s *Sums) Next(now time.Time) Updates {
 	u := Updates{sums: s, update: s.next(now)}
@@ -140,13 +131,7 @@
 
 // Others returns what everything but one node has in flight, sorted by endpoint.
 func (s *Sums) Others(node string) []dispatch.Load {
-	var loads []dispatch.Load
-	for _, id := range slices.Sorted(maps.Keys(s.total)) {
-		if l := s.othersOf(node, id); !idle(l) {
-			loads = append(loads, l)
-		}
-	}
-	return loads
+	return busy(slices.Sorted(maps.Keys(s.total)), func(endpoint string) dispatch.Load { return s.othersOf(node, endpoint) })
 }
 
 // othersOf returns what everything but one node has in flight at an endpoint.
--- a/decision/gather/sums_test.go
+++ b/decision/gather/sums_test.go
@@ -44,7 +44,7 @@
 	s.DataCentre(start, "west", "r2", full(1, load))
 	s.DataCentre(start, "west", "r1", full(1, load))
 	assert.DeepEqual(t, s.Others("a"), []dispatch.Load{load})
-	later := start.Add(relaySilence + time.Millisecond)
+	later := start.Add(RelaySilence + time.Millisecond)
 	load.InFlight = 5
 	s.DataCentre(later, "west", "r2", full(2, load))
 	assert.DeepEqual(t, s.Others("a"), []dispatch.Load{load})
@@ -111,11 +111,11 @@
 			want := map[string]dispatch.Load{}
 			for other, list := range loads {
 				if other != n {
-					apply(want, list, sum)
+					apply(want, list)
 				}
 			}
 			got := map[string]dispatch.Load{}
-			apply(got, sums.Others(n), sum)
+			apply(got, sums.Others(n))
 			assert.DeepEqual(t, got, want)
 		}
 	})
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -11,6 +11,7 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/common/pause"
 )
 
 const (
@@ -72,10 +73,10 @@
 		}
 		began := time.Now()
 		if f.askStore(ctx) {
-			f.sleep(ctx, time.Until(began.Add(pollSpacing)))
+			pause.Sleep(ctx, time.Until(began.Add(pollSpacing)))
 			continue
 		}
-		f.sleep(ctx, f.pause)
+		pause.Sleep(ctx, f.pause)
 		f.pause = min(maxPause, 2*f.pause)
 	}
 }
@@ -174,15 +175,3 @@
 		f.source = source
 	}
 }
-
-func (f *follower) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/service/edge/load_others.go
+++ b/service/edge/load_others.go
@@ -6,9 +6,6 @@
 	"azuredyke.dev/azuredyke/decision/gather"
 )
 
-// relaySilence is how long the relay in charge may be silent before the second one is heard.
-const relaySilence = 400 * time.Millisecond
-
 // loadOthers tells a node what all others have in flight.
 type loadOthers struct {
 	// Rank is 0 for the relay in charge.
@@ -26,7 +23,7 @@
 	p.images[m.Rank].Take(now, m.Update)
 	if m.Rank == 0 {
 		p.heardFirst = now
-	} else if now.Sub(p.heardFirst) < relaySilence {
+	} else if now.Sub(p.heardFirst) < gather.RelaySilence {
 		return
 	}
 	p.dispatcher.TrySend(othersMessage{loads: p.images[m.Rank].Loads()})
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/httpserver"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/settings"
@@ -46,7 +47,6 @@
 	peers      *peers
 	hub        *peer.Hub
 	server     *Server
-	ready      *readiness
 }
 
 // New returns a node that has not started.
@@ -71,7 +71,6 @@
 		sender: d.Sender, mover: d.Mover, streamOf: d.StreamOf, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
 	}
 	n.server.revoke.Store(int64(s.Bounds.Revoke))
-	n.ready = &readiness{server: n.server}
 	return n
 }
 
@@ -90,7 +89,7 @@
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
-		running.Go(func() { failed <- s.run() })
+		running.Go(func() { failed <- s.Run() })
 	}
 	n.log.Info("node started", zap.String("node", n.settings.Node.ID), zap.String("data_centre", n.settings.Node.DataCentre),
 		zap.String("callers", n.settings.Listen.Callers), zap.String("peers", n.settings.Listen.Peers))
@@ -100,7 +99,7 @@
 	case err = <-failed:
 	}
 	for _, s := range servers {
-		_ = s.server.Close()
+		s.Close()
 	}
 	stopTasks()
 	running.Wait()
@@ -122,17 +121,17 @@
 }
 
 // listen opens all listeners; the first is that for callers.
-func (n *Node) listen(ctx context.Context) ([]*httpServer, error) {
+func (n *Node) listen(ctx context.Context) ([]*httpserver.Server, error) {
 	pages := mux.NewRouter()
 	pages.Handle("/metrics", n.deps.Metrics.Handler)
 	budget := int64(bodyShare * float64(n.settings.Limits.MemoryMB) * 1e6)
-	var servers []*httpServer
+	var servers []*httpserver.Server
 	for _, one := range []struct {
 		address string
 		handler http.Handler
 	}{
 		{n.settings.Listen.Callers, n.deps.Front(n.server, budget)},
-		{n.settings.Listen.Readiness, n.ready},
+		{n.settings.Listen.Readiness, &readiness{server: n.server}},
 		{n.settings.Listen.Metrics, pages},
 		{n.settings.Listen.Peers, n.hub.Handler()},
 	} {
@@ -141,7 +140,7 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		servers = append(servers, &httpServer{listener: listener, server: &http.Server{
+		servers = append(servers, &httpserver.Server{Listener: listener, HTTP: &http.Server{
 			Handler: one.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		}})
 	}
--- a/service/edge/readiness.go
+++ b/service/edge/readiness.go
@@ -1,14 +1,10 @@
 package edge
 
-import (
-	"net/http"
-	"sync/atomic"
-)
+import "net/http"
 
 // readiness answers the platform's question whether the node takes new connections.
 type readiness struct {
-	server   *Server
-	stopping atomic.Bool
+	server *Server
 }
 
 // ServeHTTP implements http.Handler.
@@ -20,8 +16,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// ready reports whether the node can serve: it knows a configuration that is recent enough to check keys by.
+// ready reports whether the node can serve: it does not stop and knows a configuration that is recent enough to check keys by.
 func (r *readiness) ready() bool {
-	return !r.stopping.Load() && r.server.known.Load().Fleet.Configuration != nil &&
+	return r.server.stopBy.Load() == nil && r.server.known.Load().Fleet.Configuration != nil &&
 		r.server.knowledgeAge() < r.server.revokeBound()-revokeMargin
 }
--- a/service/edge/registration.go
+++ b/service/edge/registration.go
@@ -8,6 +8,7 @@
 
 	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/common/logging"
+	"azuredyke.dev/azuredyke/common/pause"
 )
 
 const (
@@ -33,7 +34,7 @@
 	var lease backing.LeaseID
 	retry := firstRetry
 	for {
-		pause := renewInterval
+		interval := renewInterval
 		var err error
 		if lease == 0 {
 			lease, err = r.register(ctx)
@@ -42,14 +43,12 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			r.log.Warn("registration failed", zap.Int64("lease", int64(lease)), logging.Cause(err))
-			pause, retry = retry, min(maxRetry, 2*retry)
+			interval, retry = retry, min(maxRetry, 2*retry)
 		} else {
 			retry = firstRetry
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.Sleep(ctx, interval) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
--- a/service/edge/stop.go
+++ b/service/edge/stop.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/httpserver"
 	"azuredyke.dev/azuredyke/common/logging"
 )
 
@@ -23,18 +24,17 @@
 
 // stop ends the node without cutting requests that can end within the grace: it is not ready any more, streams that would last
 // too long are sent to other nodes at once, and the listener closes when the platform has noticed and no request runs.
-func (n *Node) stop(callers *httpServer) {
+func (n *Node) stop(callers *httpserver.Server) {
 	began := time.Now()
 	by := began.Add(n.settings.Stop.Grace - stopReserve)
 	n.log.Info("stopping", zap.Int64("active", n.server.Active()), zap.Duration("grace", n.settings.Stop.Grace))
-	n.ready.stopping.Store(true)
 	n.server.stopBy.Store(&by)
-	callers.server.SetKeepAlivesEnabled(false)
+	callers.HTTP.SetKeepAlivesEnabled(false)
 	n.awaitLastRequest(began)
 	n.log.Info("no more requests", zap.Int64("active", n.server.Active()), zap.Duration("after", time.Since(began)))
 	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
-	if err := callers.server.Shutdown(ctx); err != nil {
+	if err := callers.HTTP.Shutdown(ctx); err != nil {
 		n.log.Warn("requests cut at the end of the grace", zap.Int64("active", n.server.Active()), logging.Cause(err))
 	}
 }
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -20,7 +20,7 @@
 const (
 	// viewCapacity bounds the waiting messages of the view; a sender waits for room.
 	viewCapacity = 64
-	// expireInterval is how often lapsed entries are looked at.
+	// expireInterval is how often lapsed entries and silent nodes are looked at.
 	expireInterval = 250 * time.Millisecond
 )
 
--- a/service/node/run.go
+++ b/service/node/run.go
@@ -19,7 +19,7 @@
 	servers := n.servers()
 	failed := make(chan error, servers.count())
 	for _, s := range servers.all() {
-		running.Go(func() { failed <- s.run() })
+		running.Go(func() { failed <- s.Run() })
 	}
 	n.log.Info("node started", zap.String("node", n.settings.Node.ID),
 		zap.String("data_centre", n.settings.Node.DataCentre), zap.String("callers", n.settings.Listen.Callers),
--- a/service/node/servers.go
+++ b/service/node/servers.go
@@ -1,8 +1,10 @@
 package node
 
+import "azuredyke.dev/azuredyke/common/httpserver"
+
 // servers are the HTTP servers of a node.
 type servers struct {
-	callers, operators, peers, metrics *httpServer
+	callers, operators, peers, metrics *httpserver.Server
 }
 
 // servers returns the HTTP servers of the node.
@@ -16,8 +18,8 @@
 	}
 }
 
-func (s servers) all() []*httpServer {
-	return []*httpServer{s.callers, s.operators, s.peers, s.metrics}
+func (s servers) all() []*httpserver.Server {
+	return []*httpserver.Server{s.callers, s.operators, s.peers, s.metrics}
 }
 
 func (s servers) count() int { return len(s.all()) }
--- a/service/node/stop.go
+++ b/service/node/stop.go
@@ -32,14 +32,14 @@
 		defer close(reported)
 		n.reportStop(waiting)
 	}()
-	s.callers.stop(ctx)
+	s.callers.Stop(ctx)
 	done()
 	<-reported
 	n.flush()
 	n.leave()
-	s.operators.stop(ctx)
-	s.peers.close()
-	s.metrics.stop(ctx)
+	s.operators.Stop(ctx)
+	s.peers.Close()
+	s.metrics.Stop(ctx)
 }
 
 // stopContext ends when running requests may be cut; without a time-out in the settings, never.
--- a/service/ownership/release.go
+++ b/service/ownership/release.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"azuredyke.dev/azuredyke/common/pause"
 )
 
 // drainRetry is the wait before the open grants of a resource are looked at again after an error.
@@ -66,7 +68,7 @@
 	k.publish()
 	k.calls.Go(func() {
 		for k.drain(ctx, resource) != nil {
-			if !sleep(ctx, drainRetry) {
+			if !pause.Sleep(ctx, drainRetry) {
 				return
 			}
 		}
@@ -79,7 +81,7 @@
 	if k.options.Drained != nil {
 		return k.options.Drained(ctx, resource)
 	}
-	sleep(ctx, k.options.StartWithin)
+	pause.Sleep(ctx, k.options.StartWithin)
 	return ctx.Err()
 }
 
@@ -89,15 +91,3 @@
 		k.publish()
 	}
 }
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
