Use one weighted choice in the soak, and drop what its stand-ins kept for nobody

Found in a read-through.

- Plan and callers draw by weights with one function.
- The number of events in a copy, a run's method and whether a process overran its grace were kept and never read.
- The headers of callers stand in one file of test/harness; the soak and a test of test/edge use it.
- All keepers are told of a kill, in place of the first three; whether planned work is allowed is a flag.

--- a/fake/workers/fleet.go
+++ b/fake/workers/fleet.go
@@ -19,8 +19,8 @@
 type state struct {
 	arrivals []Arrival
 	runs     []*Run
-	// copies maps address and handle to the copy.
-	copies map[string]copied
+	// copies maps address and handle to the generation of the run whose memory is there.
+	copies map[string]int
 	// generations counts the fresh starts.
 	generations int
 	behaviours  map[string]Behaviour
@@ -33,7 +33,7 @@
 
 // Run owns the state until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	s := &state{copies: map[string]copied{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}}
+	s := &state{copies: map[string]int{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}}
 	for {
 		select {
 		case <-ctx.Done():
--- a/fake/workers/run.go
+++ b/fake/workers/run.go
@@ -7,9 +7,8 @@
 	Worker  string
 	Service string
 	Request string
-	// Method and Path are those that came.
-	Method string
-	Path   string
+	// Path is the one that came, with its query.
+	Path string
 	// From is the number of the first event that was made here.
 	From int
 	// Generation numbers the fresh starts of all requests. A run that goes on from a copy has that of its first part.
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -58,7 +58,7 @@
 		return
 	}
 	run := &Run{
-		Worker: w.ID, Service: w.service(), Request: request, Method: in.Method, Path: in.URL.RequestURI(), Continued: from != "",
+		Worker: w.ID, Service: w.service(), Request: request, Path: in.URL.RequestURI(), Continued: from != "",
 		Workspace: in.Header.Get("X-Tenant"), Authorization: in.Header.Get("Authorization"),
 		DeadlineMs: in.Header.Get("X-Deadline-Ms"), Began: time.Now(),
 	}
@@ -99,12 +99,12 @@
 			s.generations++
 			run.Generation = s.generations
 		} else {
-			c, ok := s.copies[from]
+			generation, ok := s.copies[from]
 			if !ok {
 				return false
 			}
 			delete(s.copies, from)
-			run.Generation = c.generation
+			run.Generation = generation
 		}
 		s.runs = append(s.runs, run)
 		return true
@@ -145,10 +145,7 @@
 		}
 		_ = http.NewResponseController(out).Flush()
 		if backup != "" {
-			ask(in.Context(), w.Fleet, func(s *state) bool {
-				s.copies[backup+"/"+request] = copied{n, run.Generation}
-				return true
-			})
+			ask(in.Context(), w.Fleet, func(s *state) bool { s.copies[backup+"/"+request] = run.Generation; return true })
 		}
 		select {
 		case <-time.After(w.Interval):
@@ -171,7 +168,7 @@
 		for _, r := range s.runs {
 			if r.Request == body.ID && r.Worker == w.ID && !r.Ended {
 				s.moves++
-				s.copies[w.Address+"/moved-"+body.ID] = copied{0, r.Generation}
+				s.copies[w.Address+"/moved-"+body.ID] = r.Generation
 				return true
 			}
 		}
--- a/test/edge/plain_test.go
+++ b/test/edge/plain_test.go
@@ -22,7 +22,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Equal(t, body, "GET /lookup/a%20b?x=1&y=%2F by desk-1")
-	assert.Equal(t, resp.Header.Get("X-Server-Signature"), "signed-by-desk-1")
+	assert.Equal(t, harness.EdgeSignature(resp), "signed-by-desk-1")
 	runs := s.Fleet.Runs(t.Context(), "r1")
 	assert.Equal(t, len(runs), 1)
 	assert.Equal(t, runs[0].Workspace, harness.EdgeWorkspace)
@@ -91,7 +91,7 @@
 	large.Body, large.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	unknown := s.Request(n, http.MethodGet, "/nowhere/1", "unknown")
 	forged := s.Request(n, http.MethodGet, "/lookup/1", "forged")
-	forged.Header.Set("Authorization", "Bearer not-a-key")
+	harness.SetEdgeKey(forged, "not-a-key")
 	for _, one := range []struct {
 		req    *http.Request
 		id     string
--- a/test/harness/edge_site.go
+++ b/test/harness/edge_site.go
@@ -30,6 +30,8 @@
 	EdgeWorkspace = "workspace"
 	// edgeHost is the host of all routes.
 	edgeHost = "site.example"
+	// edgeDeadline is how long callers wait.
+	edgeDeadline = 15 * time.Second
 	// StopTimeout is above the grace of the nodes.
 	StopTimeout = 12 * time.Second
 	// eventualTimeout bounds the waits for something that must happen.
@@ -225,9 +227,9 @@
 	req, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+n.Settings.Listen.Callers+path, body)
 	assert.NilError(s.t, err)
 	req.Host = edgeHost
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("Authorization", "Bearer "+EdgeKey)
-	req.Header.Set("X-Deadline-Ms", "15000")
+	req.Header.Set(headerRequestID, id)
+	SetEdgeKey(req, EdgeKey)
+	SetEdgeDeadline(req, edgeDeadline)
 	if strings.HasPrefix(path, "/note") || strings.HasPrefix(path, "/reply") {
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Token-Usage", "1000,400")
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -31,11 +31,8 @@
 	maxBody = 1 << 20
 )
 
-// mix says how often each route is called; the last entry stands for the added routes.
-var mix = []struct {
-	route  string
-	weight int
-}{{routeNote, 20}, {routeReply, 15}, {routeBooking, 35}, {routeLookup, 25}, {"", 5}}
+// mix says how often each route is called; the empty name stands for the added routes.
+var mix = []weighted[string]{{routeNote, 20}, {routeReply, 15}, {routeBooking, 35}, {routeLookup, 25}, {"", 5}}
 
 // caller is the task of one caller. It sends one request after another.
 type caller struct {
@@ -94,16 +91,8 @@
 
 // route picks the route of the next request.
 func (c *caller) route() string {
-	sum := 0
-	for _, m := range mix {
-		sum += m.weight
-	}
-	pick := c.random.IntN(sum)
-	for _, m := range mix {
-		if pick < m.weight && m.route != "" {
-			return m.route
-		}
-		pick -= m.weight
+	if route := pick(c.random, mix); route != "" {
+		return route
 	}
 	if added := c.known.Load().added; len(added) > 0 {
 		return added[c.random.IntN(len(added))]
@@ -142,8 +131,8 @@
 	}
 	req := c.site.Request(c.site.Nodes[c.node], method, a.path, a.id)
 	req.URL.Host = c.site.Nodes[c.node].Callers.Address()
-	req.Header.Set("Authorization", "Bearer "+a.key)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(attemptTimeout.Milliseconds()))
+	harness.SetEdgeKey(req, a.key)
+	harness.SetEdgeDeadline(req, attemptTimeout)
 	timeout := attemptTimeout
 	if !c.stays && c.random.Float64() < leaveShare {
 		timeout = time.Duration(c.random.Int64N(int64(leaveAfter)))
@@ -170,7 +159,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
-	a.signed, a.echoed = resp.Header.Get("X-Server-Signature") != "", resp.Header.Get("X-Request-Id") == a.id
+	a.signed, a.echoed = harness.EdgeSignature(resp) != "", harness.EdgeRequestID(resp) == a.id
 	if a.streams() && resp.StatusCode == http.StatusOK {
 		return readEvents(resp.Body, a)
 	}
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -52,15 +52,15 @@
 // calm reports whether a node was in touch from a moment to another: neither it, nor its links, nor the store were disturbed
 // then or within contactTime before.
 func (h *history) calm(node int, from, to time.Time) bool {
-	return h.undisturbed(node, from, to, func(struck) bool { return false })
+	return h.undisturbed(node, from, to, false)
 }
 
 // unplanned is calm, except that planned work is allowed.
 func (h *history) unplanned(node int, from, to time.Time) bool {
-	return h.undisturbed(node, from, to, func(s struck) bool { return s.kind.planned() })
+	return h.undisturbed(node, from, to, true)
 }
 
-func (h *history) undisturbed(node int, from, to time.Time, allowed func(struck) bool) bool {
+func (h *history) undisturbed(node int, from, to time.Time, allowPlanned bool) bool {
 	from = from.Add(-contactTime)
 	for _, s := range h.struck {
 		switch s.kind.scope() {
@@ -71,7 +71,7 @@
 		case onWorker, onConfiguration:
 			continue
 		}
-		if !allowed(s) && s.meets(from, to) {
+		if !(allowPlanned && s.kind.planned()) && s.meets(from, to) {
 			return false
 		}
 	}
@@ -80,11 +80,10 @@
 			continue
 		}
 		// A process that was stopped as planned serves until its end, and the next one is not to blame for its start.
-		stop := span{l.termAt, l.ended}
-		if !l.termAt.IsZero() && !l.killed && allowed(struck{fault: fault{kind: nodeTerm}}) {
+		if !l.termAt.IsZero() && !l.killed && allowPlanned {
 			continue
 		}
-		if !l.termAt.IsZero() && (l.ended.IsZero() || stop.meets(from, to)) {
+		if !l.termAt.IsZero() && (l.ended.IsZero() || (span{l.termAt, l.ended}).meets(from, to)) {
 			return false
 		}
 		if l.killed && (span{l.ended, l.ended.Add(restartPause)}).meets(from, to) || (span{l.started, l.started}).meets(from, to) {
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -102,12 +102,10 @@
 	}
 }
 
-// order passes an order to the keepers of a node or of all.
-func (i *injector) order(ctx context.Context, o keeperOrder, nodes ...int) {
-	for _, n := range nodes {
-		// The error is that of the end of the run.
-		_ = i.keepers[n].orders.Send(ctx, o)
-	}
+// order passes an order to the keeper of a node.
+func (i *injector) order(ctx context.Context, o keeperOrder, node int) {
+	// The error is that of the end of the run.
+	_ = i.keepers[node].orders.Send(ctx, o)
 }
 
 func (i *injector) strikeNode(ctx context.Context, f fault) func(context.Context) {
@@ -115,7 +113,9 @@
 	heal := func(l *harness.Link) func(context.Context) { return func(context.Context) { l.Heal() } }
 	switch f.kind {
 	case allKill:
-		i.order(ctx, orderKill, 0, 1, 2)
+		for n := range i.keepers {
+			i.order(ctx, orderKill, n)
+		}
 	case nodeKill:
 		i.order(ctx, orderKill, f.target)
 	case nodeTerm:
--- a/test/soak/keeper.go
+++ b/test/soak/keeper.go
@@ -49,8 +49,7 @@
 			k.start()
 			restart = nil
 		case <-overrun:
-			k.current().killed, k.current().overran = true, true
-			k.node.SendKill()
+			k.apply(orderKill)
 			overrun = nil
 		case order := <-k.orders.Receive():
 			if k.running && k.apply(order) {
--- a/test/soak/life.go
+++ b/test/soak/life.go
@@ -10,8 +10,6 @@
 	termAt time.Time
 	// killed is set when the process was killed, or had not ended by the end of its grace.
 	killed bool
-	// overran is set when it had not ended by the end of its grace.
-	overran bool
 	// err is the error with which it ended.
 	err string
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -26,10 +26,7 @@
 )
 
 // weights says how often each kind is drawn. Signals and changes are frequent, so that they come in series.
-var weights = []struct {
-	kind   faultKind
-	weight int
-}{
+var weights = []weighted[faultKind]{
 	{nodePause, 4},
 	{nodeKill, 4},
 	{nodeTerm, 6},
@@ -93,19 +90,7 @@
 
 // draw returns a fault without its time.
 func draw(random *rand.Rand) fault {
-	sum := 0
-	for _, w := range weights {
-		sum += w.weight
-	}
-	pick := random.IntN(sum)
-	f := fault{variant: random.IntN(1 << 16), target: random.IntN(1 << 16)}
-	for _, w := range weights {
-		if pick < w.weight {
-			f.kind = w.kind
-			break
-		}
-		pick -= w.weight
-	}
+	f := fault{kind: pick(random, weights), variant: random.IntN(1 << 16), target: random.IntN(1 << 16)}
 	longest := maxFault
 	if f.kind.scope() == onStore || strings.HasPrefix(string(f.kind), "store link") {
 		longest = maxStore
