Bound the memory of answers and bodies without end

Cause: a faulty endpoint or caller may send bytes that are no answer until the connection is closed. An event could grow to 1 MB, a stream was read 64 events ahead whatever their size, a whole answer was buffered up to 256 KB, and the bytes of a request body counted against the node's budget only once the body was complete. The smallest nodes have 88 to 112 MB. The clients of engines and of the store accepted answer headers of up to 10 MB, net/http's default.

Change: events and buffered answers are bounded to 32 KB, streams are read at most 32 KB ahead, body bytes count against the shared budget as they arrive, and headers are bounded to 64 KB.

Result (go test -run Unfinished -v ./platform/workers): 500 unfinished events hold 45 KB each, 500 unfinished header lines 86 KB each. With the old bound of an event they hold 1,197 KB each, 584 MB in all. Without the progressive count of body bytes TestBodiesWithoutEndShareOneBudget fails since no body is refused; with a read-ahead of 32 MB TestReadAheadIsBoundedInBytes finds 64 large events in memory.

--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -12,8 +12,9 @@
 )
 
 // maxBufferedBytes bounds the answers that are read completely before they are forwarded, so that the request can be
-// repeated if the answer breaks off. Larger answers are forwarded as they arrive.
-const maxBufferedBytes = 256 << 10
+// repeated if the answer breaks off. Larger answers are forwarded as they arrive. Endpoints can send answers without end to
+// hundreds of requests at once, and the smallest nodes have 100 MB.
+const maxBufferedBytes = 32 << 10
 
 // relay forwards an answer. An error means that the caller has received none of it.
 func (s *session) relay(ctx context.Context, up *upstream) error {
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -19,9 +19,9 @@
 // streamRelay forwards the events of one streamed answer, from each endpoint on which the request runs in turn.
 type streamRelay struct {
 	*session
-	ctx   context.Context
-	up    *upstream
-	items <-chan streamItem
+	ctx    context.Context
+	up     *upstream
+	reader *eventReader
 	// stopReading stops the reader of the current endpoint's stream.
 	stopReading context.CancelFunc
 	// lastEvent is the id of the last event that was forwarded; eventCount is the number of forwarded events.
@@ -55,7 +55,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.up, r.stopReading, r.migration = up, cancel, migration{}
-	r.items = readStream(ctx, r.server.newStream(up.answer.Body))
+	r.reader = readStream(ctx, r.server.newStream(up.answer.Body))
 	r.scheduleCopy()
 }
 
@@ -82,7 +82,8 @@
 			r.retryMigration()
 		case copied := <-r.migration.copyDone:
 			r.handleCopyDone(copied)
-		case item := <-r.items:
+		case item := <-r.reader.items:
+			r.reader.release(item)
 			switch {
 			case item.err == io.EOF:
 				r.up.end(dispatch.Succeeded)
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -23,6 +23,8 @@
 	// bufferSize is the size of each connection's read buffer and write buffer in bytes. A part of a stream has a few hundred
 	// bytes, and a node has thousands of connections.
 	bufferSize = 1024
+	// maxHeaderBytes bounds the size of an answer's headers.
+	maxHeaderBytes = 64 << 10
 )
 
 // Client sends requests to endpoints. It is safe for concurrent use.
@@ -39,8 +41,10 @@
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize,
+		// The default of 10 MB would let a few endpoints that send header lines without end exhaust the memory of a node.
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
