Do not answer for deletions that a restarted node has never known

Cause: a node that has read the store after a restart knows no deletion before that read. A node that was further behind and asked it for changes got an answer that looked complete, moved on to the newer revision and kept an endpoint, or a data centre that was taken out, whose deletion it had missed, for as long as it ran.

Change: the copy of the store records the revisions that a read of all entries has skipped, and refuses to answer for them. The node that asked polls the store once instead.

Result: TestSinceRefusesRevisionsBeforeARestart and TestSinceAnswersRevisionsBeforeAGap fail without the recorded gaps.

--- a/decision/mirror/mirror.go
+++ b/decision/mirror/mirror.go
@@ -12,6 +12,10 @@
 // while a node is disconnected for some minutes.
 const maxTombstones = 4096
 
+// maxGaps bounds the gaps that are kept. It exceeds the number of times that the key-value service loses its history while
+// another node is disconnected.
+const maxGaps = 16
+
 // Mirror is the copy of one prefix. It is not safe for concurrent use; one task owns it.
 type Mirror struct {
 	// entries maps each key to its newest change, including deletions.
@@ -24,6 +28,14 @@
 	tombstones int
 	// compactedRevision is the highest revision of the deletions that were dropped from entries.
 	compactedRevision int64
+	// gaps are the ranges of revisions that a read of all entries has skipped, in order.
+	gaps []gap
+}
+
+// gap is a range of revisions whose deletions are unknown, because the copy was at the revision after, and was then replaced by
+// a read at the revision before. A key that was created and deleted within the gap has left no trace in the copy.
+type gap struct {
+	after, before int64
 }
 
 // New returns an empty mirror.
@@ -63,15 +75,34 @@
 		}
 	}
 	slices.SortFunc(events, byRevision)
+	m.recordGap(revision)
 	return m.Apply(events, revision, asOf)
 }
 
+// recordGap records that the copy goes from its position to a revision without the deletions in between. Beyond maxGaps, the
+// two oldest gaps become one.
+func (m *Mirror) recordGap(revision int64) {
+	if revision <= m.position {
+		return
+	}
+	m.gaps = append(m.gaps, gap{after: m.position, before: revision})
+	if len(m.gaps) > maxGaps {
+		m.gaps[1].after = m.gaps[0].after
+		m.gaps = slices.Delete(m.gaps, 0, 1)
+	}
+}
+
 // Since returns the newest change of each key after a revision. The second result is false if deletions after the revision
-// were dropped; the node that requested the changes must then read the key-value service itself.
+// were dropped or never known; the node that requested the changes must then read the key-value service itself.
 func (m *Mirror) Since(revision int64) ([]backing.WatchEvent, bool) {
 	if revision < m.compactedRevision {
 		return nil, false
 	}
+	for _, g := range m.gaps {
+		if g.after < revision && revision < g.before {
+			return nil, false
+		}
+	}
 	var events []backing.WatchEvent
 	for _, e := range m.entries {
 		if e.Entry.ModRevision > revision {
--- a/decision/mirror/mirror_test.go
+++ b/decision/mirror/mirror_test.go
@@ -51,6 +51,40 @@
 	assert.Equal(t, other.ConfirmedAt(), m.ConfirmedAt())
 }
 
+// Guards against an endpoint that stays in use after it has left: a node that missed the deletion asks another node that was
+// restarted after it, and so has never known the key.
+func TestSinceRefusesRevisionsBeforeARestart(t *testing.T) {
+	stale, restarted := New(), New()
+	stale.Apply([]backing.WatchEvent{written("a", 1), written("b", 2)}, 2, start)
+	// b was deleted at revision 3.
+	restarted.Replace([]backing.Entry{{Key: "a", ModRevision: 1}}, 4, start)
+	_, ok := restarted.Since(stale.Revision())
+	assert.Assert(t, !ok)
+	for _, revision := range []int64{0, 4, 5} {
+		_, ok = restarted.Since(revision)
+		assert.Assert(t, ok, "%d", revision)
+	}
+}
+
+// Guards against nodes that all read the store again after it has compacted its history, although one of them has done so.
+func TestSinceAnswersRevisionsBeforeAGap(t *testing.T) {
+	m := New()
+	m.Replace([]backing.Entry{{Key: "a", ModRevision: 1}, {Key: "b", ModRevision: 2}}, 2, start)
+	m.Replace([]backing.Entry{{Key: "a", ModRevision: 1}}, 9, start)
+	events, ok := m.Since(2)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, events, []backing.WatchEvent{removed("b", 9)})
+	_, ok = m.Since(5)
+	assert.Assert(t, !ok)
+	for i := range int64(2 * maxGaps) {
+		m.Apply([]backing.WatchEvent{written("a", 10+10*i)}, 10+10*i, start)
+		m.Replace([]backing.Entry{{Key: "a", ModRevision: 10 + 10*i}}, 15+10*i, start)
+	}
+	assert.Assert(t, len(m.gaps) <= maxGaps)
+	_, ok = m.Since(5)
+	assert.Assert(t, !ok)
+}
+
 // Guards against unbounded deletions in memory, and against an incomplete answer to another node after some deletions were
 // dropped.
 func TestCompactedTombstonesAreReported(t *testing.T) {
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -101,6 +101,10 @@
 // pollRelay waits at a relay for changes. A relay that does not answer, or whose state is too old, is avoided for a while.
 func (f *follower) pollRelay(ctx context.Context, address string) {
 	reply, err := f.syncClient.fetch(ctx, address, f.revision, syncWait)
+	if err == nil && !reply.Available && reply.Revision > f.revision && f.pollStore(ctx) {
+		// The relay has read the store after this node and does not know all deletions in between. The store does.
+		return
+	}
 	age := time.Duration(reply.AgeMillis) * time.Millisecond
 	if ctx.Err() == nil && (err != nil || !reply.Available || age > maxRelayAge) {
 		f.avoidUntil[address] = time.Now().Add(relayAvoidTime)
