Send others' load from one relay of a data centre, on its largest node

Cause: on 295 nodes the fleet spent its processor time on telling each other the load: both relays of a data centre sent every update to each of some 50 nodes and 10 remote relays up to 66 times a second, from nodes with 0.192 of a core.

Change: the nodes with the largest capacity (new settings limits.cpu_share and limits.core_speed, in the node's entry) relay. Only the primary relay sends; the other one stands in once the primary is silent for 0.4 s, and serves single nodes that report that they do not hear it. Updates are spaced by 0.5 ms for each receiver. Nodes without changes report every 0.5 s. Handlers of notices run in the link's reader and must not block, as none does. The dispatcher gets only the loads that changed.

--- a/common/settings/edge.go
+++ b/common/settings/edge.go
@@ -28,7 +28,7 @@
 
 // defaultEdge returns the settings of an empty file.
 func defaultEdge() Edge {
-	return Edge{Log: Log{Level: "info", Format: "json"}, Stop: EdgeStop{Grace: 8 * time.Second}}
+	return Edge{Limits: EdgeLimits{CoreSpeed: 1}, Log: Log{Level: "info", Format: "json"}, Stop: EdgeStop{Grace: 8 * time.Second}}
 }
 
 // ParseEdge decodes and validates settings.
@@ -70,6 +70,8 @@
 		key   string
 		value float64
 	}{
+		{"limits.cpu_share", e.Limits.CPUShare},
+		{"limits.core_speed", e.Limits.CoreSpeed},
 		{"bounds.retry_ratio", e.Bounds.RetryRatio},
 		{"bounds.retry_allowance", e.Bounds.RetryAllowance},
 		{"bounds.cold_overage", e.Bounds.ColdOverage},
--- a/common/settings/edge_test.go
+++ b/common/settings/edge_test.go
@@ -26,6 +26,7 @@
 		{`, peers: "10.0.0.1:4"`, "", "listen.peers"},
 		{"10.0.0.2:5", "store", "store.address"},
 		{"5000ms", "0s", "bounds.revoke"},
+		{"memory_mb: 134", "memory_mb: 134, cpu_share: -0.1", "limits.cpu_share"},
 		{"retry_ratio: 0.2", "retry_ratio: -1", "bounds.retry_ratio"},
 		{"grace: 8s", "graze: 8s", "graze"},
 	} {
@@ -41,7 +42,7 @@
 	filled := strings.NewReplacer(
 		"{{nodeName|json}}", `"n"`, "{{zone|json}}", `"a"`, "{{region|json}}", `"r"`, "{{listen.frontend|json}}", `"10.0.0.1:1"`,
 		"{{listen.readiness|json}}", `"10.0.0.1:2"`, "{{ip}}", "10.0.0.1", "{{internalPorts.0}}", "3", "{{internalPorts.1}}", "4",
-		"{{platform.address|json}}", `"10.0.0.2:5"`, "{{limits.memoryMb}}", "134", "{{bounds.revokeMs}}", "5000",
+		"{{platform.address|json}}", `"10.0.0.2:5"`, "{{limits.memoryMb}}", "134", "{{limits.cpuShare}}", "0.4", "{{limits.cores}}", "1", "{{bounds.revokeMs}}", "5000",
 		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryAllowance}}", "56", "{{bounds.budgetWindowS}}", "10",
 		"{{bounds.coldOverage}}", "1.5", "{{bounds.coldSlack}}", "5", "{{bounds.graceS}}", "8",
 	).Replace(string(template))
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -26,6 +26,8 @@
 	services    map[string][]*endpoint
 	runs        map[uint64]*run
 	budgets     map[string]*retry.WindowBudget
+	// others is the others' load by endpoint. It also holds endpoints that no snapshot has listed yet.
+	others map[string]Load
 	// othersUpdatedAt is the time of the last report of the other nodes' load.
 	othersUpdatedAt time.Time
 	// lastRun is the number of the latest run.
@@ -43,7 +45,7 @@
 func NewTable(nodeStarted time.Time, params Params, random *rand.Rand) *Table {
 	return &Table{
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
-		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{},
+		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
@@ -78,7 +80,7 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{}
+				e = &endpoint{others: t.others[listed.ID]}
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -97,23 +99,32 @@
 
 // SetOthersLoad replaces the others' load, which is the total load of all other nodes.
 func (t *Table) SetOthersLoad(now time.Time, loads []Load) {
+	t.clearOthersLoad()
+	t.UpdateOthersLoad(now, loads)
+}
+
+// UpdateOthersLoad replaces the others' load on the listed endpoints.
+func (t *Table) UpdateOthersLoad(now time.Time, loads []Load) {
 	t.othersUpdatedAt = now
-	for _, e := range t.endpoints {
-		e.others = Load{}
-	}
 	for _, l := range loads {
+		t.others[l.Endpoint] = l
 		if e := t.endpoints[l.Endpoint]; e != nil {
 			e.others = l
 		}
 	}
 }
 
+func (t *Table) clearOthersLoad() {
+	clear(t.others)
+	for _, e := range t.endpoints {
+		e.others = Load{}
+	}
+}
+
 // ExpireOthersLoad clears the others' load if it was not reported within othersLoadExpiry.
 func (t *Table) ExpireOthersLoad(now time.Time) {
 	if now.Sub(t.othersUpdatedAt) >= othersLoadExpiry {
-		for _, e := range t.endpoints {
-			e.others = Load{}
-		}
+		t.clearOthersLoad()
 	}
 }
 
--- a/decision/dispatch/table_test.go
+++ b/decision/dispatch/table_test.go
@@ -234,3 +234,19 @@
 		assert.Assert(t, n <= 16, "%d of 64 nodes chose %s", n, id)
 	}
 }
+
+// Guards against load that is lost because it was reported before the endpoint was listed, and against a partial report that
+// clears the load of other endpoints.
+func TestOthersLoadIsKeptForEndpointsListedLater(t *testing.T) {
+	table, s := newTable(0, "x")
+	table.SetOthersLoad(start, []Load{{Endpoint: "x", InFlight: 2}, {Endpoint: "y", InFlight: 3}})
+	table.UpdateOthersLoad(start, []Load{{Endpoint: "x", InFlight: 1}})
+	_, later := newTable(0, "x", "y")
+	table.SetSnapshot(start, later)
+	assert.Equal(t, table.endpoints["x"].others.InFlight, 1)
+	assert.Equal(t, table.endpoints["y"].others.InFlight, 3)
+	table.SetOthersLoad(start, nil)
+	table.SetSnapshot(start, s)
+	table.SetSnapshot(start, later)
+	assert.Equal(t, table.endpoints["y"].others, Load{})
+}
--- a/decision/gather/doc.go
+++ b/decision/gather/doc.go
@@ -5,6 +5,10 @@
 // the sum of their data centre to the relays of the other data centres, and to each node of their own the sum of all other
 // nodes, which is the node's others' load. The number of messages grows linearly with the number of nodes, not with its square.
 // An update holds the loads that have changed, and is sent without delay when a prompt was placed or computed.
+//
+// Both relays receive the reports of their data centre, but only the primary relay sends updates as long as it is heard. The
+// other one sends them to all nodes once the primary relay is silent, and before that to the nodes that report that they do
+// not hear the primary relay.
 package gather
 
 import "time"
--- a/decision/gather/load_sums.go
+++ b/decision/gather/load_sums.go
@@ -24,7 +24,7 @@
 // NewLoadSums returns sums without load. The epoch must differ from that of the node's earlier processes.
 func NewLoadSums(epoch uint64) *LoadSums {
 	return &LoadSums{
-		updateSchedule: newUpdateSchedule(epoch), nodes: map[string]*LoadView{}, remote: map[string]map[string]*LoadView{},
+		updateSchedule: newUpdateSchedule(epoch, relayIdleInterval), nodes: map[string]*LoadView{}, remote: map[string]map[string]*LoadView{},
 		activeRelay: map[string]string{}, local: map[string]dispatch.Load{}, total: map[string]dispatch.Load{},
 	}
 }
--- a/decision/gather/load_sums_test.go
+++ b/decision/gather/load_sums_test.go
@@ -29,10 +29,14 @@
 	assert.Equal(t, len(s.LoadOfOthers("a")), 0)
 }
 
-// Guards against two nodes that choose different relays.
-func TestRelaysAreIndependentOfNodeOrder(t *testing.T) {
-	assert.DeepEqual(t, Relays([]string{"c", "a", "b"}), Relays([]string{"b", "c", "a"}))
-	assert.DeepEqual(t, Relays([]string{"c", "a", "b"}), []string{"a", "b"})
+// Guards against two nodes that choose different relays, and against relays on nodes that are too small for the updates of a
+// large data centre.
+func TestLargestNodesAreRelaysInAnyOrder(t *testing.T) {
+	small := []RelayCandidate{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	assert.DeepEqual(t, Relays([]RelayCandidate{small[2], small[0], small[1]}), small[:2])
+	assert.DeepEqual(t, Relays([]RelayCandidate{small[1], small[2], small[0]}), small[:2])
+	large := RelayCandidate{ID: "z", Capacity: 800}
+	assert.DeepEqual(t, Relays([]RelayCandidate{small[1], {ID: "c", Capacity: 192}, large}), []RelayCandidate{large, {ID: "c", Capacity: 192}})
 	assert.Equal(t, len(Relays(nil)), 0)
 }
 
@@ -56,7 +60,7 @@
 func TestPromptChangesAreSentUrgently(t *testing.T) {
 	r := NewReporter(1)
 	r.Next(start)
-	assert.Equal(t, r.Due(), start.Add(idleInterval))
+	assert.Equal(t, r.Due(), start.Add(reportIdleInterval))
 	r.SetLoad(start, []dispatch.Load{{Endpoint: "plain", InFlight: 1}})
 	assert.Equal(t, r.Due(), start.Add(changeInterval))
 	r.SetLoad(start, []dispatch.Load{{Endpoint: "engine", InFlight: 1, Tokens: 100, Prefill: 100}, {Endpoint: "plain", InFlight: 1}})
@@ -68,6 +72,17 @@
 	assert.DeepEqual(t, u.Loads, []dispatch.Load{{Endpoint: "engine"}, {Endpoint: "plain"}})
 }
 
+// Guards against a relay whose messages a second grow with the number of its receivers.
+func TestUpdatesAreSpacedByTheirReceivers(t *testing.T) {
+	s := NewLoadSums(1)
+	s.SetReceivers(100)
+	s.Next(start)
+	s.ApplyNodeUpdate(start, "a", fullUpdate(1, dispatch.Load{Endpoint: "x", InFlight: 1, Prefill: 7}))
+	assert.Equal(t, s.Due(), start.Add(100*receiverSpacing))
+	s.SetReceivers(4)
+	assert.Equal(t, s.Due(), start.Add(urgentInterval))
+}
+
 // Guards against sums that differ from the load of the nodes after updates were lost, arrived in another order or came from a
 // restarted process.
 func TestLoadSumsConvergeAfterLostUpdates(t *testing.T) {
--- a/decision/gather/load_view.go
+++ b/decision/gather/load_view.go
@@ -66,6 +66,16 @@
 // load returns the load of an endpoint.
 func (v *LoadView) load(endpoint string) dispatch.Load { return v.entries[endpoint].load }
 
+// LoadsOf returns the loads of the endpoints that an update names, zero ones included.
+func (v *LoadView) LoadsOf(u Update) []dispatch.Load {
+	loads := make([]dispatch.Load, len(u.Loads))
+	for i, l := range u.Loads {
+		loads[i] = v.load(l.Endpoint)
+		loads[i].Endpoint = l.Endpoint
+	}
+	return loads
+}
+
 // Loads returns all loads, sorted by endpoint.
 func (v *LoadView) Loads() []dispatch.Load {
 	return nonZeroLoads(slices.Sorted(maps.Keys(v.entries)), v.load)
--- a/decision/gather/reporter.go
+++ b/decision/gather/reporter.go
@@ -17,7 +17,9 @@
 }
 
 // NewReporter returns a reporter without load. The epoch must differ from that of the node's earlier processes.
-func NewReporter(epoch uint64) *Reporter { return &Reporter{updateSchedule: newUpdateSchedule(epoch)} }
+func NewReporter(epoch uint64) *Reporter {
+	return &Reporter{updateSchedule: newUpdateSchedule(epoch, reportIdleInterval)}
+}
 
 // SetLoad replaces the load of the node.
 func (r *Reporter) SetLoad(now time.Time, own []dispatch.Load) {
--- a/decision/gather/update_schedule.go
+++ b/decision/gather/update_schedule.go
@@ -14,9 +14,14 @@
 	urgentInterval = 15 * time.Millisecond
 	// changeInterval is the time from the previous update to one with changes that are not urgent.
 	changeInterval = 50 * time.Millisecond
-	// idleInterval is the time from the previous update to one without changes, which shows that the sender is alive. It is
-	// below RelaySilence.
-	idleInterval = 150 * time.Millisecond
+	// relayIdleInterval is the time from the previous update of a relay to one without changes, which shows that the relay is
+	// alive. It is below RelaySilence.
+	relayIdleInterval = 150 * time.Millisecond
+	// reportIdleInterval is the same for the report of a node, which the relays expect within reportExpiry.
+	reportIdleInterval = 500 * time.Millisecond
+	// receiverSpacing is the minimum time between two updates for each of their receivers. It bounds the messages that a relay
+	// sends in a second, whatever the number of its receivers.
+	receiverSpacing = 500 * time.Microsecond
 	// fullInterval is the time between two full updates, which correct the effect of lost updates.
 	fullInterval = time.Second
 )
@@ -24,7 +29,10 @@
 // updateSchedule records the changes since the last update and determines when the next update is due.
 type updateSchedule struct {
 	epoch, seq       uint64
+	idleInterval     time.Duration
 	changedEndpoints map[string]struct{}
+	// receivers is the number of nodes to which each update is sent.
+	receivers int
 	// urgent is set when a change since the last update is urgent.
 	urgent bool
 	sentAt time.Time
@@ -35,8 +43,8 @@
 	updateRequested bool
 }
 
-func newUpdateSchedule(epoch uint64) updateSchedule {
-	return updateSchedule{epoch: epoch, changedEndpoints: map[string]struct{}{}, full: true}
+func newUpdateSchedule(epoch uint64, idleInterval time.Duration) updateSchedule {
+	return updateSchedule{epoch: epoch, idleInterval: idleInterval, changedEndpoints: map[string]struct{}{}, full: true}
 }
 
 // recordChanges adds changes to the next update.
@@ -53,16 +61,19 @@
 // RequestUpdate makes the next update due as if a load had changed.
 func (s *updateSchedule) RequestUpdate() { s.updateRequested = true }
 
+// SetReceivers sets the number of nodes to which each update is sent.
+func (s *updateSchedule) SetReceivers(n int) { s.receivers = n }
+
 // Due returns the time at which the next update is to be sent.
 func (s *updateSchedule) Due() time.Time {
+	interval := s.idleInterval
 	switch {
 	case s.urgent:
-		return s.sentAt.Add(urgentInterval)
+		interval = urgentInterval
 	case len(s.changedEndpoints) > 0 || s.full || s.updateRequested:
-		return s.sentAt.Add(changeInterval)
-	default:
-		return s.sentAt.Add(idleInterval)
+		interval = changeInterval
 	}
+	return s.sentAt.Add(max(interval, time.Duration(s.receivers)*receiverSpacing))
 }
 
 // nextUpdate returns an update with the recorded changes and clears them.
--- a/service/edge/load_report.go
+++ b/service/edge/load_report.go
@@ -12,6 +12,14 @@
 	Update gather.Update `cbor:"2,keyasint"`
 	// Revision is the store's revision up to which the sender has all changes.
 	Revision int64 `cbor:"3,keyasint,omitempty"`
+	// Unserved is set if the node does not hear the primary relay and needs the updates of the other one.
+	Unserved bool `cbor:"4,keyasint,omitempty"`
 }
 
-func (m loadReport) apply(p *peers) { p.sums.ApplyNodeUpdate(time.Now(), m.Node, m.Update) }
+func (m loadReport) apply(p *peers) {
+	now := time.Now()
+	p.sums.ApplyNodeUpdate(now, m.Node, m.Update)
+	if p.duty.RecordReport(now, m.Node, m.Unserved) {
+		p.sums.RequestFullUpdate()
+	}
+}
--- a/service/edge/member.go
+++ b/service/edge/member.go
@@ -11,6 +11,9 @@
 	// Address is the host and port at which the node accepts connections from other nodes.
 	Address    string `cbor:"2,keyasint"`
 	DataCentre string `cbor:"3,keyasint"`
+	// Capacity is the processor capacity of the node in thousandths of a core; 0 if it is unknown. The largest nodes of a data
+	// centre become its relays.
+	Capacity int `cbor:"4,keyasint,omitempty"`
 }
 
 func (m Member) encode() []byte {
@@ -30,5 +33,6 @@
 	if m.ID == "" || m.Address == "" {
 		return Member{}, Error.New("node entry lacks an id or an address")
 	}
+	m.Capacity = max(0, m.Capacity)
 	return m, nil
 }
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -53,7 +53,10 @@
 // New returns a node that has not started.
 func New(log *zap.Logger, s settings.Edge, d Dependencies) *Node {
 	n := &Node{log: logging.For(log, logging.Node), settings: s, deps: d}
-	n.self = Member{ID: s.Node.ID, Address: cmp.Or(s.Listen.PeersAdvertised, s.Listen.Peers), DataCentre: s.Node.DataCentre}
+	n.self = Member{
+		ID: s.Node.ID, Address: cmp.Or(s.Listen.PeersAdvertised, s.Listen.Peers), DataCentre: s.Node.DataCentre,
+		Capacity: s.Limits.MilliCores(),
+	}
 	n.view = newView(logging.For(log, logging.Configuration), n.self, d.Translate)
 	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), dispatchParams(s), n.view.current)
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
@@ -61,7 +64,8 @@
 	})
 	n.peers = &peers{
 		log: logging.For(log, logging.Peer), hub: n.hub, self: n.self, cluster: n.view.current,
-		messages: mailbox.New[peersMessage](peersCapacity), dispatcher: n.dispatcher.messages, ownLoads: n.dispatcher.ownLoads,
+		messages: mailbox.New[peersMessage](peersCapacity), others: newOthersLoadReceiver(n.dispatcher.messages),
+		ownLoads: n.dispatcher.ownLoads, duty: gather.NewRelayDuty(),
 		reporter: gather.NewReporter(rand.Uint64()), sums: gather.NewLoadSums(rand.Uint64()), topology: n.view.topology,
 		hints: mailbox.New[revisionHint](hintCapacity),
 	}
--- a/service/edge/others_load.go
+++ b/service/edge/others_load.go
@@ -16,15 +16,12 @@
 }
 
 func (m othersLoad) apply(p *peers) {
-	if m.Rank < 0 || m.Rank >= len(p.received) {
+	if m.Rank < 0 || m.Rank >= gather.RelaysPerDataCentre {
 		return
 	}
 	now := time.Now()
-	p.received[m.Rank].Apply(now, m.Update)
 	if m.Rank == 0 {
-		p.primaryUpdatedAt = now
-	} else if now.Sub(p.primaryUpdatedAt) < gather.RelaySilence {
-		return
+		p.duty.RecordPrimaryUpdate(now)
 	}
-	p.dispatcher.TrySend(othersLoadMessage{loads: p.received[m.Rank].Loads()})
+	p.others.apply(now, m.Rank, m.Update, m.Rank == 0 || p.duty.IsUnserved(now))
 }
--- a/service/edge/others_load_message.go
+++ b/service/edge/others_load_message.go
@@ -9,6 +9,14 @@
 // othersLoadMessage carries the others' load of this node.
 type othersLoadMessage struct {
 	loads []dispatch.Load
+	// complete is set if the endpoints that are not listed have no load. Otherwise their load has not changed.
+	complete bool
 }
 
-func (m othersLoadMessage) apply(d *dispatcher) { d.table.SetOthersLoad(time.Now(), m.loads) }
+func (m othersLoadMessage) apply(d *dispatcher) {
+	if m.complete {
+		d.table.SetOthersLoad(time.Now(), m.loads)
+		return
+	}
+	d.table.UpdateOthersLoad(time.Now(), m.loads)
+}
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -24,12 +24,11 @@
 
 // peers is the task that exchanges load with the other nodes.
 type peers struct {
-	log        *zap.Logger
-	hub        *peer.Hub
-	self       Member
-	cluster    *latest.Value[*clusterState]
-	messages   mailbox.Mailbox[peersMessage]
-	dispatcher mailbox.Mailbox[dispatcherMessage]
+	log      *zap.Logger
+	hub      *peer.Hub
+	self     Member
+	cluster  *latest.Value[*clusterState]
+	messages mailbox.Mailbox[peersMessage]
 	// hints notifies the resyncer of nodes that have a newer revision of the store.
 	hints mailbox.Mailbox[revisionHint]
 
@@ -37,20 +36,20 @@
 	ownLoads *latest.Value[[]dispatch.Load]
 	reporter *gather.Reporter
 	sums     *gather.LoadSums
-	// received holds the loads received from the relays of this node's data centre, by rank.
-	received [gather.RelaysPerDataCentre]gather.LoadView
-	// primaryUpdatedAt is the time of the last update from the primary relay.
-	primaryUpdatedAt time.Time
-	topology         topology
+	duty     *gather.RelayDuty
+	others   *othersLoadReceiver
+	topology topology
+	// unserved and servesAll are the results of the duty at the last check.
+	unserved, servesAll bool
 	// revision is the store's revision up to which this node has all changes.
 	revision int64
 }
 
 // register installs the handlers. It must be called before the hub runs.
 func (p *peers) register() {
-	peer.HandleNotice(p.hub, kindLoadReport, 0, func(_ context.Context, from string, m loadReport) { p.receive(from, m.Revision, m) })
-	peer.HandleNotice(p.hub, kindLoadSum, 0, func(_ context.Context, from string, m loadSum) { p.receive(from, m.Revision, m) })
-	peer.HandleNotice(p.hub, kindOthersLoad, 0, func(_ context.Context, from string, m othersLoad) { p.receive(from, m.Revision, m) })
+	peer.HandleNotice(p.hub, kindLoadReport, func(_ context.Context, from string, m loadReport) { p.receive(from, m.Revision, m) })
+	peer.HandleNotice(p.hub, kindLoadSum, func(_ context.Context, from string, m loadSum) { p.receive(from, m.Revision, m) })
+	peer.HandleNotice(p.hub, kindOthersLoad, func(_ context.Context, from string, m othersLoad) { p.receive(from, m.Revision, m) })
 }
 
 // receive queues a notice for the task. If the sender has a newer revision, it also queues a hint for the resyncer.
@@ -85,10 +84,13 @@
 			p.applyState(state)
 		case now := <-expire.C:
 			p.sums.Expire(now)
+			p.duty.Expire(now)
 		case <-timer.C:
 		}
-		p.sendDue()
-		timer.Reset(time.Until(p.nextDue()))
+		now := time.Now()
+		p.checkDuty(now)
+		p.sendDue(now)
+		timer.Reset(time.Until(p.nextDue(now)))
 	}
 }
 
@@ -109,22 +111,40 @@
 		p.sums.RequestUpdate()
 	}
 	p.topology, p.revision = state.topology, state.Revision
+	p.duty.SetRank(p.topology.rank)
+	p.sums.SetReceivers(len(p.topology.localNodes) + len(p.topology.remoteRelays))
 }
 
-// nextDue returns the time at which the next notice is due.
-func (p *peers) nextDue() time.Time {
+// checkDuty reports the loss of the primary relay to the other one. If this node is that one, it starts to send updates.
+func (p *peers) checkDuty(now time.Time) {
+	if unserved := p.duty.IsUnserved(now); unserved != p.unserved {
+		p.unserved = unserved
+		p.reporter.RequestUpdate()
+		p.log.Info("primary relay lost or regained", zap.Bool("lost", unserved), zap.Int("rank", p.topology.rank))
+	}
+	servesAll := p.duty.ServesAll(now)
+	if servesAll && !p.servesAll {
+		p.sums.RequestFullUpdate()
+	}
+	p.servesAll = servesAll
+}
+
+// nextDue returns the time at which the next notice is due or the primary relay counts as silent.
+func (p *peers) nextDue(now time.Time) time.Time {
 	due := p.reporter.Due()
-	if sums := p.sums.Due(); p.topology.rank >= 0 && sums.Before(due) {
-		return sums
+	if sums := p.sums.Due(); !p.duty.IsIdle(now) && sums.Before(due) {
+		due = sums
+	}
+	if silentAt := p.duty.PrimarySilentAt(); silentAt.After(now) && silentAt.Before(due) {
+		due = silentAt
 	}
 	return due
 }
 
 // sendDue sends the notices that are due.
-func (p *peers) sendDue() {
-	now := time.Now()
+func (p *peers) sendDue(now time.Time) {
 	if !now.Before(p.reporter.Due()) {
-		report := loadReport{Node: p.self.ID, Update: p.reporter.Next(now), Revision: p.revision}
+		report := loadReport{Node: p.self.ID, Update: p.reporter.Next(now), Revision: p.revision, Unserved: p.unserved}
 		for _, m := range p.topology.localRelays {
 			peer.Notify(p.hub, m.Address, kindLoadReport, report)
 		}
@@ -132,23 +152,27 @@
 			p.sums.ApplyNodeUpdate(now, p.self.ID, report.Update)
 		}
 	}
-	if p.topology.rank >= 0 && !now.Before(p.sums.Due()) {
+	if !p.duty.IsIdle(now) && !now.Before(p.sums.Due()) {
 		p.relayLoads(now)
 	}
 }
 
 // relayLoads sends the load of this data centre to the relays of the other ones, and to each node of this data
-// centre the others' load of that node.
+// centre the others' load of that node. A relay that stands in for single nodes sends updates to these only.
 func (p *peers) relayLoads(now time.Time) {
 	updates := p.sums.Next(now)
+	for _, m := range p.topology.localNodes {
+		if p.duty.Serves(now, m.ID) {
+			others := othersLoad{Rank: p.topology.rank, Update: updates.ForNode(m.ID), Revision: p.revision}
+			peer.Notify(p.hub, m.Address, kindOthersLoad, others)
+		}
+	}
+	if !p.duty.ServesAll(now) {
+		return
+	}
 	sum := loadSum{DataCentre: p.self.DataCentre, Update: updates.ForDataCentres(), Revision: p.revision, Relay: p.self.ID}
 	for _, m := range p.topology.remoteRelays {
 		peer.Notify(p.hub, m.Address, kindLoadSum, sum)
 	}
-	for _, m := range p.topology.localNodes {
-		others := othersLoad{Rank: p.topology.rank, Update: updates.ForNode(m.ID), Revision: p.revision}
-		peer.Notify(p.hub, m.Address, kindOthersLoad, others)
-	}
-	p.primaryUpdatedAt = now
-	p.dispatcher.TrySend(othersLoadMessage{loads: p.sums.LoadOfOthers(p.self.ID)})
+	p.others.apply(now, p.topology.rank, updates.ForNode(p.self.ID), true)
 }
--- a/service/edge/topology.go
+++ b/service/edge/topology.go
@@ -28,20 +28,13 @@
 	}
 	t := topology{rank: -1}
 	for name, members := range byDataCentre {
-		ids := make([]string, len(members))
-		for i, m := range members {
-			ids[i] = m.ID
-		}
-		relays := gather.Relays(ids)
-		if name == self.DataCentre {
-			t.rank = slices.Index(relays, self.ID)
-		}
-		for _, id := range relays {
-			m := members[slices.IndexFunc(members, func(m Member) bool { return m.ID == id })]
+		for rank, m := range relaysOf(members) {
 			switch {
 			case name != self.DataCentre:
 				t.remoteRelays = append(t.remoteRelays, m)
-			case id != self.ID:
+			case m.ID == self.ID:
+				t.rank = rank
+			default:
 				t.localRelays = append(t.localRelays, m)
 			}
 		}
@@ -51,3 +44,16 @@
 	}
 	return t
 }
+
+// relaysOf returns the relays among the nodes of one data centre, by rank.
+func relaysOf(members []Member) []Member {
+	candidates := make([]gather.RelayCandidate, len(members))
+	for i, m := range members {
+		candidates[i] = gather.RelayCandidate{ID: m.ID, Capacity: m.Capacity}
+	}
+	var relays []Member
+	for _, c := range gather.Relays(candidates) {
+		relays = append(relays, members[slices.IndexFunc(members, func(m Member) bool { return m.ID == c.ID })])
+	}
+	return relays
+}
--- a/service/edge/topology_test.go
+++ b/service/edge/topology_test.go
@@ -18,6 +18,8 @@
 	assert.Equal(t, second.rank, 1)
 	assert.DeepEqual(t, second.localRelays, all[:1])
 	assert.DeepEqual(t, second.localNodes, []Member{all[0], all[2]})
+	all[5].Capacity = 800
+	assert.DeepEqual(t, newTopology(all[0], all[1:]).remoteRelays, []Member{all[5], all[3]})
 	alone := newTopology(all[0], nil)
 	assert.Equal(t, alone.rank, 0)
 	assert.Equal(t, len(alone.localRelays)+len(alone.remoteRelays)+len(alone.localNodes), 0)
--- a/service/membership/hub_transport.go
+++ b/service/membership/hub_transport.go
@@ -61,5 +61,5 @@
 		reply, err := a.HandleSync(ctx, membership.SyncRequest{From: q.From, Buckets: [membership.Buckets]uint32(q.Buckets)})
 		return wireSyncReply{Differing: reply.Differing, Updates: toWireMembers(reply.Updates), More: reply.More}, err
 	})
-	peer.HandleNotice(hub, kindPush, 0, func(_ context.Context, _ string, q wireMessage) { a.HandlePush(q.message()) })
+	peer.HandleNotice(hub, kindPush, func(_ context.Context, _ string, q wireMessage) { a.HandlePush(q.message()) })
 }
--- a/service/node/config_peers.go
+++ b/service/node/config_peers.go
@@ -38,5 +38,5 @@
 	peer.Handle(hub, kindConfigPull, 0, func(_ context.Context, _ string, have int64) (configuration.PullReply, error) {
 		return manager.AnswerPull(have), nil
 	})
-	peer.HandleNotice(hub, kindConfigNotice, 0, func(_ context.Context, _ string, n configuration.Notice) { d.ReceiveNotice(n) })
+	peer.HandleNotice(hub, kindConfigNotice, func(_ context.Context, _ string, n configuration.Notice) { d.ReceiveNotice(n) })
 }
--- a/transport/peer/call_test.go
+++ b/transport/peer/call_test.go
@@ -146,7 +146,7 @@
 func TestNoticeOpensTheLink(t *testing.T) {
 	got := make(chan string, 2)
 	server := startNode(t, Options{}, func(h *Hub) {
-		HandleNotice(h, "note", 0, func(_ context.Context, _ string, q string) { got <- q })
+		HandleNotice(h, "note", func(_ context.Context, _ string, q string) { got <- q })
 	})
 	client := startNode(t, Options{}, nil)
 	assert.Assert(t, Notify(client.hub, server.address, "note", "one"))
--- a/transport/peer/handler.go
+++ b/transport/peer/handler.go
@@ -51,10 +51,10 @@
 	})
 }
 
-// HandleNotice registers the handler of a kind of notice. It must be called before Run. Notices beyond the limit are
-// dropped and counted. Handlers of notices run concurrently, so the order of two notices may change.
-func HandleNotice[Q any](h *Hub, kind string, limit int, f func(ctx context.Context, from string, q Q)) {
-	h.register(kind, limit, true, func(ctx context.Context, from string, body []byte) ([]byte, status, string) {
+// HandleNotice registers the handler of a kind of notice. It must be called before Run. The handler runs in the reader of the
+// link and must not block: until it returns, no further frame of the link is read.
+func HandleNotice[Q any](h *Hub, kind string, f func(ctx context.Context, from string, q Q)) {
+	h.register(kind, 0, true, func(ctx context.Context, from string, body []byte) ([]byte, status, string) {
 		var q Q
 		if err := decMode.Unmarshal(body, &q); err != nil {
 			return nil, statusInvalid, err.Error()
@@ -64,6 +64,17 @@
 	})
 }
 
+// noticeHandler returns the handler of a notice; nil if the envelope is not a notice of a known kind.
+func (h *Hub) noticeHandler(e envelope) *handler {
+	if e.Reply || e.ID != 0 {
+		return nil
+	}
+	if known := h.handlers[e.Kind]; known != nil && known.notice {
+		return known
+	}
+	return nil
+}
+
 func (h *Hub) register(kind string, limit int, notice bool,
 	serve func(context.Context, string, []byte) ([]byte, status, string),
 ) {
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -29,13 +29,15 @@
 	ctx  context.Context
 	conn *websocket.Conn
 	// remoteID is the node id of the other side.
-	remoteID        string
-	connected       bool
-	pending         map[uint64]pendingCall
-	running         map[uint64]context.CancelFunc
-	nextID          uint64
-	lastUsed        time.Time
-	lastReceived    time.Time
+	remoteID     string
+	connected    bool
+	pending      map[uint64]pendingCall
+	running      map[uint64]context.CancelFunc
+	nextID       uint64
+	lastUsed     time.Time
+	lastReceived time.Time
+	// received is set once a frame has arrived after the handshake.
+	received        bool
 	unansweredSince time.Time
 }
 
@@ -116,8 +118,7 @@
 		// The other side sends pings while it waits for a reply.
 		return Error.New("no ping within %v", 2*o.DeadAfter)
 	case len(l.pending) == 0 && l.unansweredSince.IsZero():
-		idle := now.Sub(l.lastUsed)
-		if l.address != "" && idle >= o.IdleTimeout || silence >= 2*o.IdleTimeout {
+		if l.isIdle(now) {
 			return Error.New("idle")
 		}
 		return nil
@@ -131,6 +132,21 @@
 	return nil
 }
 
+// isIdle reports whether a link without pending calls has been unused for so long that it must be closed. The side that
+// accepted the link waits longer than the one that dialled it, so that no request crosses the close, and longest for the
+// first frame, which a busy dialler may send late.
+func (l *link) isIdle(now time.Time) bool {
+	o := l.hub.options
+	if l.address != "" {
+		return now.Sub(l.lastUsed) >= o.IdleTimeout
+	}
+	limit := 2 * o.IdleTimeout
+	if !l.received {
+		limit = max(limit, 2*o.DeadAfter)
+	}
+	return len(l.running) == 0 && now.Sub(l.lastReceived) >= limit
+}
+
 // expectAnswer records the time of a sent frame. The link is dead if no frame arrives within DeadAfter.
 func (l *link) expectAnswer() {
 	l.lastUsed = time.Now()
@@ -139,6 +155,12 @@
 	}
 }
 
+// recordReceived records the time of a received frame, which shows that the other side is alive.
+func (l *link) recordReceived(at time.Time) {
+	l.lastReceived, l.received = at, true
+	l.unansweredSince = time.Time{}
+}
+
 // enqueueFrame queues a frame for the writer, and returns false if the queue is full.
 func (l *link) enqueueFrame(f frame) bool {
 	select {
--- a/transport/peer/link_io.go
+++ b/transport/peer/link_io.go
@@ -7,10 +7,17 @@
 	"github.com/coder/websocket"
 )
 
-// readFrames sends the received frames to the task until the connection fails.
+// activityDivisor divides PingAfter: a link's task learns of received notices at most that often in PingAfter.
+const activityDivisor = 4
+
+// readFrames reads frames until the connection fails. It runs the handlers of notices itself and sends all other frames to
+// the task.
 func (l *link) readFrames(ctx context.Context) error {
+	activityInterval := l.hub.options.PingAfter / activityDivisor
+	var activityAt time.Time
 	for {
-		kind, data, err := l.conn.Read(ctx)
+		// The end of the link closes the connection, so the read needs no context of its own.
+		kind, data, err := l.conn.Read(context.Background())
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -22,7 +29,15 @@
 		if err != nil {
 			return err
 		}
-		if err := l.messages.Send(ctx, receivedMessage{envelope: e, at: time.Now()}); err != nil {
+		now := time.Now()
+		if h := l.hub.noticeHandler(e); h != nil {
+			_, _, _ = h.serve(ctx, l.remoteID, e.Body)
+			if now.Sub(activityAt) >= activityInterval && l.messages.TrySend(activityMessage{at: now}) {
+				activityAt = now
+			}
+			continue
+		}
+		if err := l.messages.Send(ctx, receivedMessage{envelope: e, at: now}); err != nil {
 			return err
 		}
 	}
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -85,6 +86,25 @@
 	assert.Equal(t, reply, "done")
 }
 
+// Guards against an accepted link that is closed as idle before a busy dialler has sent its first call, or while the handler of
+// a call runs and a ping is late.
+func TestAcceptedLinkWaitsForItsFirstCall(t *testing.T) {
+	hub := NewHub(zap.NewNop(), Options{IdleTimeout: 20 * time.Millisecond, DeadAfter: 10 * time.Second})
+	start := time.Unix(100, 0)
+	l := newLink(hub, "", nil)
+	l.lastUsed, l.lastReceived = start, start
+	assert.NilError(t, l.checkTimeouts(start.Add(time.Second)))
+	assert.ErrorContains(t, l.checkTimeouts(start.Add(20*time.Second)), "idle")
+	called := start.Add(time.Second)
+	l.recordReceived(called)
+	l.running[1] = func() {}
+	assert.NilError(t, l.checkTimeouts(called.Add(time.Second)))
+	assert.ErrorContains(t, l.checkTimeouts(called.Add(20*time.Second)), "no ping")
+	delete(l.running, 1)
+	assert.NilError(t, l.checkTimeouts(called.Add(39*time.Millisecond)))
+	assert.ErrorContains(t, l.checkTimeouts(called.Add(40*time.Millisecond)), "idle")
+}
+
 // Guards against idle links that stay open, and against calls that fail because a link was closed as idle.
 func TestIdleLinkIsClosedAndOpenedAgain(t *testing.T) {
 	server := startNode(t, Options{}, registerEcho)
@@ -109,7 +129,7 @@
 		t.Run(name, func(t *testing.T) {
 			served := make(chan struct{}, 1)
 			server := startNode(t, Options{Secret: []byte(secrets[1])}, func(h *Hub) {
-				HandleNotice(h, "note", 0, func(context.Context, string, int) { served <- struct{}{} })
+				HandleNotice(h, "note", func(context.Context, string, int) { served <- struct{}{} })
 				registerEcho(h)
 			})
 			client := startNode(t, Options{Secret: []byte(secrets[0])}, nil)
--- a/transport/peer/received_message.go
+++ b/transport/peer/received_message.go
@@ -12,8 +12,7 @@
 }
 
 func (m receivedMessage) apply(l *link) {
-	l.lastReceived = m.at
-	l.unansweredSince = time.Time{}
+	l.recordReceived(m.at)
 	e := m.envelope
 	switch {
 	case e.Reply:
@@ -32,10 +31,10 @@
 	}
 }
 
-// serve starts the handler of a request or a notice.
+// serve starts the handler of a request.
 func (l *link) serve(e envelope, arrived time.Time) {
 	h, ok := l.hub.handlers[e.Kind]
-	if !ok || h.notice != (e.ID == 0) {
+	if !ok || h.notice || e.ID == 0 {
 		l.refuse(e, statusUnknownKind)
 		return
 	}
@@ -48,9 +47,7 @@
 		cancel()
 		ctx, cancel = context.WithDeadline(l.ctx, arrived.Add(time.Duration(e.WaitMillis)*time.Millisecond))
 	}
-	if e.ID != 0 {
-		l.running[e.ID] = cancel
-	}
+	l.running[e.ID] = cancel
 	l.hub.handlerTasks.Go(func() {
 		defer h.release()
 		defer cancel()
@@ -65,9 +62,6 @@
 	if ctx.Err() == nil {
 		reply.Body, reply.Status, reply.Detail = h.serve(ctx, l.remoteID, e.Body)
 	}
-	if e.ID == 0 {
-		return
-	}
 	if len(reply.Body) > l.hub.options.MaxFrame-envelopeOverhead {
 		reply.Body, reply.Status, reply.Detail = nil, statusFailed, "the reply is larger than a frame"
 	}
