--- a/test/harness/link.go
+++ b/test/harness/link.go
@@ -27,7 +27,7 @@
 // newLink opens a link to a server and closes it when the test ends.
 func newLink(t testing.TB, name, target string) *Link {
 	t.Helper()
-	l := &Link{t: t, proxy: newProxy(name, "127.0.0.1:0", target)}
+	l := &Link{t: t, proxy: newProxy(name, reservePort(t), target)}
 	assert.NilError(t, l.proxy.Start(), name)
 	t.Cleanup(l.close)
 	return l
