Compute the topology once for a batch of nodes; space polls by data centres

Change: one topology for a batch of entries, none for an entry that has not changed; the entries of the first read are logged at debug level and counted in one line; polls start 75 ms apart for each data centre, and 150 ms at least.

--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -21,9 +21,12 @@
 	// wait must be well below the 2 s within which a change must be in force: all polling nodes may lose the store at
 	// once, and the other nodes detect that only by the age of their state.
 	pollWait = 600 * time.Millisecond
-	// pollSpacing is the minimum time between the starts of two polls. Each poll is charged and ends at the first change,
+	// minPollSpacing is the minimum time between the starts of two polls. Each poll is charged and ends at the first change,
 	// and on a large fleet the next change follows within milliseconds.
-	pollSpacing = 150 * time.Millisecond
+	minPollSpacing = 150 * time.Millisecond
+	// pollSpacingPerDataCentre extends the spacing on fleets with many data centres, so that the calls of all of them together
+	// stay bounded. Their relays poll at different times and tell each other of new revisions.
+	pollSpacingPerDataCentre = 75 * time.Millisecond
 	// callTimeout is how long a reply may take beyond a poll's wait. A healthy store replies within milliseconds, a slow
 	// one within some hundred milliseconds.
 	callTimeout = 500 * time.Millisecond
@@ -75,7 +78,7 @@
 		}
 		start := time.Now()
 		if f.pollStore(ctx) {
-			pause.Sleep(ctx, time.Until(start.Add(pollSpacing)))
+			pause.Sleep(ctx, time.Until(start.Add(f.pollSpacing())))
 			continue
 		}
 		pause.Sleep(ctx, f.backoff)
@@ -83,6 +86,11 @@
 	}
 }
 
+// pollSpacing returns the minimum time between the starts of two polls.
+func (f *follower) pollSpacing() time.Duration {
+	return max(minPollSpacing, time.Duration(f.cluster.Load().topology.dataCentres)*pollSpacingPerDataCentre)
+}
+
 // preferredRelay returns the address of the first usable relay of the data centre that ranks before this node.
 func (f *follower) preferredRelay() (string, bool) {
 	t := f.cluster.Load().topology
--- a/service/edge/follower_test.go
+++ b/service/edge/follower_test.go
@@ -30,6 +30,17 @@
 	return backing.WatchBatch{Revision: after + 1, Events: []backing.WatchEvent{event}}, nil
 }
 
+// Guards against store calls that grow with the number of data centres, and against rare polls on a fleet with few of them.
+func TestPollsAreSpacedByDataCentres(t *testing.T) {
+	calls := func(dataCentres int) time.Duration {
+		state := &clusterState{topology: topology{rank: -1, dataCentres: dataCentres}}
+		return (&follower{cluster: latest.New(state)}).pollSpacing()
+	}
+	assert.Equal(t, calls(1), minPollSpacing)
+	assert.Equal(t, calls(2), minPollSpacing)
+	assert.Equal(t, calls(6), 6*pollSpacingPerDataCentre)
+}
+
 // Guards against a store call for every change of a large fleet, where changes follow each other within milliseconds.
 func TestPollsOfABusyStoreAreSpaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/service/edge/topology.go
+++ b/service/edge/topology.go
@@ -12,6 +12,8 @@
 	rank int
 	// version counts the changes of the set of nodes.
 	version int
+	// dataCentres is the number of data centres with nodes.
+	dataCentres int
 	// localRelays are the other relays of this node's data centre, by rank.
 	localRelays []Member
 	// localNodes are the other nodes of this node's data centre.
@@ -26,7 +28,7 @@
 	for _, m := range others {
 		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 	}
-	t := topology{rank: -1}
+	t := topology{rank: -1, dataCentres: len(byDataCentre)}
 	for name, members := range byDataCentre {
 		for rank, m := range relaysOf(members) {
 			switch {
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -32,7 +33,9 @@
 	messages  mailbox.Mailbox[viewMessage]
 	current   *latest.Value[*clusterState]
 
-	mirror   *mirror.Mirror
+	mirror *mirror.Mirror
+	// hasRead is set once entries of the store have been applied.
+	hasRead  bool
 	state    *fleet.State
 	members  map[string]Member
 	snapshot *fleet.Snapshot
@@ -71,16 +74,23 @@
 // storeAnswered records that the store is reachable again.
 func (v *view) storeAnswered() { v.state.StoreRegained(time.Now()) }
 
-// applyEvents applies changes of the store to the state and logs each one that has an effect.
+// applyEvents applies changes of the store to the state and logs each one that has an effect. The entries of the first
+// read are logged at debug level, because all nodes read them at the same moment when a fleet starts.
 func (v *view) applyEvents(events []backing.WatchEvent) {
 	if len(events) == 0 {
 		return
 	}
 	now := time.Now()
-	changed := false
+	level := zap.InfoLevel
+	if !v.hasRead {
+		v.hasRead = true
+		v.log.Info("cluster state read", zap.Int("entries", len(events)), zap.Int64("revision", v.mirror.Revision()))
+		level = zap.DebugLevel
+	}
+	changed, membersChanged := false, false
 	for _, e := range events {
 		if strings.HasPrefix(e.Entry.Key, memberPrefix) {
-			v.applyMember(e)
+			membersChanged = v.applyMember(e) || membersChanged
 			continue
 		}
 		change, err := v.translate(e)
@@ -89,40 +99,46 @@
 		}
 		if change != nil && v.state.Apply(now, change) {
 			changed = true
-			v.log.Info("cluster state changed", zap.String("key", e.Entry.Key), zap.Int64("revision", e.Entry.ModRevision),
+			v.log.Log(level, "cluster state changed", zap.String("key", e.Entry.Key), zap.Int64("revision", e.Entry.ModRevision),
 				zap.Bool("deleted", e.Deleted), zap.Stringer("change", change))
 		}
 	}
 	if changed {
 		v.snapshot = v.state.Snapshot()
 	}
+	if membersChanged {
+		v.updateTopology()
+	}
 }
 
-// applyMember applies a change of a node's entry and computes the new topology.
-func (v *view) applyMember(e backing.WatchEvent) {
+// applyMember applies a change of a node's entry and reports whether the other nodes have changed.
+func (v *view) applyMember(e backing.WatchEvent) bool {
 	id := strings.TrimPrefix(e.Entry.Key, memberPrefix)
 	if e.Deleted {
+		_, known := v.members[id]
 		delete(v.members, id)
-	} else {
-		m, err := decodeMember(e.Entry.Value)
-		if err != nil {
-			v.log.Warn("invalid node entry ignored", zap.String("key", e.Entry.Key), logging.Cause(err))
-			return
-		}
-		if m.ID == v.self.ID {
-			return
-		}
-		v.members[id] = m
+		return known
+	}
+	m, err := decodeMember(e.Entry.Value)
+	if err != nil {
+		v.log.Warn("invalid node entry ignored", zap.String("key", e.Entry.Key), logging.Cause(err))
+		return false
 	}
-	v.nodes = nil
-	for _, m := range v.members {
-		v.nodes = append(v.nodes, m)
+	if m.ID == v.self.ID || v.members[id] == m {
+		return false
 	}
-	slices.SortFunc(v.nodes, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	v.members[id] = m
+	return true
+}
+
+// updateTopology computes the topology of the current nodes.
+func (v *view) updateTopology() {
+	before := len(v.nodes)
+	v.nodes = slices.SortedFunc(maps.Values(v.members), func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	version := v.topology.version + 1
 	v.topology = newTopology(v.self, v.nodes)
 	v.topology.version = version
-	v.log.Info("nodes changed", zap.Int("others", len(v.nodes)), zap.String("node", id), zap.Bool("left", e.Deleted))
+	v.log.Info("nodes changed", zap.Int("others", len(v.nodes)), zap.Int("others_before", before), zap.Int64("revision", v.mirror.Revision()))
 }
 
 func (v *view) publish() {
--- a/service/edge/view_test.go
+++ b/service/edge/view_test.go
@@ -42,6 +42,26 @@
 	})
 }
 
+// Guards against a topology that is computed for each of hundreds of entries when a fleet starts, and against a changed entry
+// that is ignored.
+func TestTopologyChangesOnceForABatch(t *testing.T) {
+	v := newView(zap.NewNop(), Member{ID: "self", DataCentre: "a"}, translateEndpoint)
+	entry := func(m Member, revision int64) backing.Entry {
+		return backing.Entry{Key: memberPrefix + m.ID, Value: m.encode(), ModRevision: revision}
+	}
+	first, second := Member{ID: "x", Address: "x:1", DataCentre: "a"}, Member{ID: "y", Address: "y:1", DataCentre: "b"}
+	storeReadMessage{result: backing.RangeResult{Entries: []backing.Entry{entry(first, 1), entry(second, 2)}, Revision: 2}}.apply(v)
+	assert.Equal(t, v.topology.version, 1)
+	assert.DeepEqual(t, v.current.Load().Nodes, []Member{first, second})
+	renewed := storeChangedMessage{batch: backing.WatchBatch{Events: []backing.WatchEvent{{Entry: entry(first, 3)}}, Revision: 3}}
+	renewed.apply(v)
+	assert.Equal(t, v.topology.version, 1)
+	second.Address = "y:2"
+	moved := storeChangedMessage{batch: backing.WatchBatch{Events: []backing.WatchEvent{{Entry: entry(second, 4)}}, Revision: 4}}
+	moved.apply(v)
+	assert.DeepEqual(t, v.topology.remoteRelays, []Member{second})
+}
+
 // Guards against dropping live endpoints whose leases lapsed during an outage of the store, because of changes from a node
 // that has lost the store too.
 func TestLapsedEndpointsStayWhileNoNodeReachesTheStore(t *testing.T) {
