Do not reset callers that read slowly

Cause: the time for which sent bytes may stay unacknowledged, 1.5 s, also ends a connection whose peer answers but keeps its window closed. A caller that paused for longer while a large answer was sent lost its connection, although a write to it may take 5 s.

Change: the limit of the callers' listener is 5 s, as that of a write.

--- a/common/sockopt/sockopt.go
+++ b/common/sockopt/sockopt.go
@@ -13,6 +13,9 @@
 	// unackedTimeout bounds the time for which sent bytes stay unacknowledged. It allows several retransmissions on a
 	// lossy link and is below the 2 s after which a caller abandons a stream.
 	unackedTimeout = 1500 * time.Millisecond
+	// callerUnackedTimeout is the same for connections of callers. The kernel also applies it while the peer answers but does
+	// not read, and a caller may read slowly.
+	callerUnackedTimeout = 5 * time.Second
 	// probeIdle and probeInterval are in seconds and have the smallest values that the kernel accepts. With two probes,
 	// an unresponsive peer is detected within 3 s.
 	probeIdle     = 1
@@ -27,11 +30,16 @@
 
 // Control bounds the time for which sent bytes stay unacknowledged and enables probes of idle connections. It can be used as
 // net.Dialer.Control and net.ListenConfig.Control.
-func Control(_, _ string, conn syscall.RawConn) error {
+func Control(_, _ string, conn syscall.RawConn) error { return set(conn, unackedTimeout) }
+
+// ControlCallers sets the same options as Control for a listener whose peers may read slowly.
+func ControlCallers(_, _ string, conn syscall.RawConn) error { return set(conn, callerUnackedTimeout) }
+
+func set(conn syscall.RawConn, unacked time.Duration) error {
 	var failed error
 	err := conn.Control(func(fd uintptr) {
 		for _, o := range []struct{ level, name, value int }{
-			{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds())},
+			{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds())},
 			{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
 			{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, probeIdle},
 			{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, probeInterval},
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -134,13 +135,14 @@
 	for _, entry := range []struct {
 		address string
 		handler http.Handler
+		control func(network, address string, conn syscall.RawConn) error
 	}{
-		{n.settings.Listen.Callers, n.deps.NewHandler(n.server, budget)},
-		{n.settings.Listen.Readiness, &readiness{server: n.server}},
-		{n.settings.Listen.Metrics, pages},
-		{n.settings.Listen.Peers, n.hub.Handler()},
+		{n.settings.Listen.Callers, n.deps.NewHandler(n.server, budget), sockopt.ControlCallers},
+		{n.settings.Listen.Readiness, &readiness{server: n.server}, sockopt.Control},
+		{n.settings.Listen.Metrics, pages, sockopt.Control},
+		{n.settings.Listen.Peers, n.hub.Handler(), sockopt.Control},
 	} {
-		config := net.ListenConfig{Control: sockopt.Control, KeepAlive: -1}
+		config := net.ListenConfig{Control: entry.control, KeepAlive: -1}
 		listener, err := config.Listen(ctx, "tcp", entry.address)
 		if err != nil {
 			return nil, Error.Wrap(err)
