Do not charge refused connections to the retry budget

Engines crash from 2 s to 10 s and each of 72 nodes learns that by a refused connection. Each counted as a repeat, a node's share of the allowance is 2.5 in 10 s, and 213 requests were refused with retry_budget_spent although other engines had room. The budget bounds arrivals at endpoints, and a connection that was never opened is none.

Change: only attempts that opened a connection make the next one a repeat.

--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -33,6 +33,9 @@
 	s.server.metrics.attempts.Inc(1)
 	start := time.Now()
 	answer, err := s.server.sender.Send(sendCtx, s.request, s.newAttempt(up.placement, o))
+	if err == nil || verdict.Of(err).Reason != verdict.ReasonUnreachable {
+		s.arrivals++
+	}
 	if err != nil {
 		return nil, s.failAttempt(ctx, up, err, time.Since(start))
 	}
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -46,9 +46,10 @@
 	service   string
 	workspace *catalog.Workspace
 	deadline  time.Time
-	// sends counts the attempts, runs those that ran or may have run the request.
-	sends, runs    int
-	triedEndpoints []string
+	// sends counts the attempts, arrivals those for which a connection was opened, and runs those that ran or may have run the
+	// request.
+	sends, arrivals, runs int
+	triedEndpoints        []string
 	// copyEndpoint is the endpoint that holds a copy of the memory of a run that ended without an answer. Its ID is empty if
 	// there is none.
 	copyEndpoint fleet.Endpoint
@@ -193,7 +194,8 @@
 
 // placement returns the request as the dispatcher places it.
 func (s *session) placement() dispatch.Request {
-	r := dispatch.Request{Service: s.service, Repeat: s.sends > 0, Exclude: s.triedEndpoints}
+	// The retry budget bounds the arrivals at endpoints. An attempt whose connection was refused is none.
+	r := dispatch.Request{Service: s.service, Repeat: s.arrivals > 0, Exclude: s.triedEndpoints}
 	if s.request.PromptTokens > 0 {
 		r.PromptTokens = s.request.PromptTokens
 		r.Tokens = s.request.PromptTokens + s.expectedOutput()
