Use a new connection for each request to an engine

Cause: the client of engines and plain services kept connections and did not check whose answer it read. An endpoint that sent a second copy of an answer late, on a connection in use again, gave the next caller the answer to another request; a late answer to a cancellation could pass for the confirmation that another generation had ended.

Change: requests and cancellations use a connection each. Load reports, each of which replaces the one before, still share connections.

Result: TestLateCopyReachesNoOtherCaller fails with kept connections: the answer to /call-1 is that to /call-0.

--- a/transport/engine/cancel.go
+++ b/transport/engine/cancel.go
@@ -12,7 +12,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.requests.RoundTrip(req)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -15,8 +15,8 @@
 var Error = errs.Class("endpoint")
 
 const (
-	// maxIdlePerEndpoint bounds the idle connections kept for each endpoint.
-	maxIdlePerEndpoint = 64
+	// maxIdlePerEndpoint bounds the idle connections that are kept for the load reports of each endpoint.
+	maxIdlePerEndpoint = 2
 	// idleTimeout is shorter than the usual keep-alive timeout of servers, so that a request is seldom sent on a connection
 	// that the server is closing.
 	idleTimeout = 20 * time.Second
@@ -28,16 +28,29 @@
 )
 
 // Client sends requests to endpoints. It is safe for concurrent use.
+//
+// Each request and cancellation uses a new connection: an endpoint may send a second copy of an answer late, and on a connection
+// that is in use again the copy would be taken for the answer to the next request. Only load reports, of which each replaces the
+// one before, share connections.
 type Client struct {
-	transport *http.Transport
-	scheme    string
+	requests, reports *http.Transport
+	scheme            string
 }
 
 // NewClient returns a Client. If tlsConfig is nil, connections are not encrypted. Otherwise tlsConfig is called for each new
 // connection, so that renewed certificates are used. The connect timeout bounds each dial, including the TLS handshake.
 func NewClient(connectTimeout time.Duration, tlsConfig func() *tls.Config) *Client {
+	c := &Client{scheme: "http", requests: newTransport(connectTimeout, tlsConfig), reports: newTransport(connectTimeout, tlsConfig)}
+	c.requests.DisableKeepAlives = true
+	if tlsConfig != nil {
+		c.scheme = "https"
+	}
+	return c
+}
+
+func newTransport(connectTimeout time.Duration, tlsConfig func() *tls.Config) *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	c := &Client{scheme: "http", transport: &http.Transport{
+	t := &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -52,10 +65,9 @@
 			}
 			return &guardedConn{Conn: conn}, nil
 		},
-	}}
+	}
 	if tlsConfig != nil {
-		c.scheme = "https"
-		c.transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			tlsDialer := &tls.Dialer{NetDialer: dialer, Config: tlsConfig()}
 			conn, err := tlsDialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -64,11 +76,11 @@
 			return &guardedConn{Conn: conn}, nil
 		}
 	}
-	return c
+	return t
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.reports.CloseIdleConnections() }
 
 // url returns the URL of a path at an endpoint.
 func (c *Client) url(address, path string) string { return c.scheme + "://" + address + path }
@@ -80,5 +92,5 @@
 			conn.guard.Store(guard)
 		}
 	}}
-	return c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	return c.requests.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 }
--- a/transport/engine/load.go
+++ b/transport/engine/load.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return message.LoadReport{}, Error.Wrap(err)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.reports.RoundTrip(req)
 	if err != nil {
 		return message.LoadReport{}, Error.Wrap(err)
 	}
