Let a read of all entries take many calls; send full updates by the number of endpoints

A relay sent the load of all endpoints to each node every second.

The time between full updates grows with the endpoints, 1 s for 256 and 10 s at most; in between, each change of an endpoint carries its whole load.

Result: TestReadOfAllEntriesMayTakeManyCalls and TestFullUpdatesOfManyEndpointsAreRare fail without the changes.

--- a/decision/gather/load_sums.go
+++ b/decision/gather/load_sums.go
@@ -124,7 +124,7 @@
 
 // Next returns the updates for all receivers and clears the recorded changes.
 func (s *LoadSums) Next(now time.Time) Updates {
-	u := Updates{sums: s, update: s.nextUpdate(now)}
+	u := Updates{sums: s, update: s.nextUpdate(now, len(s.total))}
 	if u.update.full {
 		u.loadedEndpoints = slices.Sorted(maps.Keys(s.total))
 	}
--- a/decision/gather/load_sums_test.go
+++ b/decision/gather/load_sums_test.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -83,6 +84,21 @@
 	assert.Equal(t, s.Due(), start.Add(urgentInterval))
 }
 
+// Guards against a relay whose full updates fill its link on a fleet with thousands of endpoints.
+func TestFullUpdatesOfManyEndpointsAreRare(t *testing.T) {
+	for endpoints, want := range map[int]time.Duration{10: fullInterval, 1024: 4 * fullInterval, 12000: maxFullInterval} {
+		s := NewLoadSums(1)
+		var loads []dispatch.Load
+		for i := range endpoints {
+			loads = append(loads, dispatch.Load{Endpoint: fmt.Sprint(i), InFlight: 1})
+		}
+		s.ApplyNodeUpdate(start, "a", fullUpdate(1, loads...))
+		assert.Assert(t, s.Next(start).ForNode("b").Full)
+		assert.Assert(t, !s.Next(start.Add(want-time.Millisecond)).ForNode("b").Full, "%d", endpoints)
+		assert.Assert(t, s.Next(start.Add(want)).ForNode("b").Full, "%d", endpoints)
+	}
+}
+
 // Guards against sums that differ from the load of the nodes after updates were lost, arrived in another order or came from a
 // restarted process.
 func TestLoadSumsConvergeAfterLostUpdates(t *testing.T) {
--- a/decision/gather/reporter.go
+++ b/decision/gather/reporter.go
@@ -29,5 +29,5 @@
 
 // Next returns the update to send and clears the recorded changes.
 func (r *Reporter) Next(now time.Time) Update {
-	return r.nextUpdate(now).build(slices.Sorted(maps.Keys(r.own.entries)), r.own.load)
+	return r.nextUpdate(now, len(r.own.entries)).build(slices.Sorted(maps.Keys(r.own.entries)), r.own.load)
 }
--- a/decision/gather/update_schedule.go
+++ b/decision/gather/update_schedule.go
@@ -22,8 +22,12 @@
 	// receiverSpacing is the minimum time between two updates for each of their receivers. It bounds the messages that a relay
 	// sends in a second, whatever the number of its receivers.
 	receiverSpacing = 500 * time.Microsecond
-	// fullInterval is the time between two full updates, which correct the effect of lost updates.
-	fullInterval = time.Second
+	// fullInterval is the time between two full updates of up to endpointsPerFullInterval endpoints, which correct the effect of
+	// lost updates. With more endpoints it grows in proportion, up to maxFullInterval, to bound the bytes that a relay sends.
+	// Meanwhile the load of an endpoint is corrected by its next change.
+	fullInterval             = time.Second
+	endpointsPerFullInterval = 256
+	maxFullInterval          = 10 * time.Second
 )
 
 // updateSchedule records the changes since the last update and determines when the next update is due.
@@ -76,10 +80,12 @@
 	return s.sentAt.Add(max(interval, time.Duration(s.receivers)*receiverSpacing))
 }
 
-// nextUpdate returns an update with the recorded changes and clears them.
-func (s *updateSchedule) nextUpdate(now time.Time) pendingUpdate {
+// nextUpdate returns an update with the recorded changes and clears them. loadedEndpoints is the number of endpoints in a full
+// update.
+func (s *updateSchedule) nextUpdate(now time.Time, loadedEndpoints int) pendingUpdate {
 	s.seq++
-	full := s.full || now.Sub(s.fullAt) >= fullInterval
+	interval := min(maxFullInterval, fullInterval*time.Duration(max(1, loadedEndpoints))/endpointsPerFullInterval)
+	full := s.full || now.Sub(s.fullAt) >= max(fullInterval, interval)
 	u := pendingUpdate{epoch: s.epoch, seq: s.seq, full: full, changedEndpoints: slices.Sorted(maps.Keys(s.changedEndpoints))}
 	if full {
 		s.fullAt = now
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -30,6 +30,9 @@
 	// callTimeout is how long a reply may take beyond a poll's wait. A healthy store replies within milliseconds, a slow
 	// one within some hundred milliseconds.
 	callTimeout = 500 * time.Millisecond
+	// readTimeout bounds a read of all entries, which takes many calls on a large fleet. All nodes may read at once after a power
+	// cut; the store then needs some seconds to send them its entries.
+	readTimeout = 15 * time.Second
 	// syncWait is how long a sync request to another node waits for changes. syncTimeout is how long the reply may take
 	// beyond that.
 	syncWait    = 400 * time.Millisecond
@@ -171,7 +174,7 @@
 // readAll reads all entries.
 func (f *follower) readAll(ctx context.Context) error {
 	start := bootclock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	result, err := f.store.Range(callCtx, allKeys)
 	if err != nil {
--- a/service/edge/follower_test.go
+++ b/service/edge/follower_test.go
@@ -30,6 +30,33 @@
 	return backing.WatchBatch{Revision: after + 1, Events: []backing.WatchEvent{event}}, nil
 }
 
+// pagedStore returns its entries after the time that many pages take.
+type pagedStore struct {
+	Store
+	reads int
+}
+
+func (s *pagedStore) Range(ctx context.Context, _ string) (backing.RangeResult, error) {
+	s.reads++
+	select {
+	case <-time.After(5 * time.Second):
+		return backing.RangeResult{Revision: 1}, nil
+	case <-ctx.Done():
+		return backing.RangeResult{}, backing.ErrUnavailable.Wrap(ctx.Err())
+	}
+}
+
+// Guards against a node of a large fleet that never reads the store to its end after a power cut, because all nodes read at once
+// and the read is given up and begun again each time.
+func TestReadOfAllEntriesMayTakeManyCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &pagedStore{}
+		f := &follower{log: zap.NewNop(), store: store, view: mailbox.New[viewMessage](viewCapacity)}
+		assert.NilError(t, f.readAll(t.Context()))
+		assert.Equal(t, store.reads, 1)
+	})
+}
+
 // Guards against store calls that grow with the number of data centres, and against rare polls on a fleet with few of them.
 func TestPollsAreSpacedByDataCentres(t *testing.T) {
 	calls := func(dataCentres int) time.Duration {
