Serve requests without a limit for up to an hour

Cause: a request whose route has no timeout and whose caller sent no deadline got the moment of its arrival as its deadline, and was ended at once.

Change: such a request may take an hour.

--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -22,6 +22,8 @@
 	waitDivisor = 8
 	// maxSends bounds the endpoints to which a request is sent, including those that did not run it.
 	maxSends = 4
+	// maxRequestTime bounds a request for which neither the route nor the caller sets a limit.
+	maxRequestTime = time.Hour
 	// minRetryAfter and maxRetryAfter bound the Retry-After time of a refused request.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -120,11 +122,15 @@
 		WithRetryAfter(minRetryAfter)
 }
 
-// setDeadline sets the deadline to the earlier of the caller's deadline and the route's timeout.
+// setDeadline sets the deadline to the earliest of the caller's deadline, the route's timeout and maxRequestTime.
 func (s *session) setDeadline() {
-	s.deadline = s.request.Received.Add(s.route.Timeout)
-	if !s.request.Deadline.IsZero() && (s.route.Timeout <= 0 || s.request.Deadline.Before(s.deadline)) {
-		s.deadline = s.request.Deadline
+	limit := maxRequestTime
+	if s.route.Timeout > 0 {
+		limit = min(limit, s.route.Timeout)
+	}
+	s.deadline = s.request.Received.Add(limit)
+	if d := s.request.Deadline; !d.IsZero() && d.Before(s.deadline) {
+		s.deadline = d
 	}
 }
 
