Pass on all loads after a restart of the relay

Cause: an update of another process of the relay, or of a second node that takes itself for the primary relay while an entry spreads, clears the receiver's copy. The dispatcher got only the loads that the update names and kept the others until the next full update.

Change: the dispatcher gets all loads when an update comes from another process than the one before.

--- a/decision/gather/load_view.go
+++ b/decision/gather/load_view.go
@@ -24,12 +24,15 @@
 	seq  uint64
 }
 
+// Continues reports whether an update comes from the process whose loads the view holds.
+func (v *LoadView) Continues(u Update) bool { return v.entries != nil && u.Epoch == v.epoch }
+
 // Apply applies an update and returns the differences of the loads that changed. It ignores loads that are older than the
 // current ones, and replaces everything if the update is of another epoch.
 func (v *LoadView) Apply(now time.Time, u Update) []dispatch.Load {
 	v.receivedAt = now
 	var changes []dispatch.Load
-	if u.Epoch != v.epoch || v.entries == nil {
+	if !v.Continues(u) {
 		changes = v.clear()
 		v.epoch, v.lastFullSeq = u.Epoch, 0
 	}
--- a/service/edge/others_load_receiver.go
+++ b/service/edge/others_load_receiver.go
@@ -24,14 +24,15 @@
 }
 
 // apply applies an update of the relay with the given rank. If the relay counts, the dispatcher gets the loads that the update
-// names, or all loads after a full update or a change of the source.
+// names, or all loads after a full update, a change of the source or a restart of the relay.
 func (r *othersLoadReceiver) apply(now time.Time, rank int, u gather.Update, counts bool) {
 	view := &r.views[rank]
+	restarted := !view.Continues(u)
 	view.Apply(now, u)
 	if !counts {
 		return
 	}
-	if u.Full || rank != r.source {
+	if u.Full || restarted || rank != r.source {
 		r.incomplete = true
 	}
 	r.source = rank
--- a/service/edge/others_load_receiver_test.go
+++ b/service/edge/others_load_receiver_test.go
@@ -42,6 +42,11 @@
 	m = received()
 	assert.Assert(t, m.complete)
 	assert.DeepEqual(t, m.loads, []dispatch.Load{x(3)})
+	// Two nodes may both take themselves for the primary relay while the entry of one of them spreads.
+	r.apply(now, 0, gather.Update{Epoch: 2, Seq: 1, Loads: []dispatch.Load{y}}, true)
+	m = received()
+	assert.Assert(t, m.complete)
+	assert.DeepEqual(t, m.loads, []dispatch.Load{y})
 	r.apply(now, 1, gather.Update{Epoch: 9, Seq: 1, Full: true, Loads: []dispatch.Load{x(7)}}, false)
 	assert.Equal(t, len(messages.Receive()), 0)
 	r.apply(now, 1, gather.Update{Epoch: 9, Seq: 2, Loads: []dispatch.Load{x(8)}}, true)
