Raise cold limits only by the endpoint's own step time

Cause: completed work raises the limit of a cold endpoint if its tokens came at a normal interval, measured at the gateway. A busy gateway receives the tokens of a slow endpoint in bursts, and the interval looks normal. A new owner that finds an endpoint with completed work probes it and then doubles the limit after one such answer.

Change: the step time of the endpoint's newest load report must be normal too, as it already must for inherited work.

Result: TestTokensInBurstsDoNotRaiseTheLimit fails without the change, with two grants on an endpoint whose steps take 160 ms.

--- a/decision/admission/cell_cold_test.go
+++ b/decision/admission/cell_cold_test.go
@@ -38,6 +38,25 @@
 	assert.Equal(t, len(f.dispatch(confirmedOwner)), 1)
 }
 
+// Guards against a limit that rises because a busy gateway has received the tokens of a slow endpoint in bursts, so that their
+// interval looks shorter than the endpoint's steps.
+func TestTokensInBurstsDoNotRaiseTheLimit(t *testing.T) {
+	f := newFixture(t)
+	f.load.StepTime = 160 * time.Millisecond
+	f.reportLoad(0)
+	f.enqueue(5)
+	g := f.dispatch(confirmedOwner)
+	assert.Equal(t, len(g), 1)
+	f.reportEvent(g[0].Number, message.GrantCompleted, 10)
+	g = f.dispatch(confirmedOwner)
+	assert.Equal(t, len(g), 1)
+	f.load.StepTime = 20 * time.Millisecond
+	f.advance(time.Second)
+	f.reportLoad(0)
+	f.reportEvent(g[0].Number, message.GrantCompleted, 10)
+	assert.Equal(t, len(f.dispatch(confirmedOwner)), 2)
+}
+
 // Guards against new work for a cold, warming or suspect endpoint while a second node may own the cell too.
 func TestUnconfirmedOwnerSendsOnlyToWarmEndpoints(t *testing.T) {
 	unconfirmed := Authority{Owned: true}
--- a/decision/admission/cell_report.go
+++ b/decision/admission/cell_report.go
@@ -109,7 +109,8 @@
 			return // Work of an ended process does not show the state of the present one.
 		}
 		e.clearSuspect(c.params)
-		if c.metTokenInterval(r) && g.coldStarts == e.coldStarts {
+		// A busy gateway may receive the tokens of a slow endpoint in bursts, so the endpoint's own step time counts too.
+		if c.metTokenInterval(r) && e.load.StepTime <= c.params.tokenInterval() && g.coldStarts == e.coldStarts {
 			e.creditCompletions(1, c.params)
 		}
 	case message.GrantCancelled:
