Renew the lease of an earlier process instead of writing the entry again

Cause: each node grants a lease and writes its entry when it starts, although after a restart its entry is still there.

--- a/service/edge/cluster_state.go
+++ b/service/edge/cluster_state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
@@ -11,6 +12,8 @@
 	Fleet *fleet.Snapshot
 	// Nodes lists the other nodes.
 	Nodes []Member
+	// OwnLease is the lease of this node's own entry; 0 if there is none, or if the entry differs from this node.
+	OwnLease backing.LeaseID
 	// topology assigns the relays among the other nodes and this node.
 	topology topology
 	// Revision is the store's revision up to which all changes are included.
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -122,7 +122,7 @@
 	}
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, cluster: n.view.current, dispatcher: n.dispatcher.messages}
 	resync := &resyncer{log: n.view.log, syncClient: client, seeds: n.settings.Peers.Seeds, cluster: n.view.current, hints: n.peers.hints}
-	register := &registration{log: n.log, store: n.deps.Store, member: n.self}
+	register := &registration{log: n.log, store: n.deps.Store, member: n.self, cluster: n.view.current}
 	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
 }
 
--- a/service/edge/registration.go
+++ b/service/edge/registration.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/pause"
 )
@@ -16,6 +17,8 @@
 	registrationTTL = time.Minute
 	// renewInterval allows for two failed renewals within registrationTTL.
 	renewInterval = 20 * time.Second
+	// ownEntryWait bounds the wait for the first read of the store, which shows whether an earlier process has left an entry.
+	ownEntryWait = 2 * time.Second
 	// initialRegistrationBackoff and maxRegistrationBackoff bound the wait after a failed call, which doubles with each
 	// consecutive failure. Refused calls are charged, and the entry outlasts several waits.
 	initialRegistrationBackoff = time.Second
@@ -24,14 +27,19 @@
 
 // registration is the task that keeps the node's own entry in the store.
 type registration struct {
-	log    *zap.Logger
-	store  Store
-	member Member
+	log     *zap.Logger
+	store   Store
+	member  Member
+	cluster *latest.Value[*clusterState]
 }
 
-// run writes the entry under a lease and renews the lease until ctx ends.
+// run writes the entry under a lease and renews the lease until ctx ends. If the entry of an earlier process is still there, run
+// renews its lease, so that a fleet that restarts at once does not write all entries again.
 func (r *registration) run(ctx context.Context) {
-	var lease backing.LeaseID
+	lease := r.awaitOwnLease(ctx)
+	if lease != 0 {
+		r.log.Info("entry of an earlier process found; renewing its lease", zap.Int64("lease", int64(lease)))
+	}
 	backoff := initialRegistrationBackoff
 	for {
 		interval := renewInterval
@@ -53,6 +61,26 @@
 	}
 }
 
+// awaitOwnLease waits for the first read of the store and returns the lease of this node's entry; 0 if there is none, or if it
+// differs from the present one.
+func (r *registration) awaitOwnLease(ctx context.Context) backing.LeaseID {
+	timer := time.NewTimer(ownEntryWait)
+	defer timer.Stop()
+	for {
+		state, changed := r.cluster.Watch()
+		if state.Revision > 0 {
+			return state.OwnLease
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return 0
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
 // register writes the entry under a new lease. A write whose outcome is unknown is repeated under another lease, which
 // replaces the first.
 func (r *registration) register(ctx context.Context) (backing.LeaseID, error) {
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -38,6 +39,7 @@
 	hasRead  bool
 	state    *fleet.State
 	members  map[string]Member
+	ownLease backing.LeaseID
 	snapshot *fleet.Snapshot
 	nodes    []Member
 	topology topology
@@ -114,6 +116,10 @@
 // applyMember applies a change of a node's entry and reports whether the other nodes have changed.
 func (v *view) applyMember(e backing.WatchEvent) bool {
 	id := strings.TrimPrefix(e.Entry.Key, memberPrefix)
+	if id == v.self.ID {
+		v.applyOwnEntry(e)
+		return false
+	}
 	if e.Deleted {
 		_, known := v.members[id]
 		delete(v.members, id)
@@ -124,13 +130,21 @@
 		v.log.Warn("invalid node entry ignored", zap.String("key", e.Entry.Key), logging.Cause(err))
 		return false
 	}
-	if m.ID == v.self.ID || v.members[id] == m {
+	if v.members[id] == m {
 		return false
 	}
 	v.members[id] = m
 	return true
 }
 
+// applyOwnEntry applies a change of this node's own entry.
+func (v *view) applyOwnEntry(e backing.WatchEvent) {
+	v.ownLease = 0
+	if !e.Deleted && bytes.Equal(e.Entry.Value, v.self.encode()) {
+		v.ownLease = e.Entry.Lease
+	}
+}
+
 // updateTopology computes the topology of the current nodes.
 func (v *view) updateTopology() {
 	before := len(v.nodes)
@@ -143,7 +157,7 @@
 
 func (v *view) publish() {
 	v.current.Publish(&clusterState{
-		Fleet: v.snapshot, Nodes: v.nodes, topology: v.topology, Revision: v.mirror.Revision(), ConfirmedAt: v.mirror.ConfirmedAt(),
+		Fleet: v.snapshot, Nodes: v.nodes, OwnLease: v.ownLease, topology: v.topology, Revision: v.mirror.Revision(), ConfirmedAt: v.mirror.ConfirmedAt(),
 	})
 }
 
