Test repeated signals and a silent store during a stop

Cause: the tests of a planned stop send one SIGTERM to a node whose store answers.

Change: a second SIGTERM, a reload and requests that the balancer still sends during a stop; a stop while the store is silent.

--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -85,6 +86,46 @@
 	assert.Assert(t, strings.Contains(n.Log(), "settings reloaded"))
 }
 
+// Guards against a stop that is cut short by a second SIGTERM or a reload, and against requests that are cut or refused because
+// the balancer still sends them to a node that has just begun to stop.
+func TestRepeatedSignalsDuringAStopInterruptNoRequest(t *testing.T) {
+	s := harness.NewEdgeSite(t, 1)
+	s.AddWorker("engine-1", true)
+	s.AddWorker("desk-1", false)
+	s.Start()
+	n := s.Nodes[0]
+	ids, err := readEvents(t, s.Request(n, http.MethodPost, "/note/1", "r1"), func(count int) {
+		switch count {
+		case 5, 15:
+			n.Terminate()
+		case 10:
+			n.HangUp()
+		case 6, 11, 16, 30:
+			assert.Equal(t, lookupStatus(t, s, n, fmt.Sprint("during-", count)), http.StatusOK)
+		}
+	})
+	assert.NilError(t, err)
+	assertComplete(t, ids, 60)
+	assert.NilError(t, n.Wait(harness.StopTimeout))
+}
+
+// Guards against a stop that waits for the store, or cuts requests, while the store does not answer.
+func TestStopWithoutTheStoreInterruptsNoRequest(t *testing.T) {
+	s := harness.NewEdgeSite(t, 1)
+	s.AddWorker("engine-1", true)
+	s.Start()
+	n := s.Nodes[0]
+	ids, err := readEvents(t, s.Request(n, http.MethodPost, "/note/1", "r1"), func(count int) {
+		if count == 5 {
+			n.StoreLink.Stall()
+			n.Terminate()
+		}
+	})
+	assert.NilError(t, err)
+	assertComplete(t, ids, 60)
+	assert.NilError(t, n.Wait(harness.StopTimeout))
+}
+
 // Guards against nodes that cannot serve after all of them were killed at the same time, as in a power failure.
 func TestNodesServeAfterSimultaneousKill(t *testing.T) {
 	s := harness.NewEdgeSite(t, 2)
