--- a/decision/gather/load_sums_benchmark_test.go
+++ b/decision/gather/load_sums_benchmark_test.go
@@ -11,7 +11,7 @@
 )
 
 // BenchmarkRelay measures one report of a node with three changed endpoints, and the updates that the relay then builds and
-// encodes for all nodes of its data centre. Its slope over nodes and endpoints goes into docs/CAPACITY.md.
+// encodes for all nodes of its data centre.
 func BenchmarkRelay(b *testing.B) {
 	for _, size := range []struct{ nodes, endpoints int }{{16, 71}, {64, 71}, {167, 71}, {167, 1200}, {167, 12000}} {
 		b.Run(fmt.Sprintf("nodes=%d/endpoints=%d", size.nodes, size.endpoints), func(b *testing.B) {
