Share the check of a stream through a stop

Cause: three tests of planned stops repeat the same check.

Result: go test -run 'Stop|Signals' ./test/edge passes.

--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -66,13 +66,22 @@
 	assert.Equal(t, lookupStatus(t, s, n, "r1"), http.StatusOK)
 }
 
+// assertStreamSurvivesStop reads a stream whose onEvent stops the node, and checks that the stream is complete and the node exits.
+func assertStreamSurvivesStop(t *testing.T, s *harness.EdgeSite, n *harness.EdgeNode, onEvent func(count int)) {
+	t.Helper()
+	ids, err := readEvents(t, s.Request(n, http.MethodPost, "/note/1", "r1"), onEvent)
+	assert.NilError(t, err)
+	assertComplete(t, ids, 60)
+	assert.NilError(t, n.Wait(harness.StopTimeout))
+}
+
 // Guards against a process that exits on SIGHUP, and against a planned stop that interrupts requests.
 func TestSignalsInterruptNoRequest(t *testing.T) {
 	s := harness.NewEdgeSite(t, 1)
 	s.AddWorker("engine-1", true)
 	s.Start()
 	n := s.Nodes[0]
-	ids, err := readEvents(t, s.Request(n, http.MethodPost, "/note/1", "r1"), func(count int) {
+	assertStreamSurvivesStop(t, s, n, func(count int) {
 		switch count {
 		case 5:
 			n.HangUp()
@@ -80,9 +89,6 @@
 			n.Terminate()
 		}
 	})
-	assert.NilError(t, err)
-	assertComplete(t, ids, 60)
-	assert.NilError(t, n.Wait(harness.StopTimeout))
 	assert.Assert(t, strings.Contains(n.Log(), "settings reloaded"))
 }
 
@@ -94,7 +100,7 @@
 	s.AddWorker("desk-1", false)
 	s.Start()
 	n := s.Nodes[0]
-	ids, err := readEvents(t, s.Request(n, http.MethodPost, "/note/1", "r1"), func(count int) {
+	assertStreamSurvivesStop(t, s, n, func(count int) {
 		switch count {
 		case 5, 15:
 			n.Terminate()
@@ -104,9 +110,6 @@
 			assert.Equal(t, lookupStatus(t, s, n, fmt.Sprint("during-", count)), http.StatusOK)
 		}
 	})
-	assert.NilError(t, err)
-	assertComplete(t, ids, 60)
-	assert.NilError(t, n.Wait(harness.StopTimeout))
 }
 
 // Guards against a stop that waits for the store, or cuts requests, while the store does not answer.
@@ -115,15 +118,12 @@
 	s.AddWorker("engine-1", true)
 	s.Start()
 	n := s.Nodes[0]
-	ids, err := readEvents(t, s.Request(n, http.MethodPost, "/note/1", "r1"), func(count int) {
+	assertStreamSurvivesStop(t, s, n, func(count int) {
 		if count == 5 {
 			n.StoreLink.Stall()
 			n.Terminate()
 		}
 	})
-	assert.NilError(t, err)
-	assertComplete(t, ids, 60)
-	assert.NilError(t, n.Wait(harness.StopTimeout))
 }
 
 // Guards against nodes that cannot serve after all of them were killed at the same time, as in a power failure.
