Quarantine requests that crash endpoints on the users' platform

Cause: service/edge kept no memory of what an endpoint ran when it crashed. The other front end had the quarantine, but its table counted crashes by their ids, which quarantines everything that ran on two endpoints when a power cut ends them at once.

Change: one quarantine for both front ends. decision/quarantine knows fingerprints, and its evidence is a count of consecutive trials: a run counts one crash more than was known when it was sent, so crashes at one moment count once and marks merge in any order. A suspect runs only as a trial, one at a time over all nodes (home node by rendezvous hash; this node if the home node does not answer); an answer clears it, a second crash quarantines it for an hour, after which one trial decides. A broken attempt without an answer is a crash if the endpoint is listed as serving and its port refuses connections. Marks take the way of the load (node, relays, nodes) and are repeated each second. A run that crashed its engine before its first event is not continued from its copy.

--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -79,6 +79,7 @@
 		Sender:     client,
 		Mover:      client,
 		Reporter:   client,
+		Liveness:   client,
 		NewStream:  func(r io.Reader) exchange.Stream { return workers.NewEventStream(r) },
 		NewHandler: func(server *edge.Server, budget int64) http.Handler { return front.New(server, budget) },
 		Metrics:    registry,
--- /dev/null
+++ b/decision/quarantine/assessment.go
@@ -0,0 +1,20 @@
+package quarantine
+
+// Assessment is the standing of a request by the marks of its fingerprints.
+type Assessment struct {
+	// Standing is Clear, Suspect or Quarantined.
+	Standing Standing
+	// Marks holds the mark of each fingerprint, in the order of the fingerprints.
+	Marks []Mark
+}
+
+// Suspects returns the fingerprints that make the request a suspect.
+func (a Assessment) Suspects() []Mark {
+	var suspects []Mark
+	for _, m := range a.Marks {
+		if m.Standing() == Suspect {
+			suspects = append(suspects, m)
+		}
+	}
+	return suspects
+}
--- a/decision/quarantine/fingerprint.go
+++ b/decision/quarantine/fingerprint.go
@@ -1,4 +1,22 @@
 package quarantine
 
-// Fingerprint identifies the content of a request: a hash of its workspace, path and body.
+import "github.com/zeebo/xxh3"
+
+// Fingerprint identifies something in a request that may crash the endpoints that run it.
 type Fingerprint uint64
+
+// RequestFingerprint returns the fingerprint of the request as a whole: its workspace, its path with the query, and its body.
+// A caller's retry has the same fingerprint, whatever its request id.
+func RequestFingerprint(workspace, path string, body []byte) Fingerprint {
+	return fingerprintOf(body, "request", workspace, path)
+}
+
+func fingerprintOf(data []byte, names ...string) Fingerprint {
+	h := xxh3.New()
+	for _, name := range names {
+		_, _ = h.WriteString(name)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(data)
+	return Fingerprint(h.Sum64())
+}
--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -1,134 +1,171 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// quarantineCrashes is the number of crashes that quarantine a request.
-	quarantineCrashes = 2
-	// suspectDuration is the time for which a request stays suspect after a crash.
+	// quarantineEvidence is the evidence that quarantines a fingerprint.
+	quarantineEvidence = 3
+	// soleSuspectEvidence is the evidence of a crash under a request with a single suspect fingerprint. With the evidence of 1
+	// for the first crash, the second crash quarantines the fingerprint.
+	soleSuspectEvidence = 2
+	// suspectDuration is the time for which a fingerprint stays suspect after a crash.
 	suspectDuration = 10 * time.Minute
-	// quarantineDuration is the time for which a quarantined request is refused.
+	// quarantineDuration is the time for which requests with a fingerprint are refused before the next trial.
 	quarantineDuration = time.Hour
+	// trialTimeout is the time after which a trial without an outcome no longer keeps others waiting. The node that runs it
+	// may have failed.
+	trialTimeout = 10 * time.Second
 	// maxEntries bounds the table. A full table evicts the entry that expires first.
 	maxEntries = 10_000
 )
 
-// Table holds the requests that are suspect or quarantined. It is not safe for concurrent use; one task owns it.
+// Table holds the marks of fingerprints. It is not safe for concurrent use; one task owns it.
 type Table struct {
 	entries map[Fingerprint]*entry
 }
 
-// entry is the state of one request.
-type entry struct {
-	crashes []CrashID
-	expires time.Time
-	// running is set while the run of the suspect is reserved.
-	running bool
-}
-
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: map[Fingerprint]*entry{}} }
 
-// Reserve returns how a request may run now. The result Suspect reserves the single run of the suspect, which Finished or
-// Crashed ends.
+// Reserve returns how a request with the fingerprint may run now. The result Suspect reserves the only trial, which ends with
+// Crashed, Completed or Release, or after trialTimeout.
 func (t *Table) Reserve(now time.Time, f Fingerprint) Standing {
 	e := t.lookup(now, f)
-	switch {
-	case e == nil:
+	if e == nil {
 		return Clear
-	case len(e.crashes) >= quarantineCrashes:
-		return Quarantined
-	case e.running:
+	}
+	standing := e.mark(now, f).Standing()
+	if standing != Suspect {
+		return standing
+	}
+	if now.Before(e.trialUntil) {
 		return Busy
 	}
-	e.running = true
+	e.trialUntil = now.Add(trialTimeout)
 	return Suspect
 }
 
-// Crashed records that an endpoint crashed while it ran the request. It returns the mark to send to the other nodes.
-func (t *Table) Crashed(now time.Time, f Fingerprint, id CrashID) Mark {
-	e := t.lookup(now, f)
-	if e == nil {
-		e = t.insert(now, f)
+// Release ends a trial that had no outcome.
+func (t *Table) Release(now time.Time, f Fingerprint) {
+	if e := t.lookup(now, f); e != nil {
+		e.trialUntil = time.Time{}
 	}
-	e.add(now, id, quarantineDuration)
-	return e.mark(now, f)
 }
 
-// Finished records that the request ended without a crash. A suspect that completed its run is cleared.
-func (t *Table) Finished(now time.Time, f Fingerprint, completed bool) {
-	e := t.lookup(now, f)
-	if e == nil || !e.running {
-		return
+// Crashed records that an endpoint crashed under a request. Seen holds the marks of the request's fingerprints at the time
+// when the request was sent. It returns the marks that have changed.
+//
+// A single suspect explains the crash, so the evidence against it grows by more. If there are several suspects, it is not
+// known which of them caused the crash.
+func (t *Table) Crashed(now time.Time, seen []Mark) []Mark {
+	suspects := 0
+	for _, m := range seen {
+		if m.Evidence > 0 {
+			suspects++
+		}
 	}
-	e.running = false
-	if completed && len(e.crashes) < quarantineCrashes {
-		delete(t.entries, f)
+	var changed []Mark
+	for _, m := range seen {
+		gain := 1
+		if m.Evidence > 0 && suspects == 1 {
+			gain = soleSuspectEvidence
+		}
+		m.Evidence += gain
+		m.Remaining = quarantineDuration
+		if t.Merge(now, m) {
+			changed = append(changed, t.entries[m.Fingerprint].mark(now, m.Fingerprint))
+		}
+	}
+	return changed
+}
+
+// Completed records that a request with the fingerprints got its answer, and discards the evidence against them. It returns
+// the marks that have changed.
+func (t *Table) Completed(now time.Time, fingerprints []Fingerprint) []Mark {
+	var changed []Mark
+	for _, f := range fingerprints {
+		if e := t.lookup(now, f); e != nil && e.evidence > 0 {
+			e.set(now, e.term+1, 0, suspectDuration)
+			changed = append(changed, e.mark(now, f))
+		}
 	}
+	return changed
 }
 
-// Merge applies a mark from another node.
-func (t *Table) Merge(now time.Time, m Mark) {
+// Merge applies a mark, for example of another node, and reports whether the table has changed.
+func (t *Table) Merge(now time.Time, m Mark) bool {
+	m.Evidence = max(0, min(m.Evidence, quarantineEvidence))
+	if m.Remaining <= 0 || m.Evidence == 0 && m.Term == 0 {
+		return false
+	}
 	e := t.lookup(now, m.Fingerprint)
-	if e == nil {
-		e = t.insert(now, m.Fingerprint)
+	if e != nil && !m.supersedes(e.mark(now, m.Fingerprint)) {
+		return false
 	}
-	for _, id := range m.Crashes {
-		e.add(now, id, m.Remaining)
+	if e == nil {
+		e = t.insert(m.Fingerprint)
 	}
+	e.set(now, m.Term, m.Evidence, m.Remaining)
+	return true
 }
 
-// Marks returns all marks that have not expired.
-func (t *Table) Marks(now time.Time) []Mark {
-	var marks []Mark
+// Expire removes the marks that are no longer valid, and reports whether there were any. A fingerprint whose quarantine has
+// ended becomes a suspect.
+func (t *Table) Expire(now time.Time) bool {
+	expired := false
 	for f, e := range t.entries {
-		if now.Before(e.expires) {
-			marks = append(marks, e.mark(now, f))
+		if !now.Before(e.expires) {
+			expired = true
+			t.lookup(now, f)
 		}
 	}
-	return marks
-}
-
-// add records a crash unless the entry already contains it. A new crash ends the suspect's run, and the entry expires after
-// at most the given limit.
-func (e *entry) add(now time.Time, id CrashID, limit time.Duration) {
-	if len(e.crashes) >= quarantineCrashes || slices.Contains(e.crashes, id) {
-		return
-	}
-	e.running = false
-	e.crashes = append(e.crashes, id)
-	e.expires = now.Add(min(limit, markDuration(len(e.crashes))))
+	return expired
 }
 
-func (e *entry) mark(now time.Time, f Fingerprint) Mark {
-	return Mark{Fingerprint: f, Crashes: slices.Clone(e.crashes), Remaining: e.expires.Sub(now)}
+// Marks returns at most limit marks, those with the most evidence first.
+func (t *Table) Marks(now time.Time, limit int) []Mark {
+	marks := make([]Mark, 0, len(t.entries))
+	for f, e := range t.entries {
+		marks = append(marks, e.mark(now, f))
+	}
+	slices.SortFunc(marks, func(a, b Mark) int {
+		return cmp.Or(cmp.Compare(b.Evidence, a.Evidence), cmp.Compare(b.Remaining, a.Remaining), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return marks[:min(limit, len(marks))]
 }
 
-func markDuration(crashes int) time.Duration {
-	if crashes >= quarantineCrashes {
-		return quarantineDuration
+// Snapshot returns a copy of the marks.
+func (t *Table) Snapshot(now time.Time) Snapshot {
+	s := make(Snapshot, len(t.entries))
+	for f, e := range t.entries {
+		s[f] = e.mark(now, f)
 	}
-	return suspectDuration
+	return s
 }
 
-// lookup returns the entry of a request, or nil if there is none or it has expired.
+// lookup returns the entry of a fingerprint, or nil if there is none or it has expired.
 func (t *Table) lookup(now time.Time, f Fingerprint) *entry {
 	e := t.entries[f]
-	if e != nil && !now.Before(e.expires) {
+	if e == nil || now.Before(e.expires) {
+		return e
+	}
+	if e.evidence < quarantineEvidence {
 		delete(t.entries, f)
 		return nil
 	}
+	e.set(now, e.term+1, 1, suspectDuration)
 	return e
 }
 
-func (t *Table) insert(now time.Time, f Fingerprint) *entry {
+func (t *Table) insert(f Fingerprint) *entry {
 	if len(t.entries) >= maxEntries {
 		t.evictEarliestExpiry()
 	}
-	e := &entry{expires: now.Add(suspectDuration)}
+	e := &entry{}
 	t.entries[f] = e
 	return e
 }
@@ -143,11 +180,3 @@
 	}
 	delete(t.entries, first)
 }
-
-// Mark returns the mark of the request, without crashes if the table has none. Unlike Reserve, it reserves no run.
-func (t *Table) Mark(now time.Time, f Fingerprint) Mark {
-	if e := t.lookup(now, f); e != nil {
-		return e.mark(now, f)
-	}
-	return Mark{Fingerprint: f}
-}
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -26,6 +26,9 @@
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
+	// Crashes reports whether a request crashes the worker that begins to run it; nil if none does. Crash ends the worker's process.
+	Crashes func(*http.Request) bool
+	Crash   func()
 }
 
 // ServeHTTP implements http.Handler.
@@ -74,6 +77,10 @@
 		// The context of the request has ended if the caller closed the connection.
 		ask(context.Background(), w.Fleet, func(*state) bool { run.Ended, run.EndedAt = true, time.Now(); return true })
 	}()
+	if w.Crashes != nil && w.Crashes(in) {
+		w.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	out.Header().Set(signatureHeader, "signed-by-"+w.ID)
 	w.answer(out, in, behaviour, run)
 }
--- a/service/edge/dependencies.go
+++ b/service/edge/dependencies.go
@@ -15,6 +15,7 @@
 	Sender    exchange.Sender
 	Mover     exchange.Mover
 	Reporter  exchange.Reporter
+	Liveness  exchange.Liveness
 	// NewStream returns a reader of the events in an answer's body.
 	NewStream func(io.Reader) exchange.Stream
 	// NewHandler returns the HTTP handler for callers. The handler holds at most budget bytes of request bodies in memory.
--- a/service/edge/helper_test.go
+++ b/service/edge/helper_test.go
@@ -17,6 +17,7 @@
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/service/quarantine"
 )
 
 // failingSender fails the first attempts with one verdict and answers the others.
@@ -34,6 +35,11 @@
 	return &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("done")), Length: 4}, nil
 }
 
+// alive implements exchange.Liveness for endpoints that never crash.
+type alive struct{}
+
+func (alive) HasEnded(context.Context, string) bool { return false }
+
 // recordedCaller records how a request ended.
 type recordedCaller struct {
 	refusal *verdict.Error
@@ -82,9 +88,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go d.run(ctx)
+	manager := quarantine.NewManager(zap.NewNop(), quarantine.NoPeers{})
+	go manager.Run(ctx)
 	server := &Server{
 		log: zap.NewNop(), cluster: cluster, placer: placer{messages: d.messages}, sender: sender,
 		newStream: func(io.Reader) exchange.Stream { return stream }, metrics: newServerMetrics(tally.NoopScope),
+		quarantine: manager, liveness: alive{},
 	}
 	caller := &recordedCaller{}
 	ended := make(chan time.Time, 1)
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -20,6 +20,7 @@
 	"azuredyke.dev/azuredyke/common/settings"
 	"azuredyke.dev/azuredyke/common/sockopt"
 	"azuredyke.dev/azuredyke/decision/gather"
+	"azuredyke.dev/azuredyke/service/quarantine"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
 
@@ -47,6 +48,7 @@
 	view       *view
 	dispatcher *dispatcher
 	peers      *peers
+	quarantine *quarantine.Manager
 	hub        *peer.Hub
 	server     *Server
 }
@@ -72,9 +74,12 @@
 	}
 	n.peers.register()
 	handleSync(n.hub, n.view.current, n.view.messages)
+	n.quarantine = quarantine.NewManager(logging.For(log, logging.Gateway), quarantinePeers{hub: n.hub, self: n.self, cluster: n.view.current})
+	handleQuarantine(n.hub, n.quarantine)
 	n.server = &Server{
 		log: logging.For(log, logging.Gateway), cluster: n.view.current, placer: placer{messages: n.dispatcher.messages},
-		sender: d.Sender, mover: d.Mover, newStream: d.NewStream, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
+		sender: d.Sender, mover: d.Mover, liveness: d.Liveness, newStream: d.NewStream, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
+		quarantine: n.quarantine,
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
 	return n
@@ -123,7 +128,7 @@
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, cluster: n.view.current, dispatcher: n.dispatcher.messages}
 	resync := &resyncer{log: n.view.log, syncClient: client, seeds: n.settings.Peers.Seeds, cluster: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self, cluster: n.view.current}
-	return []func(context.Context){n.view.run, n.dispatcher.run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	return []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
 }
 
 // listen opens all listeners; the first is that for callers.
--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return s.failIncomplete(ctx, up, err)
 	}
+	s.reportAnswer(ctx)
 	if len(body) == maxBufferedBytes {
 		s.relayLarge(up, body)
 		return nil
@@ -54,6 +55,7 @@
 func (s *session) failIncomplete(ctx context.Context, up *upstream, err error) error {
 	s.endAttempt(ctx, up, dispatch.Broken)
 	s.log(zap.WarnLevel, "answer broke off", zap.String("endpoint", up.placement.Endpoint.ID), logging.Cause(err))
+	s.reportCrash(ctx, up.placement.Endpoint)
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "answer of %s broke off: %w", up.placement.Endpoint.ID, err)
 }
 
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -15,8 +15,14 @@
 
 // send places the request and sends it to one endpoint. The returned upstream must be ended.
 func (s *session) send(ctx context.Context, o sendOptions) (*upstream, error) {
+	if !o.continues() {
+		if err := s.admitToEndpoints(ctx); err != nil {
+			return nil, err
+		}
+	}
 	up, err := s.place(ctx, o)
 	if err != nil {
+		s.releaseTrial()
 		return nil, err
 	}
 	return s.sendTo(ctx, up, o)
@@ -58,6 +64,10 @@
 	s.endAttempt(ctx, up, outcomeOf(v))
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placement.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
 		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
+	if v.Verdict != verdict.NotRun && s.reportCrash(ctx, up.placement.Endpoint) {
+		s.copyEndpoint = fleet.Endpoint{}
+	}
+	s.releaseTrial()
 	return err
 }
 
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -13,6 +13,7 @@
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/service/quarantine"
 )
 
 // revokeMargin is subtracted from the time within which a revoked key must stop working. It covers a poll that gets no
@@ -26,8 +27,11 @@
 	placer    placer
 	sender    exchange.Sender
 	mover     exchange.Mover
+	liveness  exchange.Liveness
 	newStream func(io.Reader) exchange.Stream
 	metrics   *serverMetrics
+	// quarantine prevents requests that crash endpoints from running again.
+	quarantine *quarantine.Manager
 	// revokeAfter is the setting bounds.revoke in nanoseconds.
 	revokeAfter atomic.Int64
 	// stopDeadline is the time at which a stopping node cuts the remaining requests; nil while the node is not stopping.
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -15,6 +15,8 @@
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
+	decision "azuredyke.dev/azuredyke/decision/quarantine"
+	"azuredyke.dev/azuredyke/service/quarantine"
 )
 
 const (
@@ -55,6 +57,10 @@
 	// copyEndpoint is the endpoint that holds a copy of the memory of a run that ended without an answer. Its ID is empty if
 	// there is none.
 	copyEndpoint fleet.Endpoint
+	// fingerprints are those by which the quarantine knows the request.
+	fingerprints []decision.Fingerprint
+	// admission is the quarantine's admission of the current attempt. It is empty once the outcome was reported.
+	admission quarantine.Admission
 }
 
 // serve checks the request and answers it.
@@ -65,6 +71,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	s.setFingerprints()
+	defer s.releaseTrial()
 	for {
 		up, err := s.send(ctx, sendOptions{})
 		if err != nil && s.copyEndpoint.ID != "" && ctx.Err() == nil {
@@ -137,7 +145,8 @@
 // mayRetry reports whether the request may be sent to another endpoint after an error.
 func (s *session) mayRetry(ctx context.Context, err error) bool {
 	v := verdict.Of(err)
-	if ctx.Err() != nil || s.sends >= maxSends || v.Reason == verdict.ReasonNoEndpoint || v.Reason == verdict.ReasonCancelled {
+	if ctx.Err() != nil || s.sends >= maxSends || v.Reason == verdict.ReasonNoEndpoint || v.Reason == verdict.ReasonCancelled ||
+		v.Reason == verdict.ReasonQuarantined {
 		return false
 	}
 	switch v.Verdict {
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -87,6 +87,7 @@
 			switch {
 			case item.err == io.EOF:
 				r.up.end(dispatch.Succeeded)
+				r.reportAnswer(r.ctx)
 				r.finish(r.up, zap.Int("events", r.eventCount), zap.Duration("longest_pause", r.longestPause))
 				return r.sendHeader()
 			case item.err != nil:
@@ -112,6 +113,7 @@
 	}
 	now := time.Now()
 	if r.eventCount == 0 {
+		r.reportAnswer(r.ctx)
 		r.server.metrics.firstByte.RecordDuration(now.Sub(r.request.Received))
 	} else {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastForwardedAt))
@@ -154,7 +156,11 @@
 	r.triedEndpoints = append(r.triedEndpoints, old.placement.Endpoint.ID)
 	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placement.Endpoint.ID), zap.Int("events", r.eventCount),
 		zap.String("last_event", r.lastEvent), logging.Cause(cause))
-	if r.continueFromCopy(old) {
+	switch crashed := r.eventCount == 0 && r.reportCrash(r.ctx, old.placement.Endpoint); {
+	case crashed:
+		// The copy's endpoint would begin the same answer and may crash as well.
+		r.dropTarget()
+	case r.continueFromCopy(old):
 		return nil
 	}
 	err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "stream of %s broke: %w", old.placement.Endpoint.ID, cause)
--- a/service/gateway/attempt_end.go
+++ b/service/gateway/attempt_end.go
@@ -32,7 +32,7 @@
 	}
 	a.cancel(ctx, f)
 	if endpointGone(f) && !a.reattached() {
-		a.session.reportCrash(ctx, a.grant)
+		a.session.reportCrash(ctx)
 	}
 	a.retryable = !delivered
 	if delivered {
--- a/service/gateway/caller_request.go
+++ b/service/gateway/caller_request.go
@@ -11,7 +11,8 @@
 	"azuredyke.dev/azuredyke/common/message"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/config"
-	"azuredyke.dev/azuredyke/decision/quarantine"
+	decision "azuredyke.dev/azuredyke/decision/quarantine"
+	"azuredyke.dev/azuredyke/service/quarantine"
 	"azuredyke.dev/azuredyke/service/retries"
 	"azuredyke.dev/azuredyke/transport/engine"
 )
@@ -32,7 +33,7 @@
 	workspace     *config.Workspace
 	serviceName   string
 	service       *config.Service
-	fingerprint   quarantine.Fingerprint
+	fingerprint   decision.Fingerprint
 
 	// verdict is the strongest verdict of the attempts so far.
 	verdict verdict.Verdict
@@ -40,6 +41,8 @@
 	exclude []string
 	// alone is set while the request runs as a suspect of the quarantine, alone on its endpoint.
 	alone bool
+	// admission is that of the latest attempt.
+	admission quarantine.Admission
 }
 
 // newCallerRequest returns a request without attempts.
@@ -86,14 +89,15 @@
 // requestGrant checks the quarantine and requests a grant. The second result is the time from which the validity of the grant
 // counts.
 func (c *callerRequest) requestGrant(ctx context.Context, r message.PlaceRequest) (message.Grant, time.Time, *verdict.Error) {
-	switch c.server.Quarantine.Standing(ctx, c.fingerprint) {
-	case quarantine.Quarantined:
+	c.admission = c.server.Quarantine.Admit(ctx, []decision.Fingerprint{c.fingerprint})
+	switch c.admission.Standing {
+	case decision.Quarantined:
 		return message.Grant{}, time.Time{}, verdict.New(verdict.NotRun, verdict.ReasonQuarantined,
 			"this request has crashed the endpoints that ran it")
-	case quarantine.Busy:
+	case decision.Busy:
 		return message.Grant{}, time.Time{}, verdict.New(verdict.NotRun, verdict.ReasonBusy,
 			"this request may have crashed an endpoint and is being tried alone").WithRetryAfter(retryElsewhereAfter)
-	case quarantine.Suspect:
+	case decision.Suspect:
 		c.alone = true
 	}
 	r.RequestID, r.Workspace, r.Service = c.id, c.workspaceName, c.serviceName
@@ -114,16 +118,19 @@
 	c.alone = false
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
-	c.server.Quarantine.ReportRunEnd(ctx, c.fingerprint, completed)
+	if completed {
+		c.server.Quarantine.ReportAnswer(ctx, c.admission)
+		return
+	}
+	c.server.Quarantine.Release(ctx, c.admission)
 }
 
 // reportCrash reports to all nodes that an endpoint crashed while it ran the request.
-func (c *callerRequest) reportCrash(ctx context.Context, g message.Grant) {
+func (c *callerRequest) reportCrash(ctx context.Context) {
 	c.alone = false
 	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	defer cancel()
-	id := quarantine.CrashID(g.Endpoint.ID + "/" + g.Incarnation)
-	c.server.Quarantine.ReportCrash(ctx, c.fingerprint, id)
+	c.server.Quarantine.ReportCrash(ctx, c.admission)
 }
 
 // mayRetry reports whether another attempt is allowed after one that failed on the given endpoint, and excludes the endpoint
--- a/service/gateway/plain_call.go
+++ b/service/gateway/plain_call.go
@@ -106,7 +106,7 @@
 	}
 	if ctx.Err() == nil {
 		// The connection broke without an answer while the request was running, so the endpoint may have crashed.
-		c.reportCrash(detached, g)
+		c.reportCrash(detached)
 	}
 	return engine.Answer{}, verdict.New(verdict.MayHaveRun, verdict.ReasonEndpointFailed, "the endpoint failed: %w", f)
 }
--- a/service/gateway/quarantine.go
+++ b/service/gateway/quarantine.go
@@ -3,17 +3,19 @@
 import (
 	"context"
 
-	"azuredyke.dev/azuredyke/decision/quarantine"
+	decision "azuredyke.dev/azuredyke/decision/quarantine"
+	"azuredyke.dev/azuredyke/service/quarantine"
 )
 
 // Quarantine prevents requests that crash endpoints from running again.
 type Quarantine interface {
-	// Standing returns whether and how a request may run. After quarantine.Suspect, ReportCrash or ReportRunEnd must be
-	// called.
-	Standing(ctx context.Context, f quarantine.Fingerprint) quarantine.Standing
+	// Admit returns whether and how a request may run. After the standing Suspect, one of the other methods must be called.
+	Admit(ctx context.Context, fingerprints []decision.Fingerprint) quarantine.Admission
 	// ReportCrash reports that an endpoint crashed while it ran the request. It returns once the other nodes have received the
 	// report or ctx has ended.
-	ReportCrash(ctx context.Context, f quarantine.Fingerprint, id quarantine.CrashID)
-	// ReportRunEnd ends the run of a suspect; completed is true when the request got its full answer.
-	ReportRunEnd(ctx context.Context, f quarantine.Fingerprint, completed bool)
+	ReportCrash(ctx context.Context, a quarantine.Admission)
+	// ReportAnswer reports that the request got its full answer.
+	ReportAnswer(ctx context.Context, a quarantine.Admission)
+	// Release ends a trial without an outcome.
+	Release(ctx context.Context, a quarantine.Admission)
 }
--- a/service/node/quarantine_peers.go
+++ b/service/node/quarantine_peers.go
@@ -16,16 +16,10 @@
 // Kinds of quarantine messages.
 const (
 	kindQuarantineReserve = "quarantine.reserve"
-	kindQuarantineRunEnd  = "quarantine.finished"
-	kindQuarantineMark    = "quarantine.mark"
+	kindQuarantineRelease = "quarantine.release"
+	kindQuarantineMarks   = "quarantine.marks"
 )
 
-// suspectOutcome reports whether the reserved run of a suspect request completed.
-type suspectOutcome struct {
-	Fingerprint decision.Fingerprint
-	Completed   bool
-}
-
 // quarantinePeers calls the quarantine managers of other nodes over the peer links.
 type quarantinePeers struct {
 	hub   *peer.Hub
@@ -44,14 +38,13 @@
 	return peer.Call[decision.Mark, decision.Standing](ctx, p.hub, address, kindQuarantineReserve, m)
 }
 
-// ReportRunEnd implements quarantine.Peers. If the call fails, the suspect request stays reserved until its mark expires.
-func (p quarantinePeers) ReportRunEnd(ctx context.Context, address string, f decision.Fingerprint, completed bool) {
-	_, _ = peer.Call[suspectOutcome, bool](ctx, p.hub, address, kindQuarantineRunEnd,
-		suspectOutcome{Fingerprint: f, Completed: completed})
+// Release implements quarantine.Peers. If the call fails, the trial stays reserved until it times out.
+func (p quarantinePeers) Release(ctx context.Context, address string, f decision.Fingerprint) {
+	_, _ = peer.Call[decision.Fingerprint, bool](ctx, p.hub, address, kindQuarantineRelease, f)
 }
 
 // Broadcast implements quarantine.Peers.
-func (p quarantinePeers) Broadcast(ctx context.Context, m decision.Mark) {
+func (p quarantinePeers) Broadcast(ctx context.Context, marks []decision.Mark) {
 	t := p.table.Load()
 	var calls sync.WaitGroup
 	for _, member := range t.Alive() {
@@ -59,21 +52,27 @@
 			continue
 		}
 		calls.Go(func() {
-			_, _ = peer.Call[decision.Mark, bool](ctx, p.hub, member.Address, kindQuarantineMark, m)
+			_, _ = peer.Call[[]decision.Mark, bool](ctx, p.hub, member.Address, kindQuarantineMarks, marks)
 		})
 	}
 	calls.Wait()
 }
 
+// Forward implements quarantine.Peers. The node that changed a mark sends it to all members itself.
+func (p quarantinePeers) Forward([]decision.Mark) {}
+
+// Repeat implements quarantine.Peers. A node that has missed a broadcast learns the mark at the home node, when it reserves a trial.
+func (p quarantinePeers) Repeat([]decision.Mark) {}
+
 // handleQuarantine registers the handlers for quarantine messages of other nodes.
 func handleQuarantine(hub *peer.Hub, manager *quarantine.Manager) {
 	peer.Handle(hub, kindQuarantineReserve, 0, func(ctx context.Context, _ string, m decision.Mark) (decision.Standing, error) {
 		return manager.Reserve(ctx, m), nil
 	})
-	peer.Handle(hub, kindQuarantineRunEnd, 0, func(ctx context.Context, _ string, e suspectOutcome) (bool, error) {
-		return true, manager.ApplyRunEnd(ctx, e.Fingerprint, e.Completed)
+	peer.Handle(hub, kindQuarantineRelease, 0, func(ctx context.Context, _ string, f decision.Fingerprint) (bool, error) {
+		return true, manager.ApplyRelease(ctx, f)
 	})
-	peer.Handle(hub, kindQuarantineMark, 0, func(ctx context.Context, _ string, m decision.Mark) (bool, error) {
-		return true, manager.Merge(ctx, m)
+	peer.Handle(hub, kindQuarantineMarks, 0, func(ctx context.Context, _ string, marks []decision.Mark) (bool, error) {
+		return true, manager.Merge(ctx, marks)
 	})
 }
--- /dev/null
+++ b/service/quarantine/admission.go
@@ -0,0 +1,24 @@
+package quarantine
+
+import "azuredyke.dev/azuredyke/decision/quarantine"
+
+// Admission says how one attempt of a request may run.
+type Admission struct {
+	Standing quarantine.Standing
+	// marks holds the marks of the request's fingerprints at the time of the admission.
+	marks []quarantine.Mark
+	// reserved holds the fingerprints whose trial is reserved for the attempt.
+	reserved []quarantine.Fingerprint
+}
+
+// Marks returns the marks of the request's fingerprints at the time of the admission.
+func (a Admission) Marks() []quarantine.Mark { return a.marks }
+
+// fingerprints returns the fingerprints of the request.
+func (a Admission) fingerprints() []quarantine.Fingerprint {
+	fingerprints := make([]quarantine.Fingerprint, len(a.marks))
+	for i, m := range a.marks {
+		fingerprints[i] = m.Fingerprint
+	}
+	return fingerprints
+}
--- a/service/quarantine/manager.go
+++ b/service/quarantine/manager.go
@@ -1,8 +1,7 @@
 // Package quarantine prevents requests that crash endpoints from running again on any node.
 //
-// Each fingerprint has a home node, the first alive member by rendezvous hash. The home node decides whether a suspect may
-// run, so that two nodes never run one suspect at the same time. A crash is broadcast to all nodes before the caller gets
-// an answer.
+// Each fingerprint has a home node, chosen by rendezvous hash. The home node decides whether a suspect may run, so that two
+// nodes never try one fingerprint at the same time. What a node learns of a fingerprint is sent to all nodes.
 package quarantine
 
 import (
@@ -11,54 +10,87 @@
 
 	"go.uber.org/zap"
 
+	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/quarantine"
 )
 
-// mailboxCapacity is the number of messages that the mailbox holds; senders wait while it is full.
-const mailboxCapacity = 1024
+const (
+	// mailboxCapacity is the number of messages that the mailbox holds; senders wait while it is full.
+	mailboxCapacity = 1024
+	// reserveTimeout bounds the call to a home node. A node that was lost stays listed for up to a minute.
+	reserveTimeout = 200 * time.Millisecond
+	// repeatInterval is the interval at which marks are sent again, and maxRepeatedMarks the number of them. A node that was
+	// just started knows of a quarantine after one interval.
+	repeatInterval   = time.Second
+	maxRepeatedMarks = 32
+)
 
-// Manager is the task that owns this node's table of suspect and quarantined requests.
+// Manager is the task that owns this node's table of marks.
 type Manager struct {
 	log      *zap.Logger
 	peers    Peers
 	messages mailbox.Mailbox[taskMessage]
 	table    *quarantine.Table
+	// marks is the published copy of the table. Requests without a mark, almost all of them, need no message to the task.
+	marks *latest.Value[quarantine.Snapshot]
 }
 
 // NewManager returns a Manager with an empty table.
 func NewManager(log *zap.Logger, peers Peers) *Manager {
 	return &Manager{
 		log: log, peers: peers, messages: mailbox.New[taskMessage](mailboxCapacity), table: quarantine.NewTable(),
+		marks: latest.New(quarantine.Snapshot{}),
 	}
 }
 
-// Standing returns how a request may run now. A request without crashes in the table of this node is Clear, which holds for
-// almost all requests and needs no call; for other requests the home node decides. If the home node is unreachable or ctx
-// ends, the result is Busy, so that the request does not run.
-func (m *Manager) Standing(ctx context.Context, f quarantine.Fingerprint) quarantine.Standing {
-	mark, err := mailbox.Call(ctx, m.messages, func(reply chan<- quarantine.Mark) taskMessage {
-		return markMessage{fingerprint: f, reply: reply}
-	})
-	switch {
-	case err != nil:
-		return quarantine.Busy
-	case len(mark.Crashes) == 0:
-		return quarantine.Clear
+// Assess returns the standing of a request with the fingerprints, without reserving a trial.
+func (m *Manager) Assess(fingerprints []quarantine.Fingerprint) quarantine.Assessment {
+	return m.marks.Load().Assess(fingerprints)
+}
+
+// Admit returns how a request with the fingerprints may run now. After the result Suspect, ReportCrash, ReportAnswer or Release
+// must be called. If ctx ends first, the result is Busy, so that the request does not run.
+func (m *Manager) Admit(ctx context.Context, fingerprints []quarantine.Fingerprint) Admission {
+	assessment := m.Assess(fingerprints)
+	admission := Admission{Standing: assessment.Standing, marks: assessment.Marks}
+	if assessment.Standing != quarantine.Suspect {
+		return admission
+	}
+	for _, mark := range assessment.Suspects() {
+		switch standing := m.reserveAtHome(ctx, mark); standing {
+		case quarantine.Suspect:
+			admission.reserved = append(admission.reserved, mark.Fingerprint)
+		case quarantine.Busy, quarantine.Quarantined:
+			m.Release(ctx, admission)
+			admission.Standing, admission.reserved = standing, nil
+			return admission
+		}
+	}
+	if len(admission.reserved) == 0 {
+		admission.Standing = quarantine.Clear
 	}
-	if home, remote := m.peers.HomeNode(f); remote {
-		standing, err := m.peers.Reserve(ctx, home, mark)
-		if err != nil {
-			return quarantine.Busy
+	return admission
+}
+
+// reserveAtHome reserves a trial at the home node of a fingerprint, or on this node if the home node does not answer.
+func (m *Manager) reserveAtHome(ctx context.Context, mark quarantine.Mark) quarantine.Standing {
+	if home, remote := m.peers.HomeNode(mark.Fingerprint); remote {
+		callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+		defer cancel()
+		standing, err := m.peers.Reserve(callCtx, home, mark)
+		if err == nil {
+			return standing
 		}
-		return standing
+		m.log.Info("home node of a fingerprint did not answer; reserving the trial on this node",
+			zap.Uint64("fingerprint", uint64(mark.Fingerprint)), zap.String("home", home), zap.Error(err))
 	}
 	return m.Reserve(ctx, mark)
 }
 
-// Reserve returns the standing of a request as its home node. The result Suspect reserves the run of the suspect. The mark
-// of the calling node is merged first, since the table of a home node that has just started is empty. If ctx ends first,
-// the result is Busy.
+// Reserve returns the standing of a fingerprint as its home node. The result Suspect reserves its trial. The mark of the
+// calling node is merged first, since the table of a home node that has just started is empty. If ctx ends first, the result
+// is Busy.
 func (m *Manager) Reserve(ctx context.Context, mark quarantine.Mark) quarantine.Standing {
 	standing, err := mailbox.Call(ctx, m.messages, func(reply chan<- quarantine.Standing) taskMessage {
 		return reserveMessage{mark: mark, reply: reply}
@@ -69,45 +101,88 @@
 	return standing
 }
 
-// ReportCrash records a crash and returns once the other nodes have answered the broadcast of it or ctx has ended.
-func (m *Manager) ReportCrash(ctx context.Context, f quarantine.Fingerprint, id quarantine.CrashID) {
-	mark, err := mailbox.Call(ctx, m.messages, func(reply chan<- quarantine.Mark) taskMessage {
-		return crashMessage{fingerprint: f, id: id, reply: reply}
+// ReportCrash records that an endpoint crashed under an admitted attempt, and returns once the other nodes have answered the
+// broadcast of it or ctx has ended.
+func (m *Manager) ReportCrash(ctx context.Context, a Admission) {
+	m.change(ctx, "endpoint crashed under a request", func(reply chan<- []quarantine.Mark) taskMessage {
+		return crashMessage{seen: a.marks, reply: reply}
 	})
-	if err != nil {
+}
+
+// ReportAnswer records that an admitted attempt got its answer, which clears its fingerprints.
+func (m *Manager) ReportAnswer(ctx context.Context, a Admission) {
+	fingerprints := a.fingerprints()
+	if m.Assess(fingerprints).Standing == quarantine.Clear {
+		return
+	}
+	m.change(ctx, "a request got its answer; evidence discarded", func(reply chan<- []quarantine.Mark) taskMessage {
+		return answerMessage{fingerprints: fingerprints, reply: reply}
+	})
+}
+
+// change sends a message that changes the table, and broadcasts the marks that have changed.
+func (m *Manager) change(ctx context.Context, event string, build func(reply chan<- []quarantine.Mark) taskMessage) {
+	changed, err := mailbox.Call(ctx, m.messages, build)
+	if err != nil || len(changed) == 0 {
 		return
 	}
-	m.log.Warn("endpoint crashed while it ran a request", zap.Uint64("fingerprint", uint64(f)),
-		zap.String("crash", string(id)), zap.Int("crashes", len(mark.Crashes)))
-	m.peers.Broadcast(ctx, mark)
+	for _, mark := range changed {
+		m.log.Warn(event, zap.Uint64("fingerprint", uint64(mark.Fingerprint)), zap.Int("evidence", mark.Evidence),
+			zap.Uint32("term", mark.Term), zap.Stringer("standing", mark.Standing()))
+	}
+	m.peers.Broadcast(ctx, changed)
 }
 
-// ReportRunEnd records the end of a suspect's reserved run on this node and on the home node of the request.
-func (m *Manager) ReportRunEnd(ctx context.Context, f quarantine.Fingerprint, completed bool) {
-	_ = m.messages.Send(ctx, runEndMessage{fingerprint: f, completed: completed})
-	if home, remote := m.peers.HomeNode(f); remote {
-		m.peers.ReportRunEnd(ctx, home, f, completed)
+// Release ends the trials that are reserved for an attempt without an outcome.
+func (m *Manager) Release(ctx context.Context, a Admission) {
+	for _, f := range a.reserved {
+		_ = m.ApplyRelease(ctx, f)
+		if home, remote := m.peers.HomeNode(f); remote {
+			callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+			m.peers.Release(callCtx, home, f)
+			cancel()
+		}
 	}
 }
 
-// ApplyRunEnd records the end of a suspect's run that another node reports. An error means that ctx ended first.
-func (m *Manager) ApplyRunEnd(ctx context.Context, f quarantine.Fingerprint, completed bool) error {
-	return m.messages.Send(ctx, runEndMessage{fingerprint: f, completed: completed})
+// ApplyRelease ends the trial of a fingerprint on this node. An error means that ctx ended first.
+func (m *Manager) ApplyRelease(ctx context.Context, f quarantine.Fingerprint) error {
+	return m.messages.Send(ctx, releaseMessage{fingerprint: f})
+}
+
+// OfferRelease ends the trial of a fingerprint like ApplyRelease, but not if the mailbox is full. The trial then times out.
+func (m *Manager) OfferRelease(f quarantine.Fingerprint) {
+	m.messages.TrySend(releaseMessage{fingerprint: f})
 }
 
-// Merge adds a mark from another node to the table. An error means that ctx ended first.
-func (m *Manager) Merge(ctx context.Context, mark quarantine.Mark) error {
-	return m.messages.Send(ctx, mergeMessage{mark: mark})
+// Merge adds marks from another node to the table and forwards those that have changed it. An error means that ctx ended first.
+func (m *Manager) Merge(ctx context.Context, marks []quarantine.Mark) error {
+	return m.messages.Send(ctx, mergeMessage{marks: marks})
 }
 
+// Offer adds marks from another node like Merge, but drops them if the mailbox is full. They are repeated.
+func (m *Manager) Offer(marks []quarantine.Mark) { m.messages.TrySend(mergeMessage{marks: marks}) }
+
 // Run handles messages until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	repeat := time.NewTicker(repeatInterval)
+	defer repeat.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case msg := <-m.messages.Receive():
-			msg.apply(time.Now(), m.table)
+			msg.apply(time.Now(), m)
+		case now := <-repeat.C:
+			if m.table.Expire(now) {
+				m.publish(now)
+			}
+			if marks := m.table.Marks(now, maxRepeatedMarks); len(marks) > 0 {
+				m.peers.Repeat(marks)
+			}
 		}
 	}
 }
+
+// publish publishes a copy of the table after a change.
+func (m *Manager) publish(now time.Time) { m.marks.Publish(m.table.Snapshot(now)) }
--- a/service/quarantine/manager_test.go
+++ b/service/quarantine/manager_test.go
@@ -23,15 +23,19 @@
 	return p.home.Reserve(ctx, m), nil
 }
 
-func (p *linkedPeers) ReportRunEnd(ctx context.Context, _ string, f quarantine.Fingerprint, completed bool) {
-	_ = p.home.ApplyRunEnd(ctx, f, completed)
+func (p *linkedPeers) Release(ctx context.Context, _ string, f quarantine.Fingerprint) {
+	_ = p.home.ApplyRelease(ctx, f)
 }
 
-func (p *linkedPeers) Broadcast(ctx context.Context, m quarantine.Mark) {
-	_ = p.home.Merge(ctx, m)
-	_ = p.other.Merge(ctx, m)
+func (p *linkedPeers) Broadcast(ctx context.Context, marks []quarantine.Mark) {
+	_ = p.home.Merge(ctx, marks)
+	_ = p.other.Merge(ctx, marks)
 }
 
+func (p *linkedPeers) Forward([]quarantine.Mark) {}
+
+func (p *linkedPeers) Repeat([]quarantine.Mark) {}
+
 // Guards against two nodes that run one suspect at the same time, and against a node that runs a quarantined request
 // because it has not observed the crashes itself.
 func TestHomeDecidesForAllNodes(t *testing.T) {
@@ -49,13 +53,21 @@
 			ended <- struct{}{}
 		}()
 	}
-	const request = quarantine.Fingerprint(7)
-	assert.Equal(t, other.Standing(ctx, request), quarantine.Clear)
-	other.ReportCrash(ctx, request, "e1/a")
-	assert.Equal(t, other.Standing(ctx, request), quarantine.Suspect)
-	assert.Equal(t, home.Standing(ctx, request), quarantine.Busy)
-	other.ReportCrash(ctx, request, "e2/a")
-	assert.Equal(t, home.Standing(ctx, request), quarantine.Quarantined)
+	request := []quarantine.Fingerprint{7}
+	first := other.Admit(ctx, request)
+	assert.Equal(t, first.Standing, quarantine.Clear)
+	other.ReportCrash(ctx, first)
+	trial := other.Admit(ctx, request)
+	assert.Equal(t, trial.Standing, quarantine.Suspect)
+	assert.Equal(t, home.Admit(ctx, request).Standing, quarantine.Busy)
+	other.Release(ctx, trial)
+	trial = home.Admit(ctx, request)
+	assert.Equal(t, trial.Standing, quarantine.Suspect)
+	home.ReportCrash(ctx, trial)
+	// A reservation is answered after the marks that were sent before it.
+	assert.Equal(t, home.Reserve(ctx, trial.Marks()[0]), quarantine.Quarantined)
+	assert.Equal(t, other.Reserve(ctx, trial.Marks()[0]), quarantine.Quarantined)
+	assert.Equal(t, other.Admit(ctx, request).Standing, quarantine.Quarantined)
 	cancel()
 	<-ended
 	<-ended
--- a/service/quarantine/no_peers.go
+++ b/service/quarantine/no_peers.go
@@ -17,8 +17,14 @@
 	return quarantine.Busy, nil
 }
 
-// ReportRunEnd implements Peers.
-func (NoPeers) ReportRunEnd(context.Context, string, quarantine.Fingerprint, bool) {}
+// Release implements Peers.
+func (NoPeers) Release(context.Context, string, quarantine.Fingerprint) {}
 
 // Broadcast implements Peers.
-func (NoPeers) Broadcast(context.Context, quarantine.Mark) {}
+func (NoPeers) Broadcast(context.Context, []quarantine.Mark) {}
+
+// Forward implements Peers.
+func (NoPeers) Forward([]quarantine.Mark) {}
+
+// Repeat implements Peers.
+func (NoPeers) Repeat([]quarantine.Mark) {}
--- a/service/quarantine/peers.go
+++ b/service/quarantine/peers.go
@@ -12,8 +12,12 @@
 	HomeNode(f quarantine.Fingerprint) (address string, remote bool)
 	// Reserve calls Manager.Reserve on the home node.
 	Reserve(ctx context.Context, address string, m quarantine.Mark) (quarantine.Standing, error)
-	// ReportRunEnd reports the end of a reserved run to the home node.
-	ReportRunEnd(ctx context.Context, address string, f quarantine.Fingerprint, completed bool)
-	// Broadcast sends a mark to all nodes and returns once they have answered or ctx has ended.
-	Broadcast(ctx context.Context, m quarantine.Mark)
+	// Release calls Manager.Release on the home node.
+	Release(ctx context.Context, address string, f quarantine.Fingerprint)
+	// Broadcast sends marks that have changed on this node to all nodes, and returns once they have answered or ctx has ended.
+	Broadcast(ctx context.Context, marks []quarantine.Mark)
+	// Forward passes on marks that another node has sent and that have changed the table of this node. It must not block.
+	Forward(marks []quarantine.Mark)
+	// Repeat sends the marks with the most evidence again, for nodes that have missed them. It must not block.
+	Repeat(marks []quarantine.Mark)
 }
--- /dev/null
+++ b/test/edge/crash_test.go
@@ -0,0 +1,67 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/fake/workers"
+	"azuredyke.dev/azuredyke/test/harness"
+)
+
+// startCrashSite starts a site with two nodes and endpoints that the given requests crash.
+func startCrashSite(t *testing.T, endpoints int, engine bool, crashes func(*http.Request) bool) *harness.EdgeSite {
+	t.Helper()
+	s := harness.NewEdgeSite(t, 2)
+	for i := range endpoints {
+		s.AddWorkerWith(fmt.Sprintf("endpoint-%d", i+1), engine, func(w *workers.Worker) { w.Crashes = crashes })
+	}
+	s.Start()
+	for _, n := range s.Nodes {
+		s.Eventually("the node knows the other one", func() bool { return strings.Contains(n.Log(), `"others":1`) })
+	}
+	return s
+}
+
+// awaitMark waits until all nodes have a mark with the given evidence.
+func awaitMark(s *harness.EdgeSite, evidence int) {
+	for _, n := range s.Nodes {
+		s.Eventually("the node knows of the crash", func() bool { return strings.Contains(n.Log(), fmt.Sprintf(`"evidence":%d,`, evidence)) })
+	}
+}
+
+// Guards against a request that its caller sends again and again, at one node and at others, and that crashes an endpoint each time.
+func TestRepeatedRequestCrashesAtMostTwoEndpoints(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path string
+		engine       bool
+	}{
+		"unrepeatable": {http.MethodPost, "/booking/deadly", false},
+		"repeatable":   {http.MethodGet, "/lookup/deadly", false},
+		"stream":       {http.MethodPost, "/note/deadly", true},
+		"resumable":    {http.MethodPost, "/reply/deadly", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startCrashSite(t, 5, c.engine, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/deadly") })
+			for i := range 6 {
+				id := fmt.Sprintf("deadly-%d", i)
+				resp, _, err := send(t, s.Request(s.Nodes[i%2], c.method, c.path, id))
+				assert.NilError(t, err)
+				if ran := len(s.Fleet.Runs(t.Context(), id)) > 0; ran {
+					assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+				} else {
+					assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+					assert.Assert(t, resp.Header.Get("Retry-After") != "")
+				}
+				awaitMark(s, map[bool]int{true: 1, false: 3}[i == 0])
+			}
+			assert.Equal(t, len(s.Fleet.History(t.Context()).Runs), 2)
+			resp, _, err := send(t, s.Request(s.Nodes[1], c.method, c.path+"-not", "sound"))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+		})
+	}
+}
--- a/test/harness/edge_site.go
+++ b/test/harness/edge_site.go
@@ -164,6 +164,7 @@
 // AddWorkerWith applies change to a new worker, starts it and writes its entry to the store.
 func (s *EdgeSite) AddWorkerWith(id string, engine bool, change func(*workers.Worker)) *workers.Worker {
 	w := &workers.Worker{Fleet: s.Fleet, ID: id, Engine: engine, Events: 60, Interval: 20 * time.Millisecond}
+	w.Crash = func() { s.KillWorker(id) }
 	change(w)
 	h := newLocalServer(s.t, w, nil)
 	link := newLink(s.t, "worker "+id, h.address)
