Quarantine parts of prompts that crash engines

Cause: nothing identified the part. The quarantine knew whole requests only, and no two of these are alike.

Change: each part of a prompt except the last has a fingerprint in the quarantine, beside that of the whole request. A crash makes all of them suspects. The sound ones are cleared by the next answer to any request with them.

--- a/common/exchange/request.go
+++ b/common/exchange/request.go
@@ -25,6 +25,8 @@
 	MaxTokens    int
 	// LengthHint is the caller's estimate of the number of output tokens; 0 means no estimate.
 	LengthHint int
+	// SharedParts holds the ids of the parts of the prompt that other requests may contain too, in the order of the prompt.
+	SharedParts []string
 	// LastEvent is the id of the last event that the caller received from a stream that it resumes.
 	LastEvent string
 }
--- a/decision/quarantine/assessment.go
+++ b/decision/quarantine/assessment.go
@@ -8,6 +8,10 @@
 	Marks []Mark
 }
 
+// IsAmbiguous reports whether a crash under the request could have more than one of the suspects as its cause. Such a request
+// makes a poor trial: other requests may clear the sound ones among its fingerprints first.
+func (a Assessment) IsAmbiguous() bool { return a.Standing == Suspect && len(a.Suspects()) > 1 }
+
 // Suspects returns the fingerprints that make the request a suspect.
 func (a Assessment) Suspects() []Mark {
 	var suspects []Mark
--- a/decision/quarantine/fingerprint.go
+++ b/decision/quarantine/fingerprint.go
@@ -11,6 +11,11 @@
 	return fingerprintOf(body, "request", workspace, path)
 }
 
+// PartFingerprint returns the fingerprint of a part of a prompt that other requests to the service may contain too.
+func PartFingerprint(service, part string) Fingerprint {
+	return fingerprintOf(nil, "part", service, part)
+}
+
 func fingerprintOf(data []byte, names ...string) Fingerprint {
 	h := xxh3.New()
 	for _, name := range names {
--- a/decision/quarantine/table_test.go
+++ b/decision/quarantine/table_test.go
@@ -93,6 +93,8 @@
 	now := time.Unix(0, 0)
 	table := NewTable()
 	table.Crashed(now, send(t, table, now, 1, 2))
+	assert.Assert(t, table.Snapshot(now).Assess([]Fingerprint{1, 2, 3}).IsAmbiguous())
+	assert.Assert(t, !table.Snapshot(now).Assess([]Fingerprint{1, 3}).IsAmbiguous())
 	table.Crashed(now, send(t, table, now, 1, 2))
 	assert.Equal(t, standing(table, now, 1), Suspect)
 	table.Completed(now, []Fingerprint{2})
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -77,14 +77,23 @@
 		// The context of the request has ended if the caller closed the connection.
 		ask(context.Background(), w.Fleet, func(*state) bool { run.Ended, run.EndedAt = true, time.Now(); return true })
 	}()
+	out.Header().Set(signatureHeader, "signed-by-"+w.ID)
 	if w.Crashes != nil && w.Crashes(in) {
-		w.Crash()
-		panic(http.ErrAbortHandler)
+		w.crashUnder(out)
 	}
-	out.Header().Set(signatureHeader, "signed-by-"+w.ID)
 	w.answer(out, in, behaviour, run)
 }
 
+// crashUnder ends the worker's process under a request. An engine has sent the header of the answer by then. It does not return.
+func (w *Worker) crashUnder(out http.ResponseWriter) {
+	if w.Engine {
+		out.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(out).Flush()
+	}
+	w.Crash()
+	panic(http.ErrAbortHandler)
+}
+
 // service returns the service that the worker belongs to.
 func (w *Worker) service() string {
 	if w.Engine {
--- a/service/edge/quarantine.go
+++ b/service/edge/quarantine.go
@@ -32,6 +32,9 @@
 		workspace = s.workspace.Name
 	}
 	s.fingerprints = []decision.Fingerprint{decision.RequestFingerprint(workspace, s.request.URL.RequestURI(), s.request.Body)}
+	for _, part := range s.request.SharedParts {
+		s.fingerprints = append(s.fingerprints, decision.PartFingerprint(s.service, part))
+	}
 }
 
 // admitToEndpoints waits until the request may be sent as far as the quarantine is concerned. It returns an error if it may not.
@@ -39,16 +42,18 @@
 	s.releaseTrial()
 	until := s.request.Received.Add(s.route.FirstByteObjective / trialWaitDivisor)
 	for {
-		s.admission = s.server.quarantine.Admit(ctx, s.fingerprints)
-		switch s.admission.Standing {
-		case decision.Clear:
-			return nil
-		case decision.Suspect:
-			s.log(zap.InfoLevel, "request runs as a trial", zap.Any("marks", s.admission.Marks()))
-			return nil
-		case decision.Quarantined:
-			s.server.metrics.quarantined.Inc(1)
-			return s.quarantineError()
+		if time.Now().After(until) || !s.server.quarantine.Assess(s.fingerprints).IsAmbiguous() {
+			s.admission = s.server.quarantine.Admit(ctx, s.fingerprints)
+			switch s.admission.Standing {
+			case decision.Clear:
+				return nil
+			case decision.Suspect:
+				s.log(zap.InfoLevel, "request runs as a trial", zap.Any("marks", s.admission.Marks()))
+				return nil
+			case decision.Quarantined:
+				s.server.metrics.quarantined.Inc(1)
+				return s.quarantineError()
+			}
 		}
 		if !time.Now().Before(until) || !pause.Sleep(ctx, trialPollInterval) {
 			return verdict.New(verdict.NotRun, verdict.ReasonQuarantined,
