--- a/decision/quarantine/mark.go
+++ b/decision/quarantine/mark.go
@@ -11,6 +11,8 @@
 	Term uint32
 	// Evidence is between 0, if nothing speaks against the fingerprint, and quarantineEvidence.
 	Evidence int
+	// Round counts the quarantines that a trial has followed since the fingerprint was last cleared.
+	Round uint8
 	// Remaining is the time for which the mark stays valid. It is a duration, so that the clocks of two nodes are never
 	// compared.
 	Remaining time.Duration
--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,8 +15,12 @@
 	soleSuspectEvidence = 2
 	// suspectDuration is the time for which a fingerprint stays suspect after a crash.
 	suspectDuration = 10 * time.Minute
-	// quarantineDuration is the time for which requests with a fingerprint are refused before the next trial.
-	quarantineDuration = time.Hour
+	// maxQuarantine is the time for which a fingerprint stays in quarantine before the next trial. The first quarantine of a
+	// shared fingerprint is shorter, since a wrong one would refuse many sound requests. Each further one is
+	// quarantineGrowth times as long, since each trial may cost an endpoint.
+	maxQuarantine         = time.Hour
+	firstSharedQuarantine = 2 * time.Minute
+	quarantineGrowth      = 6
 	// trialTimeout is the time after which a trial without an outcome no longer keeps others waiting. The node that runs it
 	// may have failed.
 	trialTimeout = 10 * time.Second
@@ -75,7 +80,7 @@
 			gain = soleSuspectEvidence
 		}
 		m.Evidence += gain
-		m.Remaining = quarantineDuration
+		m.Remaining = maxQuarantine
 		if t.Merge(now, m) {
 			changed = append(changed, t.entries[m.Fingerprint].mark(now, m.Fingerprint))
 		}
@@ -89,7 +94,7 @@
 	var changed []Mark
 	for _, f := range fingerprints {
 		if e := t.lookup(now, f); e != nil && e.evidence > 0 {
-			e.set(now, e.term+1, 0, suspectDuration)
+			e.set(now, Mark{Fingerprint: f, Term: e.term + 1, Remaining: suspectDuration})
 			changed = append(changed, e.mark(now, f))
 		}
 	}
@@ -109,7 +114,7 @@
 	if e == nil {
 		e = t.insert(m.Fingerprint)
 	}
-	e.set(now, m.Term, m.Evidence, m.Remaining)
+	e.set(now, m)
 	return true
 }
 
@@ -157,10 +162,23 @@
 		delete(t.entries, f)
 		return nil
 	}
-	e.set(now, e.term+1, 1, suspectDuration)
+	round := uint8(min(math.MaxUint8, int(e.round)+1))
+	e.set(now, Mark{Fingerprint: f, Term: e.term + 1, Evidence: 1, Round: round, Remaining: suspectDuration})
 	return e
 }
 
+// quarantineDuration returns the length of the quarantine of a fingerprint after round earlier ones.
+func quarantineDuration(f Fingerprint, round uint8) time.Duration {
+	d := maxQuarantine
+	if f.IsShared() {
+		d = firstSharedQuarantine
+	}
+	for range round {
+		d = min(maxQuarantine, d*quarantineGrowth)
+	}
+	return d
+}
+
 func (t *Table) insert(f Fingerprint) *entry {
 	if len(t.entries) >= maxEntries {
 		t.evictEarliestExpiry()
--- a/decision/quarantine/table_test.go
+++ b/decision/quarantine/table_test.go
@@ -33,22 +33,27 @@
 
 // Guards against a quarantine that never ends, and against one that ends without a trial and costs several endpoints again.
 func TestQuarantineEndsWithATrial(t *testing.T) {
-	now := time.Unix(0, 0)
-	table := NewTable()
-	table.Crashed(now, send(t, table, now, 1))
-	table.Crashed(now, send(t, table, now, 1))
-	now = now.Add(quarantineDuration)
-	assert.Assert(t, table.Expire(now))
-	assert.Equal(t, table.Reserve(now, 1), Suspect)
-	assert.Equal(t, table.Reserve(now, 1), Busy)
-	table.Crashed(now, send(t, table, now, 1))
-	assert.Equal(t, standing(table, now, 1), Quarantined)
-	now = now.Add(quarantineDuration)
-	assert.Assert(t, table.Expire(now))
-	table.Completed(now, []Fingerprint{1})
-	assert.Equal(t, standing(table, now, 1), Clear)
-	assert.Assert(t, table.Expire(now.Add(suspectDuration)))
-	assert.Equal(t, len(table.Snapshot(now)), 0)
+	for f, lengths := range map[Fingerprint][]time.Duration{
+		RequestFingerprint("w", "/p", nil): {time.Hour, time.Hour, time.Hour},
+		PartFingerprint("s", "p"):          {2 * time.Minute, 12 * time.Minute, time.Hour, time.Hour},
+	} {
+		now := time.Unix(0, 0)
+		table := NewTable()
+		table.Crashed(now, send(t, table, now, f))
+		for _, length := range lengths {
+			table.Crashed(now, send(t, table, now, f))
+			assert.Equal(t, standing(table, now, f), Quarantined)
+			assert.Assert(t, !table.Expire(now.Add(length-1)))
+			now = now.Add(length)
+			assert.Assert(t, table.Expire(now))
+			assert.Equal(t, table.Reserve(now, f), Suspect)
+			assert.Equal(t, table.Reserve(now, f), Busy)
+		}
+		table.Completed(now, []Fingerprint{f})
+		assert.Equal(t, standing(table, now, f), Clear)
+		assert.Assert(t, table.Expire(now.Add(suspectDuration)))
+		assert.Equal(t, len(table.Snapshot(now)), 0)
+	}
 }
 
 // Guards against refusing requests that only shared an endpoint with a request that crashed it.
@@ -147,5 +152,5 @@
 	assert.Assert(t, !table.Merge(now, Mark{Fingerprint: maxEntries + 100, Evidence: -1, Remaining: time.Hour}))
 	assert.Assert(t, !table.Merge(now, Mark{Fingerprint: maxEntries + 100, Evidence: 1, Remaining: -1}))
 	assert.Assert(t, table.Merge(now, Mark{Fingerprint: maxEntries + 100, Term: 1, Evidence: 1 << 30, Remaining: 1 << 62}))
-	assert.Equal(t, standing(table, now.Add(quarantineDuration-1), maxEntries+100), Quarantined)
+	assert.Equal(t, standing(table, now.Add(maxQuarantine-1), maxEntries+100), Quarantined)
 }
