--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -152,3 +152,29 @@
 	s.Eventually("the change arrives through the other node", func() bool { return lookupStatus(t, s, stalled, "r1") == http.StatusUnauthorized })
 	assert.Assert(t, !strings.Contains(stalled.Log(), "store lost"), "the change arrived only after the call to the store had timed out")
 }
+
+// Guards against a node that ends or stops following the store because another writer has left an odd entry among the endpoints.
+func TestOddEntriesDoNotStopTheNode(t *testing.T) {
+	s, n := startPlainSite(t)
+	for i, value := range []string{
+		`{"service":"desk","address":"127.0.0.1:99999","zone":"zone-1","slots":8,"state":"ready","coldLeftMs":0}`,
+		`{"service":"desk","address":"127.0.0.1:1","zone":"zone-1","slots":9223372036854775807,"state":"ready","coldLeftMs":1e300}`,
+		`{"service":"desk","address":"127.0.0.1:1","zone":"zone-1","slots":1e400,"state":"ready","coldLeftMs":0}`,
+		`{"service":"desk","x":` + strings.Repeat(`{"x":`, 100_000) + "1" + strings.Repeat("}", 100_001),
+		strings.Repeat("[", 700_000),
+		"\xff\xfe\x00",
+	} {
+		s.PutRaw(fmt.Sprintf("servers/odd-%d", i), []byte(value))
+	}
+	s.AddWorker("desk-2", false)
+	s.RemoveWorkerEntry("desk-1")
+	for i := range 6 {
+		s.Eventually("requests run on the endpoint that was added last", func() bool {
+			resp, body, err := send(t, s.Request(n, http.MethodGet, fmt.Sprintf("/lookup/%d", i), fmt.Sprintf("r%d", i)))
+			assert.NilError(t, err)
+			return resp.StatusCode == http.StatusOK && strings.HasSuffix(body, "by desk-2")
+		})
+	}
+	assert.Equal(t, strings.Count(n.Log(), `"msg":"node: node started"`), 1)
+	assert.Equal(t, strings.Count(n.Log(), `"msg":"config: entry not usable"`), 6)
+}
