Do not treat a stream without an event as complete

Report of other operators: a stream begins and breaks off, and callers find an error's text in it or take it as complete.

Ways looked for: the answer of the next endpoint after a break is forwarded without a look at its status (no: resume and sendContinuation require a 2xx; TestErrorOfTheNextEndpointStaysOutOfTheStream fails without that check); an event that is cut short (no: TestTruncatedEventIsNotReturned); an answer with neither length nor chunks whose endpoint crashes before the first event (yes). Such a stream ended with its connection, and the caller got a complete empty answer.

A stream that ends before its first event now counts as broken, unless the caller resumes one. TestStreamWithoutEventsIsNotComplete fails before (the caller got no error).

--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -132,7 +132,8 @@
 	switch behaviour {
 	case Fail:
 		out.WriteHeader(http.StatusInternalServerError)
-		_, _ = fmt.Fprint(out, "failed")
+		// The blank line makes the text an event for a reader that takes it as part of a stream.
+		_, _ = fmt.Fprint(out, "failed\n\n")
 	case Reset:
 		panic(http.ErrAbortHandler)
 	case Truncate:
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -16,6 +17,10 @@
 // 400 ms.
 const moveOverlap = 300 * time.Millisecond
 
+// errNoEvents is the cause of a stream that ended before its first event. Every answer has at least one, and the end of an answer
+// without a length or chunks does not show whether the endpoint has crashed.
+var errNoEvents = errors.New("the stream ended without an event")
+
 // streamRelay forwards the events of one streamed answer, from each endpoint on which the request runs in turn.
 type streamRelay struct {
 	*session
@@ -84,6 +89,9 @@
 			r.handleCopyDone(copied)
 		case item := <-r.reader.items:
 			r.reader.release(item)
+			if item.err == io.EOF && r.eventCount == 0 && r.request.LastEvent == "" {
+				item.err = errNoEvents
+			}
 			switch {
 			case item.err == io.EOF:
 				r.up.end(dispatch.Succeeded)
--- a/service/edge/stream_relay_test.go
+++ b/service/edge/stream_relay_test.go
@@ -10,6 +10,7 @@
 
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/verdict"
 )
 
 // slowStream returns an event after each pause and ends after its last event.
@@ -53,3 +54,14 @@
 		})
 	}
 }
+
+// Guards against a stream without any event that reaches the caller as complete. An endpoint that crashes may end an answer
+// that has neither a length nor chunks like that.
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := catalog.Route{Streaming: true, FirstByteObjective: time.Second, MaxAttempts: 1}
+		caller := serveRequest(t, route, &failingSender{}, &slowStream{})
+		assert.Assert(t, caller.refusal != nil)
+		assert.Equal(t, caller.refusal.Verdict, verdict.MayHaveRun)
+	})
+}
--- a/test/edge/stream_test.go
+++ b/test/edge/stream_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -124,3 +127,31 @@
 	assertComplete(t, ids, 400)
 	assert.Equal(t, len(s.Fleet.Runs(t.Context(), "r1")), 2)
 }
+
+// Guards against the error of the next endpoint, or its header, in the middle of a stream, and against a stream that looks
+// complete after that error.
+func TestErrorOfTheNextEndpointStaysOutOfTheStream(t *testing.T) {
+	for name, behaviour := range map[string]workers.Behaviour{
+		"failed": workers.Fail, "truncated": workers.Truncate, "refused": workers.Refuse, "crossed": workers.WrongRequestID,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := startEngineSite(t)
+			resp, err := http.DefaultTransport.RoundTrip(s.Request(s.Nodes[0], http.MethodPost, "/reply/1", "r1"))
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			first := currentWorker(t, s, "r1")
+			for _, id := range []string{"engine-1", "engine-2"} {
+				if id != first {
+					s.Fleet.SetBehaviour(t.Context(), id, behaviour)
+				}
+			}
+			s.KillWorker(first)
+			body, err := io.ReadAll(resp.Body)
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			assert.Assert(t, s.Fleet.Arrivals(t.Context(), "r1") > 1)
+			for i, event := range strings.SplitAfter(string(body), "\n\n") {
+				assert.Assert(t, event == "" || strings.HasPrefix(event, fmt.Sprintf("id: %d\ndata: 1 of r1\n\n", i+1)), "%q", event)
+			}
+		})
+	}
+}
