Heed endpoints that say that they leave or want no requests for a time

A shorter pause does not end an earlier one, since answers on different connections overtake each other. Retry-After may be seconds with fractions, a date or several values; nonsense counts as none; a pause is bounded to 10 minutes. If all endpoints pause for longer than the request may wait, it is refused at once with the rest of the pause, spread by up to a quarter.

An answer of another process (421) says nothing.

--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -48,8 +48,8 @@
 	// others is the others' load on the endpoint.
 	others Load
 
-	// reportedLeaving is set once the endpoint itself has announced that it is leaving.
-	reportedLeaving bool
+	// said is what the endpoint has said about itself.
+	said            *statement
 	avoidUntil      time.Time
 	connectFailures int
 	failureShare    float64
@@ -69,10 +69,13 @@
 	if engine := e.service.Engine; engine != nil {
 		c.Limit, c.Capacity = max(1, engine.Slots), float64(engine.Capacity)
 	}
-	c.Admits = !e.Leaving && !e.reportedLeaving && !e.dataCentreOut && !now.Before(e.avoidUntil) && inFlight < c.Limit
+	c.Admits = !e.isLeaving() && !e.dataCentreOut && !now.Before(e.avoidUntil) && !now.Before(e.said.pausedUntil) && inFlight < c.Limit
 	return c.Admits
 }
 
+// isLeaving reports whether the endpoint is leaving, by its entry or by what it said itself.
+func (e *endpoint) isLeaving() bool { return e.Leaving || e.said.leaving }
+
 // isCold reports whether the endpoint may still be in its cold start.
 func (e *endpoint) isCold(now time.Time) bool {
 	return e.service.ColdRate > 0 && now.Before(e.coldUntil)
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -68,12 +68,16 @@
 		return nil, AllEndpointsFull
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
-	usable, admitted := 0, 0
+	usable, paused, admitted := 0, 0, 0
 	for _, e := range t.services[r.Service] {
-		if r.RequiredEndpoint != "" && e.ID != r.RequiredEndpoint || e.Leaving || e.dataCentreOut || slices.Contains(r.Exclude, e.ID) {
+		if r.RequiredEndpoint != "" && e.ID != r.RequiredEndpoint || e.isLeaving() || e.dataCentreOut || slices.Contains(r.Exclude, e.ID) {
 			continue
 		}
 		usable++
+		if now.Before(e.said.pausedUntil) {
+			paused++
+			continue
+		}
 		if !e.refreshCandidate(now, t.params.DataCentre) {
 			continue
 		}
@@ -104,6 +108,8 @@
 	switch {
 	case usable == 0:
 		return nil, NoEndpoint
+	case paused == usable:
+		return nil, AllEndpointsPaused
 	case admitted > 0 && len(t.eligible) == 0:
 		return nil, AllEndpointsCold
 	default:
--- a/decision/dispatch/refusal.go
+++ b/decision/dispatch/refusal.go
@@ -8,5 +8,7 @@
 	NoEndpoint       Refusal = "no_endpoint"
 	AllEndpointsCold Refusal = "all_endpoints_at_cold_limit"
 	AllEndpointsFull Refusal = "all_endpoints_full"
-	RetryBudget      Refusal = "retry_budget_spent"
+	// AllEndpointsPaused means that all endpoints have asked for no requests for some time.
+	AllEndpointsPaused Refusal = "all_endpoints_paused"
+	RetryBudget        Refusal = "retry_budget_spent"
 )
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/placement"
 	"azuredyke.dev/azuredyke/decision/retry"
@@ -24,6 +25,7 @@
 	nodes       int
 	endpoints   map[string]*endpoint
 	services    map[string][]*endpoint
+	statements  statements
 	runs        map[uint64]*run
 	budgets     map[string]*retry.WindowBudget
 	// others is the others' load by endpoint. It also holds endpoints that no snapshot has listed yet.
@@ -45,7 +47,7 @@
 func NewTable(nodeStarted time.Time, params Params, random *rand.Rand) *Table {
 	return &Table{
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
-		runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
+		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
@@ -80,7 +82,7 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{others: t.others[listed.ID]}
+				e = &endpoint{others: t.others[listed.ID], said: t.statements.of(now, &listed.Endpoint)}
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -149,18 +151,36 @@
 func (t *Table) BusyEngines() []fleet.Endpoint {
 	var busy []fleet.Endpoint
 	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
-		if e := t.endpoints[id]; e.service.Engine != nil && e.own.InFlight > 0 && !e.Leaving && !e.reportedLeaving {
+		if e := t.endpoints[id]; e.service.Engine != nil && e.own.InFlight > 0 && !e.isLeaving() {
 			busy = append(busy, e.Endpoint)
 		}
 	}
 	return busy
 }
 
-// MarkLeaving records that an endpoint itself has announced that it is leaving, which its entry may not show yet.
-func (t *Table) MarkLeaving(id string) {
-	if e := t.endpoints[id]; e != nil {
-		e.reportedLeaving = true
+// RecordLeaving records that an endpoint itself has said that it is leaving, which its entry may not show yet. It reports whether
+// that is new.
+func (t *Table) RecordLeaving(now time.Time, e *catalog.Endpoint) bool {
+	said := t.statements.of(now, e)
+	isNew := !said.leaving
+	said.leaving = true
+	return isNew
+}
+
+// RecordPause records that an endpoint wants no requests from this node for some time.
+func (t *Table) RecordPause(now time.Time, e *catalog.Endpoint, d time.Duration) {
+	t.statements.of(now, e).pause(now, d)
+}
+
+// PauseLeft returns the time until the first of the usable endpoints of a service accepts requests again.
+func (t *Table) PauseLeft(now time.Time, service string) time.Duration {
+	var first time.Time
+	for _, e := range t.services[service] {
+		if !e.isLeaving() && !e.dataCentreOut && (first.IsZero() || e.said.pausedUntil.Before(first)) {
+			first = e.said.pausedUntil
+		}
 	}
+	return max(0, first.Sub(now))
 }
 
 // RecordRequest counts a new request of a service, on which its retry budget depends.
--- a/fake/workers/fleet.go
+++ b/fake/workers/fleet.go
@@ -61,7 +61,7 @@
 	ask(ctx, f, func(s *state) bool { s.behaviours[worker] = b; return true })
 }
 
-// Leave makes a worker report the state "draining".
+// Leave makes a worker report the state "draining" and say in all its answers that it is leaving.
 func (f *Fleet) Leave(ctx context.Context, worker string) {
 	ask(ctx, f, func(s *state) bool { s.leaving[worker] = true; return true })
 }
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -26,6 +26,8 @@
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
+	// RetryAfter is the header Retry-After of refusals; none if it is empty.
+	RetryAfter string
 	// Crashes reports whether a request crashes the worker that begins to run it; nil if none does. Crash ends the worker's process.
 	Crashes func(*http.Request) bool
 	Crash   func()
@@ -46,6 +48,9 @@
 	}
 	request := in.Header.Get("X-Request-Id")
 	out.Header().Set("X-Request-Id", request)
+	if ask(in.Context(), w.Fleet, func(s *state) bool { return s.leaving[w.ID] }) {
+		out.Header().Set("Server-Leaving", "1")
+	}
 	if want := in.Header.Get("X-Expected-Instance"); want != "" && want != w.ID {
 		out.Header().Set("X-Instance-Id", w.ID)
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -105,6 +110,9 @@
 // refuse answers that a request was not run.
 func (w *Worker) refuse(out http.ResponseWriter) {
 	out.Header().Set("X-Not-Executed", "1")
+	if w.RetryAfter != "" {
+		out.Header().Set("Retry-After", w.RetryAfter)
+	}
 	out.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -102,7 +102,12 @@
 func (d *dispatcher) tryPlace(now time.Time, m placeMessage) bool {
 	m.request.RequireMemoryFit = now.Before(m.waitUntil)
 	placement, refusal := d.table.Place(now, m.request)
-	if refusal != "" && refusal != dispatch.RetryBudget && now.Before(m.waitUntil) {
+	var retryAfter time.Duration
+	if refusal == dispatch.AllEndpointsPaused {
+		retryAfter = d.table.PauseLeft(now, m.request.Service)
+	}
+	// A request does not wait for a pause that outlasts its wait.
+	if refusal != "" && refusal != dispatch.RetryBudget && now.Add(retryAfter).Before(m.waitUntil) {
 		return false
 	}
 	if refusal == "" && m.leaving != nil {
@@ -110,7 +115,7 @@
 			service: m.request.Service, endpoint: placement.Endpoint.ID, backup: placement.Backup.ID, copyPending: m.request.CopyPending, notify: m.leaving,
 		}
 	}
-	m.reply <- placeReply{placement: placement, refusal: refusal}
+	m.reply <- placeReply{placement: placement, refusal: refusal, retryAfter: retryAfter}
 	return true
 }
 
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
 // placer is the sessions' client of the dispatcher task.
@@ -15,18 +17,18 @@
 
 // place requests an endpoint and waits for the reply until ctx ends. If ctx ends first, an endpoint that is granted later
 // is released.
-func (p placer) place(ctx context.Context, m placeMessage) (dispatch.Placement, dispatch.Refusal, error) {
+func (p placer) place(ctx context.Context, m placeMessage) (placeReply, error) {
 	reply := make(chan placeReply, 1)
 	m.reply, m.callerGone = reply, ctx.Done()
 	if err := p.messages.Send(ctx, m); err != nil {
-		return dispatch.Placement{}, "", err
+		return placeReply{}, err
 	}
 	select {
 	case r := <-reply:
-		return r.placement, r.refusal, nil
+		return r, nil
 	case <-ctx.Done():
 		go p.releaseAbandoned(reply, m.waitUntil)
-		return dispatch.Placement{}, "", ctx.Err()
+		return placeReply{}, ctx.Err()
 	}
 }
 
@@ -56,6 +58,11 @@
 	_ = p.messages.Send(context.Background(), firstEventMessage{run: run})
 }
 
+// reportStatement reports what an endpoint says about itself.
+func (p placer) reportStatement(e fleet.Endpoint, said exchange.Statement) {
+	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, said: said})
+}
+
 // release ends a run.
 func (p placer) release(run uint64, o dispatch.Outcome) {
 	_ = p.messages.Send(context.Background(), releaseMessage{run: run, outcome: o})
--- a/service/edge/prober.go
+++ b/service/edge/prober.go
@@ -11,6 +11,7 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
 const (
@@ -47,7 +48,7 @@
 
 // probeAll probes all busy engines concurrently and waits for the results.
 func (p *prober) probeAll(ctx context.Context) {
-	engines, err := mailbox.Call(ctx, p.dispatcher, func(reply chan<- []busyEngine) dispatcherMessage {
+	engines, err := mailbox.Call(ctx, p.dispatcher, func(reply chan<- []fleet.Endpoint) dispatcherMessage {
 		return busyEnginesMessage{reply: reply}
 	})
 	if err != nil {
@@ -67,14 +68,13 @@
 	}
 }
 
-func (p *prober) probeEngine(ctx context.Context, e busyEngine) {
-	report, err := p.reporter.Report(ctx, e.address)
+func (p *prober) probeEngine(ctx context.Context, e fleet.Endpoint) {
+	report, err := p.reporter.Report(ctx, e.Address)
 	if err != nil {
-		p.log.Info("engine probe failed", zap.String("endpoint", e.id), logging.Cause(err))
+		p.log.Info("engine probe failed", zap.String("endpoint", e.ID), logging.Cause(err))
 		return
 	}
 	if report.Leaving {
-		p.log.Info("engine reported that it is leaving", zap.String("endpoint", e.id))
-		_ = p.dispatcher.Send(ctx, engineLeavingMessage{id: e.id})
+		_ = p.dispatcher.Send(ctx, endpointStatementMessage{endpoint: e, said: exchange.Statement{Leaving: true}})
 	}
 }
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,9 @@
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
+// spreadDivisor divides a Retry-After time: callers are told to return up to a quarter later.
+const spreadDivisor = 4
+
 // send places the request and sends it to one endpoint. The returned upstream must be ended.
 func (s *session) send(ctx context.Context, o sendOptions) (*upstream, error) {
 	if !o.continues() {
@@ -94,16 +98,17 @@
 	if m.waitUntil.After(s.deadline) {
 		m.waitUntil = s.deadline
 	}
-	placement, refusal, err := s.server.placer.place(ctx, m)
+	reply, err := s.server.placer.place(ctx, m)
 	switch {
 	case err != nil:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "waiting for an endpoint: %w", err)
-	case refusal == dispatch.NoEndpoint:
+	case reply.refusal == dispatch.NoEndpoint:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "service %s has no endpoint", s.service)
-	case refusal != "":
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "service %s: %s", s.service, refusal)
+	case reply.refusal != "":
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "service %s: %s", s.service, reply.refusal).
+			WithRetryAfter(spread(reply.retryAfter))
 	}
-	return &upstream{placement: placement, leaving: leaving, cancel: func() {}, placer: s.server.placer}, nil
+	return &upstream{placement: reply.placement, leaving: leaving, cancel: func() {}, placer: s.server.placer}, nil
 }
 
 // newAttempt returns the attempt at the placed endpoint.
@@ -115,10 +120,16 @@
 	if s.workspace != nil {
 		a.Workspace = s.workspace.Name
 	}
+	a.Heard = func(said exchange.Statement) { s.server.placer.reportStatement(placement.Endpoint, said) }
 	a.CopyAddress, a.CopyHandle = o.copyAddress, o.copyHandle
 	return a
 }
 
+// spread returns a time up to a quarter longer than d, so that callers that were refused together do not return together.
+func spread(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(d)/spreadDivisor+1))
+}
+
 // outcomeOf returns the outcome that is recorded for an endpoint after an attempt without an answer.
 func outcomeOf(v *verdict.Error) dispatch.Outcome {
 	switch v.Reason {
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -55,6 +55,9 @@
 func (r *streamRelay) handleCopyDone(result exchange.MoveResult) {
 	m := &r.migration
 	m.copying = false
+	if result.Statement != (exchange.Statement{}) {
+		r.server.placer.reportStatement(r.up.placement.Endpoint, result.Statement)
+	}
 	m.target.reportFirstEvent()
 	done := result.Outcome == exchange.MoveDone
 	r.log(zap.InfoLevel, "memory copy ended", zap.String("endpoint", r.up.placement.Endpoint.ID), zap.String("to", m.target.placement.Endpoint.ID),
