Let the published marks of the quarantine age

A refused caller was told to come back after the whole quarantine even if most of it had passed, because the published copy of the table kept the remaining times of its last change. A broken continuation whose outcome was reported before no longer counts as a crash in the log and in the counter.

--- /dev/null
+++ b/decision/dispatch/statement.go
@@ -0,0 +1,21 @@
+package dispatch
+
+import "time"
+
+// maxPause bounds the time for which an endpoint gets no requests because it asked for that.
+const maxPause = 10 * time.Minute
+
+// statement is what one incarnation of an endpoint has said about itself. Nothing that is read elsewhere takes it back.
+type statement struct {
+	leaving     bool
+	pausedUntil time.Time
+	heardAt     time.Time
+}
+
+// pause extends the time for which the endpoint gets no requests. A shorter pause does not end an earlier one, because answers on
+// different connections overtake each other.
+func (s *statement) pause(now time.Time, d time.Duration) {
+	if until := now.Add(min(d, maxPause)); d > 0 && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
--- a/decision/dispatch/statements.go
+++ b/decision/dispatch/statements.go
@@ -6,25 +6,8 @@
 	"azuredyke.dev/azuredyke/common/catalog"
 )
 
-const (
-	// maxPause bounds the time for which an endpoint gets no requests because it asked for that.
-	maxPause = 10 * time.Minute
-	// maxStatements bounds the incarnations whose statements are kept.
-	maxStatements = 4096
-)
-
-// incarnation identifies one incarnation of an endpoint.
-type incarnation struct {
-	id, address, service string
-	born                 int64
-}
-
-// statement is what one incarnation of an endpoint has said about itself. Nothing that is read elsewhere takes it back.
-type statement struct {
-	leaving     bool
-	pausedUntil time.Time
-	heardAt     time.Time
-}
+// maxStatements bounds the incarnations whose statements are kept.
+const maxStatements = 4096
 
 // statements holds the statements of endpoints, also of those that no snapshot lists at present.
 type statements map[incarnation]*statement
@@ -53,11 +36,3 @@
 	}
 	delete(s, oldest)
 }
-
-// pause extends the time for which the endpoint gets no requests. A shorter pause does not end an earlier one, because answers on
-// different connections overtake each other.
-func (s *statement) pause(now time.Time, d time.Duration) {
-	if until := now.Add(min(d, maxPause)); d > 0 && until.After(s.pausedUntil) {
-		s.pausedUntil = until
-	}
-}
--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -118,17 +118,11 @@
 	return true
 }
 
-// Expire removes the marks that are no longer valid, and reports whether there were any. A fingerprint whose quarantine has
-// ended becomes a suspect.
-func (t *Table) Expire(now time.Time) bool {
-	expired := false
-	for f, e := range t.entries {
-		if !now.Before(e.expires) {
-			expired = true
-			t.lookup(now, f)
-		}
+// Expire removes the marks that are no longer valid. A fingerprint whose quarantine has ended becomes a suspect.
+func (t *Table) Expire(now time.Time) {
+	for f := range t.entries {
+		t.lookup(now, f)
 	}
-	return expired
 }
 
 // Marks returns at most limit marks, those with the most evidence first.
--- a/service/edge/quarantine.go
+++ b/service/edge/quarantine.go
@@ -77,9 +77,9 @@
 }
 
 // reportCrash checks whether the endpoint of a broken attempt has crashed before it began its answer, and reports that to the
-// quarantine. It returns false if the attempt broke for another reason.
+// quarantine. It returns false if the attempt broke for another reason, or if its outcome was reported before.
 func (s *session) reportCrash(ctx context.Context, endpoint fleet.Endpoint) bool {
-	if ctx.Err() != nil || !s.isExpectedToServe(endpoint) {
+	if len(s.admission.Marks()) == 0 || ctx.Err() != nil || !s.isExpectedToServe(endpoint) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
--- a/service/edge/quarantine_peers.go
+++ b/service/edge/quarantine_peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/rendezvous"
@@ -65,7 +66,7 @@
 	t := p.cluster.Load().topology
 	receivers := t.localRelays
 	if t.rank >= 0 {
-		receivers = append(append([]Member{}, t.localNodes...), t.remoteRelays...)
+		receivers = slices.Concat(t.localNodes, t.remoteRelays)
 	}
 	for _, m := range receivers {
 		peer.Notify(p.hub, m.Address, kindQuarantineMarks, marks)
--- a/service/quarantine/manager.go
+++ b/service/quarantine/manager.go
@@ -174,15 +174,21 @@
 		case msg := <-m.messages.Receive():
 			msg.apply(time.Now(), m)
 		case now := <-repeat.C:
-			if m.table.Expire(now) {
-				m.publish(now)
-			}
-			if marks := m.table.Marks(now, maxRepeatedMarks); len(marks) > 0 {
-				m.peers.Repeat(marks)
-			}
+			m.repeatMarks(now)
 		}
 	}
 }
 
+// repeatMarks sends the marks with the most evidence again, and publishes the table with the present remaining times.
+func (m *Manager) repeatMarks(now time.Time) {
+	marks := m.table.Marks(now, maxRepeatedMarks)
+	if len(marks) == 0 {
+		return
+	}
+	m.table.Expire(now)
+	m.publish(now)
+	m.peers.Repeat(marks)
+}
+
 // publish publishes a copy of the table after a change.
 func (m *Manager) publish(now time.Time) { m.marks.Publish(m.table.Snapshot(now)) }
--- a/service/quarantine/manager_test.go
+++ b/service/quarantine/manager_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap/zaptest"
@@ -72,3 +74,23 @@
 	<-ended
 	<-ended
 }
+
+// Guards against callers that are told to come back after the whole length of a quarantine although most of it has passed.
+func TestRemainingTimeOfAMarkPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		m := NewManager(zaptest.NewLogger(t), NoPeers{})
+		go m.Run(ctx)
+		request := []quarantine.Fingerprint{8}
+		m.ReportCrash(ctx, m.Admit(ctx, request))
+		m.ReportCrash(ctx, m.Admit(ctx, request))
+		left := func() time.Duration { return m.Assess(request).Marks[0].Remaining }
+		before := left()
+		time.Sleep(30 * time.Minute)
+		synctest.Wait()
+		assert.Assert(t, before-left() >= 30*time.Minute-repeatInterval, "%v", left())
+		time.Sleep(31 * time.Minute)
+		assert.Equal(t, m.Assess(request).Standing, quarantine.Suspect)
+		cancel()
+	})
+}
