Let endpoints of the soak say that they leave or want a pause

A worker of the soak may say that it leaves in its answers only, while the store lists it as ready, for longer than the bound; a refusing worker asks for a pause of 1.5 s. Two timed checks compare what workers and callers see with the users' rules.

The planted faults show that the checks find a breach.

--- a/fake/workers/arrival.go
+++ b/fake/workers/arrival.go
@@ -10,4 +10,8 @@
 	At      time.Time
 	// Continued is set if the request asks to continue from a copy of its run's memory.
 	Continued bool
+	// AskedForPause is set if the worker refused the request and said that it wants no more for some time.
+	AskedForPause bool
+	// SaidLeaving is set if the worker said in its answer that it is leaving.
+	SaidLeaving bool
 }
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -26,7 +26,7 @@
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
-	// RetryAfter is the header Retry-After of refusals; none if it is empty.
+	// RetryAfter is the header Retry-After with the behaviour Refuse; none if it is empty.
 	RetryAfter string
 	// Crashes reports whether a request crashes the worker that begins to run it; nil if none does. Crash ends the worker's process.
 	Crashes func(*http.Request) bool
@@ -48,7 +48,8 @@
 	}
 	request := in.Header.Get("X-Request-Id")
 	out.Header().Set("X-Request-Id", request)
-	if ask(in.Context(), w.Fleet, func(s *state) bool { return s.leaving[w.ID] }) {
+	saidLeaving := ask(in.Context(), w.Fleet, func(s *state) bool { return s.leaving[w.ID] })
+	if saidLeaving {
 		out.Header().Set("Server-Leaving", "1")
 	}
 	if want := in.Header.Get("X-Expected-Instance"); want != "" && want != w.ID {
@@ -58,10 +59,17 @@
 	}
 	from := in.Header.Get("Kv-From")
 	behaviour := ask(in.Context(), w.Fleet, func(s *state) Behaviour {
-		s.arrivals = append(s.arrivals, Arrival{w.ID, w.service(), request, time.Now(), from != ""})
-		return s.behaviours[w.ID]
+		behaviour := s.behaviours[w.ID]
+		s.arrivals = append(s.arrivals, Arrival{
+			Worker: w.ID, Service: w.service(), Request: request, At: time.Now(), Continued: from != "",
+			AskedForPause: behaviour == Refuse && w.RetryAfter != "", SaidLeaving: saidLeaving,
+		})
+		return behaviour
 	})
 	if behaviour == Refuse {
+		if w.RetryAfter != "" {
+			out.Header().Set("Retry-After", w.RetryAfter)
+		}
 		w.refuse(out)
 		return
 	}
@@ -110,9 +118,6 @@
 // refuse answers that a request was not run.
 func (w *Worker) refuse(out http.ResponseWriter) {
 	out.Header().Set("X-Not-Executed", "1")
-	if w.RetryAfter != "" {
-		out.Header().Set("Retry-After", w.RetryAfter)
-	}
 	out.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -21,6 +21,8 @@
 	{"a good key is never refused", false, findWrongDenials},
 	{"changes are in force in time", true, findLateChanges},
 	{"leaving endpoints get no new work", true, findWorkForLeaving},
+	{"endpoints that say they leave get no new work", true, findWorkAfterSaidLeaving},
+	{"endpoints that want a pause get it", true, findWorkInPause},
 	{"data centres that are out get no new work", true, findWorkForEvacuated},
 	{"repeats keep to the budget", false, findExcessRepeats},
 	{"cold endpoints bear what they get", false, findColdExcess},
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -78,6 +78,17 @@
 		"leaving endpoints get no new work": func(h *history) {
 			h.departures = []departure{{name: "desk-4-1", acknowledgedAt: after(7.9)}}
 		},
+		"endpoints that say they leave get no new work": func(h *history) {
+			h.attempts = append(h.attempts, attempt{id: "l", route: routeLookup, path: "/lookup/1", key: "k", sentAt: after(7), endedAt: after(7.9), status: 200, hasSignature: true, echoesID: true, body: "GET /lookup/1 by desk-4-1"})
+			h.addRun("desk-4-1", "desk", &h.attempts[2], 7, 7.9)
+			h.workers.Arrivals[2].SaidLeaving = true
+		},
+		"endpoints that want a pause get it": func(h *history) {
+			h.workers.Arrivals[0].AskedForPause = true
+			for i := range 3 {
+				h.workers.Arrivals = append(h.workers.Arrivals, workers.Arrival{Worker: "engine-0-1", Service: "engines", Request: "n", At: after(11 + 0.1*float64(i)), Continued: true})
+			}
+		},
 		"data centres that are out get no new work": func(h *history) {
 			h.departures = []departure{{name: dataCentres[1], acknowledgedAt: after(4.9), isDataCentre: true}}
 		},
@@ -121,7 +132,7 @@
 			}
 		})
 	}
-	assert.Equal(t, len(checks), 18)
+	assert.Equal(t, len(checks), 20)
 }
 
 // Guards against a seed that gives different plans, and against overlapping faults on one link.
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -20,6 +20,8 @@
 	storeDelay = 250 * time.Millisecond
 	// leaveNotice is the time from the announcement that a worker leaves until the worker is killed.
 	leaveNotice = 1500 * time.Millisecond
+	// unlistedLeaveNotice is that time for a worker whose entry does not show that it leaves. It exceeds leavingBound.
+	unlistedLeaveNotice = leavingBound + 1500*time.Millisecond
 	// replacementDelay is the time from the end of a worker to the start of its replacement.
 	replacementDelay = 1500 * time.Millisecond
 	// maxAddedKeys limits the number of keys besides the permanent one.
@@ -200,22 +202,27 @@
 	case workerCrash:
 		i.endWorker(f.target, f.length)
 	case workerLeave:
-		i.announceLeaving(f)
+		i.announceLeaving(ctx, f)
 	}
 	return nil
 }
 
-// announceLeaving announces that a worker leaves, by marking its entry as draining or by removing the entry, and schedules
-// the worker's end.
-func (i *injector) announceLeaving(f fault) {
-	w := i.workers[f.target]
-	if f.variant%4 == 0 {
+// announceLeaving announces that a worker leaves, by marking its entry as draining, by removing the entry or only in its answers,
+// and schedules the worker's end.
+func (i *injector) announceLeaving(ctx context.Context, f fault) {
+	w, notice := i.workers[f.target], leaveNotice
+	switch f.variant % 4 {
+	case 0:
 		i.site.RemoveWorkerEntry(w.ID)
-	} else {
+		i.departures = append(i.departures, departure{name: w.ID, acknowledgedAt: time.Now()})
+	case 1:
+		i.site.Fleet.Leave(ctx, w.ID)
+		notice = unlistedLeaveNotice
+	default:
 		i.site.PutWorkerEntry(w, "draining")
+		i.departures = append(i.departures, departure{name: w.ID, acknowledgedAt: time.Now()})
 	}
-	i.departures = append(i.departures, departure{name: w.ID, acknowledgedAt: time.Now()})
-	i.schedule(leaveNotice, func(context.Context) {
+	i.schedule(notice, func(context.Context) {
 		if i.workers[f.target] == w {
 			i.endWorker(f.target, 0)
 		}
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -25,14 +26,18 @@
 	coldRate = 2.0
 	coldTime = 2 * time.Second
 
-	grace          = 4 * time.Second
-	revokeBound    = 5 * time.Second
-	applyBound     = 2 * time.Second
-	leavingBound   = 2 * time.Second
-	evacuateBound  = 5 * time.Second
-	recoveryTime   = 3 * time.Second
-	overlapBound   = 400 * time.Millisecond
-	abandonBound   = 500 * time.Millisecond
+	grace         = 4 * time.Second
+	revokeBound   = 5 * time.Second
+	applyBound    = 2 * time.Second
+	leavingBound  = 2 * time.Second
+	evacuateBound = 5 * time.Second
+	recoveryTime  = 3 * time.Second
+	overlapBound  = 400 * time.Millisecond
+	abandonBound  = 500 * time.Millisecond
+	// pauseTime is the time for which a refusing worker wants no requests; a node may send pauseRequests of them from pauseGrace on.
+	pauseTime      = 1500 * time.Millisecond
+	pauseGrace     = 500 * time.Millisecond
+	pauseRequests  = 2
 	minCutDuration = 200 * time.Millisecond
 	retryRatio     = 0.2
 	retryAllowance = 12.0
@@ -60,6 +65,7 @@
 		name = "engine"
 	}
 	return s.AddWorkerWith(fmt.Sprintf("%s-%d-%d", name, slot, number), engine, func(w *workers.Worker) {
+		w.RetryAfter = strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64)
 		w.Events, w.Interval, w.Zone = eventCount, eventInterval, dataCentres[slot%len(dataCentres)]
 		if cold && engine {
 			w.ColdFor = coldTime
