Check the statements of endpoints between restarts and pauses only

The users' rules excuse only a restart, a freeze or a cut of the machine, so the checks now excuse a restart or a pause of the process.

--- a/test/soak/check_statements.go
+++ b/test/soak/check_statements.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		at, ok := heard[heardKey{sent.node, a.Worker}]
-		if ok && sent.sentAt.After(at.Add(leavingBound)) && h.nodeUndisturbed(sent.node, at, a.At) {
+		if ok && sent.sentAt.After(at.Add(leavingBound)) && h.nodeKeptRunning(sent.node, at, a.At) {
 			found = append(found, fmt.Sprintf("%s reached %s from node %d %v after the node had heard that it leaves",
 				a.Request, a.Worker, sent.node, a.At.Sub(at)))
 		}
@@ -49,7 +49,7 @@
 	}
 	for key, list := range arrivals {
 		for _, refused := range list {
-			if !refused.AskedForPause || !h.nodeUndisturbed(key.node, refused.At, refused.At.Add(pauseTime)) {
+			if !refused.AskedForPause || !h.nodeKeptRunning(key.node, refused.At, refused.At.Add(pauseTime)) {
 				continue
 			}
 			n := 0
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -94,6 +94,21 @@
 	return true
 }
 
+// nodeKeptRunning reports whether a node was neither restarted nor paused between two times.
+func (h *history) nodeKeptRunning(node int, from, to time.Time) bool {
+	for _, s := range h.injected {
+		if s.kind == nodePause && s.target == node && s.intersects(from, to) {
+			return false
+		}
+	}
+	for _, p := range h.processRuns {
+		if p.node == node && ((interval{p.started, p.started}).intersects(from, to) || !p.ended.IsZero() && (interval{p.ended, p.ended}).intersects(from, to)) {
+			return false
+		}
+	}
+	return true
+}
+
 // workerUndisturbed reports whether no fault affected a worker between from and to, nor within recoveryTime before from.
 func (h *history) workerUndisturbed(worker string, from, to time.Time) bool {
 	for _, s := range h.injected {
