Let statements of endpoints take effect on fleets of more than 4,096 endpoints

Found in the read-through: the table kept one statement for each listed endpoint, at most 4,096. Beyond that it dropped the oldest, and what such an endpoint said later went to a new object that placement did not see. With 12,000 endpoints most statements would have had no effect.

A statement is now kept only for endpoints that have said something, and a listed endpoint always uses its own. TestStatementsAreBounded failed before (the endpoint that had said it leaves got the request).

--- a/decision/dispatch/statements.go
+++ b/decision/dispatch/statements.go
@@ -12,18 +12,22 @@
 // statements holds the statements of endpoints, also of those that no snapshot lists at present.
 type statements map[incarnation]*statement
 
-// of returns the statement of an endpoint, which changes when the endpoint says something new.
-func (s statements) of(now time.Time, e *catalog.Endpoint) *statement {
-	key := incarnation{id: e.ID, address: e.Address, service: e.Service, born: e.Born}
-	if known := s[key]; known != nil {
+// of returns what an endpoint has said; an empty statement if it has said nothing yet.
+func (s statements) of(e *catalog.Endpoint) *statement {
+	if known := s[incarnationOf(e)]; known != nil {
 		return known
 	}
-	if len(s) >= maxStatements {
+	return &statement{}
+}
+
+// keep keeps the statement of an endpoint for the time in which no snapshot lists the endpoint.
+func (s statements) keep(now time.Time, e *catalog.Endpoint, said *statement) {
+	key := incarnationOf(e)
+	if s[key] == nil && len(s) >= maxStatements {
 		s.dropOldest()
 	}
-	said := &statement{heardAt: now}
+	said.heardAt = now
 	s[key] = said
-	return said
 }
 
 func (s statements) dropOldest() {
--- a/decision/dispatch/statements_test.go
+++ b/decision/dispatch/statements_test.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
@@ -75,12 +75,18 @@
 	assert.Equal(t, refusal, Refusal(""))
 }
 
-// Guards against statements that occupy more and more memory as endpoints come and go.
+// Guards against statements that occupy more and more memory as endpoints come and go, and against a fleet with more endpoints
+// than are kept in which a statement has no effect.
 func TestStatementsAreBounded(t *testing.T) {
-	s := statements{}
-	for i := range maxStatements + 10 {
-		s.of(start.Add(time.Duration(i)), &catalog.Endpoint{Born: int64(i)})
+	ids := make([]string, maxStatements+10)
+	for i := range ids {
+		ids[i] = fmt.Sprint(i)
 	}
-	assert.Equal(t, len(s), maxStatements)
-	assert.Assert(t, s[incarnation{born: 0}] == nil && s[incarnation{born: maxStatements + 9}] != nil)
+	table, s := newTable(0, ids...)
+	for i := range s.Endpoints["s"] {
+		table.RecordLeaving(start.Add(time.Duration(i)), &s.Endpoints["s"][i].Endpoint)
+	}
+	_, refusal := table.Place(start, request(1))
+	assert.Equal(t, refusal, NoEndpoint)
+	assert.Equal(t, len(table.statements), maxStatements)
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -82,7 +82,7 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{others: t.others[listed.ID], said: t.statements.of(now, &listed.Endpoint)}
+				e = &endpoint{others: t.others[listed.ID], said: t.statements.of(&listed.Endpoint)}
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -161,7 +161,7 @@
 // RecordLeaving records that an endpoint itself has said that it is leaving, which its entry may not show yet. It reports whether
 // that is new.
 func (t *Table) RecordLeaving(now time.Time, e *catalog.Endpoint) bool {
-	said := t.statements.of(now, e)
+	said := t.statementOf(now, e)
 	isNew := !said.leaving
 	said.leaving = true
 	return isNew
@@ -169,7 +169,17 @@
 
 // RecordPause records that an endpoint wants no requests from this node for some time.
 func (t *Table) RecordPause(now time.Time, e *catalog.Endpoint, d time.Duration) {
-	t.statements.of(now, e).pause(now, d)
+	t.statementOf(now, e).pause(now, d)
+}
+
+// statementOf returns the statement of an endpoint that says something now.
+func (t *Table) statementOf(now time.Time, e *catalog.Endpoint) *statement {
+	said := t.statements.of(e)
+	if listed := t.endpoints[e.ID]; listed != nil && listed.SameIncarnation(e) {
+		said = listed.said
+	}
+	t.statements.keep(now, e, said)
+	return said
 }
 
 // PauseLeft returns the time until the first of the usable endpoints of a service accepts requests again.
