Keep whole requests of the OpenAI-compatible front end in quarantine for an hour

Found in the read-through: since shared parts have a shorter first quarantine, the lowest bit of a fingerprint says whether it is shared. The gateway made fingerprints from a hash of its own, so half of its requests counted as shared and left the quarantine after 2 minutes; each trial may cost an endpoint.

Both front ends now use quarantine.RequestFingerprint. The edge fingerprint also includes the method.

--- a/decision/quarantine/table_test.go
+++ b/decision/quarantine/table_test.go
@@ -34,7 +34,7 @@
 // Guards against a quarantine that never ends, and against one that ends without a trial and costs several endpoints again.
 func TestQuarantineEndsWithATrial(t *testing.T) {
 	for f, lengths := range map[Fingerprint][]time.Duration{
-		RequestFingerprint("w", "/p", nil): {time.Hour, time.Hour, time.Hour},
+		RequestFingerprint(nil, "w", "/p"): {time.Hour, time.Hour, time.Hour},
 		PartFingerprint("s", "p"):          {2 * time.Minute, 12 * time.Minute, time.Hour, time.Hour},
 	} {
 		now := time.Unix(0, 0)
--- a/service/edge/quarantine.go
+++ b/service/edge/quarantine.go
@@ -31,7 +31,7 @@
 	if s.workspace != nil {
 		workspace = s.workspace.Name
 	}
-	s.fingerprints = []decision.Fingerprint{decision.RequestFingerprint(workspace, s.request.URL.RequestURI(), s.request.Body)}
+	s.fingerprints = []decision.Fingerprint{decision.RequestFingerprint(s.request.Body, workspace, s.request.Method, s.request.URL.RequestURI())}
 	for _, part := range s.request.SharedParts {
 		s.fingerprints = append(s.fingerprints, decision.PartFingerprint(s.service, part))
 	}
--- a/service/gateway/caller_request.go
+++ b/service/gateway/caller_request.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/message"
@@ -53,17 +52,6 @@
 	}
 }
 
-// fingerprintOf returns a hash of the body and the other identifying parts of a request.
-func fingerprintOf(body []byte, parts ...string) uint64 {
-	h := xxh3.New()
-	for _, part := range parts {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(body)
-	return h.Sum64()
-}
-
 // admit checks the request against the limits of its workspace. An admitted request must be ended with release.
 func (c *callerRequest) admit(ctx context.Context, promptTokens int) *verdict.Error {
 	d, err := c.server.Limiter.Admit(ctx, c.workspaceName, promptTokens)
--- a/service/gateway/generation.go
+++ b/service/gateway/generation.go
@@ -27,7 +27,7 @@
 			WithField("model")
 	}
 	session := &session{callerRequest: s.newCallerRequest(snapshot, workspace, serviceName), path: r.URL.Path, request: request}
-	session.fingerprint = quarantine.Fingerprint(fingerprintOf(request.body, workspace, r.URL.Path))
+	session.fingerprint = quarantine.RequestFingerprint(request.body, workspace, r.URL.Path)
 	if request.stream {
 		session.writer = newStreamWriter(w, request.includeUsage)
 		session.resumeWindow = resumeWindow(r)
--- a/service/gateway/plain.go
+++ b/service/gateway/plain.go
@@ -8,6 +8,7 @@
 
 	"github.com/gorilla/mux"
 
+	"azuredyke.dev/azuredyke/common/contenthash"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/config"
 	"azuredyke.dev/azuredyke/decision/quarantine"
@@ -41,8 +42,8 @@
 		header: forwardedHeaders(r.Header), body: body, repeatable: service.Repeatable(r.Method, path),
 		idempotencyKey: r.Header.Get(headerIdempotencyKey),
 	}
-	call.requestHash = fingerprintOf(body, workspace, name, r.Method, path, r.URL.RawQuery)
-	call.fingerprint = quarantine.Fingerprint(call.requestHash)
+	call.requestHash = contenthash.Sum(body, workspace, name, r.Method, path, r.URL.RawQuery)
+	call.fingerprint = quarantine.RequestFingerprint(body, workspace, name, r.Method, path, r.URL.RawQuery)
 	answer, verr := call.run(r.Context(), detachedContext(r))
 	if verr != nil {
 		return verr
