--- a/common/message/grant.go
+++ b/common/message/grant.go
@@ -10,8 +10,6 @@
 	// Fence is the fencing token of the cell's owner.
 	Fence    uint64
 	Endpoint Endpoint
-	// Incarnation is the incarnation of the endpoint for which the grant was made.
-	Incarnation string
 	// StartWithin is the time for which the grant is valid, counted from just before the PlaceRequest was sent.
 	StartWithin time.Duration
 	// TokenInterval is the expected time between tokens on the endpoint; 0 means unknown.
--- a/decision/admission/cell_dispatch.go
+++ b/decision/admission/cell_dispatch.go
@@ -149,7 +149,6 @@
 	// now.
 	g := &message.Grant{
 		Cell: c.id, Number: c.lastNumber, Fence: c.fence, Endpoint: e.Endpoint,
-		Incarnation: e.load.Incarnation,
 		StartWithin: now.Sub(w.Since) + c.params.StartWithin, TokenInterval: e.steps.Predict(e.inFlight()),
 	}
 	return Decision{Ticket: w.Ticket, Reply: message.PlaceReply{Grant: g}}
