--- a/common/exchange/attempt.go
+++ b/common/exchange/attempt.go
@@ -18,8 +18,8 @@
 	CopyAddress string
 	// CopyHandle identifies the copy; empty means the copy that is updated while the run generates tokens.
 	CopyHandle string
-	// Heard is called with what the endpoint says about itself as soon as its header arrives; nil if nobody listens.
-	Heard func(Statement)
+	// OnStatement is called with what the endpoint says about itself when the header of its answer arrives. It may be nil.
+	OnStatement func(Statement)
 	// LastEvent is the id of the last event that the caller received.
 	LastEvent string
 }
--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -48,8 +48,8 @@
 	// others is the others' load on the endpoint.
 	others Load
 
-	// said is what the endpoint has said about itself.
-	said            *statement
+	// statement is what the endpoint has said about itself.
+	statement       *statement
 	avoidUntil      time.Time
 	connectFailures int
 	failureShare    float64
@@ -69,12 +69,12 @@
 	if engine := e.service.Engine; engine != nil {
 		c.Limit, c.Capacity = max(1, engine.Slots), float64(engine.Capacity)
 	}
-	c.Admits = !e.isLeaving() && !e.dataCentreOut && !now.Before(e.avoidUntil) && !now.Before(e.said.pausedUntil) && inFlight < c.Limit
+	c.Admits = !e.isLeaving() && !e.dataCentreOut && !now.Before(e.avoidUntil) && !now.Before(e.statement.pausedUntil) && inFlight < c.Limit
 	return c.Admits
 }
 
 // isLeaving reports whether the endpoint is leaving, by its entry or by what it said itself.
-func (e *endpoint) isLeaving() bool { return e.Leaving || e.said.leaving }
+func (e *endpoint) isLeaving() bool { return e.Leaving || e.statement.leaving }
 
 // isCold reports whether the endpoint may still be in its cold start.
 func (e *endpoint) isCold(now time.Time) bool {
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		usable++
-		if now.Before(e.said.pausedUntil) {
+		if now.Before(e.statement.pausedUntil) {
 			paused++
 			continue
 		}
--- a/decision/dispatch/statement.go
+++ b/decision/dispatch/statement.go
@@ -9,7 +9,7 @@
 type statement struct {
 	leaving     bool
 	pausedUntil time.Time
-	heardAt     time.Time
+	updatedAt   time.Time
 }
 
 // pause extends the time for which the endpoint gets no requests. A shorter pause does not end an earlier one, because answers on
--- a/decision/dispatch/statements.go
+++ b/decision/dispatch/statements.go
@@ -20,22 +20,22 @@
 	return &statement{}
 }
 
-// keep keeps the statement of an endpoint for the time in which no snapshot lists the endpoint.
-func (s statements) keep(now time.Time, e *catalog.Endpoint, said *statement) {
+// keep stores the statement of an endpoint for the time in which no snapshot lists the endpoint.
+func (s statements) keep(now time.Time, e *catalog.Endpoint, update *statement) {
 	key := incarnationOf(e)
 	if s[key] == nil && len(s) >= maxStatements {
 		s.dropOldest()
 	}
-	said.heardAt = now
-	s[key] = said
+	update.updatedAt = now
+	s[key] = update
 }
 
 func (s statements) dropOldest() {
 	var oldest incarnation
 	var at time.Time
-	for key, said := range s {
-		if at.IsZero() || said.heardAt.Before(at) {
-			oldest, at = key, said.heardAt
+	for key, known := range s {
+		if at.IsZero() || known.updatedAt.Before(at) {
+			oldest, at = key, known.updatedAt
 		}
 	}
 	delete(s, oldest)
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -82,7 +82,7 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{others: t.others[listed.ID], said: t.statements.of(&listed.Endpoint)}
+				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -161,9 +161,9 @@
 // RecordLeaving records that an endpoint itself has said that it is leaving, which its entry may not show yet. It reports whether
 // that is new.
 func (t *Table) RecordLeaving(now time.Time, e *catalog.Endpoint) bool {
-	said := t.statementOf(now, e)
-	isNew := !said.leaving
-	said.leaving = true
+	s := t.statementOf(now, e)
+	isNew := !s.leaving
+	s.leaving = true
 	return isNew
 }
 
@@ -174,20 +174,20 @@
 
 // statementOf returns the statement of an endpoint that says something now.
 func (t *Table) statementOf(now time.Time, e *catalog.Endpoint) *statement {
-	said := t.statements.of(e)
+	s := t.statements.of(e)
 	if listed := t.endpoints[e.ID]; listed != nil && listed.SameIncarnation(e) {
-		said = listed.said
+		s = listed.statement
 	}
-	t.statements.keep(now, e, said)
-	return said
+	t.statements.keep(now, e, s)
+	return s
 }
 
 // PauseLeft returns the time until the first of the usable endpoints of a service accepts requests again.
 func (t *Table) PauseLeft(now time.Time, service string) time.Duration {
 	var first time.Time
 	for _, e := range t.services[service] {
-		if !e.isLeaving() && !e.dataCentreOut && (first.IsZero() || e.said.pausedUntil.Before(first)) {
-			first = e.said.pausedUntil
+		if !e.isLeaving() && !e.dataCentreOut && (first.IsZero() || e.statement.pausedUntil.Before(first)) {
+			first = e.statement.pausedUntil
 		}
 	}
 	return max(0, first.Sub(now))
--- a/decision/quarantine/mark.go
+++ b/decision/quarantine/mark.go
@@ -5,17 +5,16 @@
 // Mark is what is known of one fingerprint. Of two marks of a fingerprint, the one with the later term holds, and in the same
 // term the one with more evidence, so the order of arrival and duplicates have no effect.
 type Mark struct {
-	Fingerprint Fingerprint
-	// Term counts how often the evidence was discarded: by a run that got its answer, at the end of a quarantine, or by an
-	// operator.
-	Term uint32
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	// Term counts how often the evidence was discarded: by a run that got its answer, or at the end of a quarantine.
+	Term uint32 `cbor:"2,keyasint,omitempty"`
 	// Evidence is between 0, if nothing speaks against the fingerprint, and quarantineEvidence.
-	Evidence int
+	Evidence int `cbor:"3,keyasint,omitempty"`
 	// Round counts the quarantines that a trial has followed since the fingerprint was last cleared.
-	Round uint8
+	Round uint8 `cbor:"4,keyasint,omitempty"`
 	// Remaining is the time for which the mark stays valid. It is a duration, so that the clocks of two nodes are never
 	// compared.
-	Remaining time.Duration
+	Remaining time.Duration `cbor:"5,keyasint"`
 }
 
 // Standing says how a request with the fingerprint may run.
--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -10,17 +10,20 @@
 const (
 	// quarantineEvidence is the evidence that quarantines a fingerprint.
 	quarantineEvidence = 3
-	// soleSuspectEvidence is the evidence of a crash under a request with a single suspect fingerprint. With the evidence of 1
-	// for the first crash, the second crash quarantines the fingerprint.
+	// crashEvidence is the evidence of a crash against each fingerprint of the request, unless one is the single suspect.
+	crashEvidence = 1
+	// soleSuspectEvidence is the evidence of a crash against the single suspect of the request. The first crash and one more
+	// quarantine the fingerprint.
 	soleSuspectEvidence = 2
 	// suspectDuration is the time for which a fingerprint stays suspect after a crash.
 	suspectDuration = 10 * time.Minute
-	// maxQuarantine is the time for which a fingerprint stays in quarantine before the next trial. The first quarantine of a
-	// shared fingerprint is shorter, since a wrong one would refuse many sound requests. Each further one is
-	// quarantineGrowth times as long, since each trial may cost an endpoint.
-	maxQuarantine         = time.Hour
+	// maxQuarantine is the longest time for which a fingerprint stays in quarantine before its next trial.
+	maxQuarantine = time.Hour
+	// firstSharedQuarantine is the length of the first quarantine of a shared fingerprint. It is short, since a wrong quarantine
+	// refuses many sound requests.
 	firstSharedQuarantine = 2 * time.Minute
-	quarantineGrowth      = 6
+	// quarantineGrowth is the ratio of the lengths of two consecutive quarantines. Each trial between them may cost an endpoint.
+	quarantineGrowth = 6
 	// trialTimeout is the time after which a trial without an outcome no longer keeps others waiting. The node that runs it
 	// may have failed.
 	trialTimeout = 10 * time.Second
@@ -61,7 +64,7 @@
 	}
 }
 
-// Crashed records that an endpoint crashed under a request. Seen holds the marks of the request's fingerprints at the time
+// Crashed records that an endpoint crashed under a request. The argument seen holds the marks of the request's fingerprints at the time
 // when the request was sent. It returns the marks that have changed.
 //
 // A single suspect explains the crash, so the evidence against it grows by more. If there are several suspects, it is not
@@ -75,7 +78,7 @@
 	}
 	var changed []Mark
 	for _, m := range seen {
-		gain := 1
+		gain := crashEvidence
 		if m.Evidence > 0 && suspects == 1 {
 			gain = soleSuspectEvidence
 		}
@@ -157,7 +160,7 @@
 		return nil
 	}
 	round := uint8(min(math.MaxUint8, int(e.round)+1))
-	e.set(now, Mark{Fingerprint: f, Term: e.term + 1, Evidence: 1, Round: round, Remaining: suspectDuration})
+	e.set(now, Mark{Fingerprint: f, Term: e.term + 1, Evidence: crashEvidence, Round: round, Remaining: suspectDuration})
 	return e
 }
 
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -59,8 +59,8 @@
 }
 
 // reportStatement reports what an endpoint says about itself.
-func (p placer) reportStatement(e fleet.Endpoint, said exchange.Statement) {
-	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, said: said})
+func (p placer) reportStatement(e fleet.Endpoint, statement exchange.Statement) {
+	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, statement: statement})
 }
 
 // release ends a run.
--- a/service/edge/prober.go
+++ b/service/edge/prober.go
@@ -75,6 +75,6 @@
 		return
 	}
 	if report.Leaving {
-		_ = p.dispatcher.Send(ctx, endpointStatementMessage{endpoint: e, said: exchange.Statement{Leaving: true}})
+		_ = p.dispatcher.Send(ctx, endpointStatementMessage{endpoint: e, statement: exchange.Statement{Leaving: true}})
 	}
 }
--- a/service/edge/quarantine.go
+++ b/service/edge/quarantine.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// admitToEndpoints waits until the request may be sent as far as the quarantine is concerned. It returns an error if it may not.
-func (s *session) admitToEndpoints(ctx context.Context) *verdict.Error {
+// awaitQuarantine waits until the quarantine lets the request run. It returns an error if the request may not run.
+func (s *session) awaitQuarantine(ctx context.Context) *verdict.Error {
 	s.releaseTrial()
 	until := s.request.Received.Add(s.route.FirstByteObjective / trialWaitDivisor)
 	for {
@@ -51,7 +51,6 @@
 				s.log(zap.InfoLevel, "request runs as a trial", zap.Any("marks", s.admission.Marks()))
 				return nil
 			case decision.Quarantined:
-				s.server.metrics.quarantined.Inc(1)
 				return s.quarantineError()
 			}
 		}
@@ -76,7 +75,7 @@
 		cause.Fingerprint).WithRetryAfter(rest)
 }
 
-// reportCrash checks whether the endpoint of a broken attempt has crashed before it began its answer, and reports that to the
+// reportCrash checks whether the endpoint of a broken attempt has crashed, and reports that to the
 // quarantine. It returns false if the attempt broke for another reason, or if its outcome was reported before.
 func (s *session) reportCrash(ctx context.Context, endpoint fleet.Endpoint) bool {
 	if len(s.admission.Marks()) == 0 || ctx.Err() != nil || !s.isExpectedToServe(endpoint) {
@@ -88,7 +87,7 @@
 		return false
 	}
 	s.server.metrics.crashes.Inc(1)
-	s.log(zap.WarnLevel, "endpoint crashed before it began its answer", zap.String("endpoint", endpoint.ID),
+	s.log(zap.WarnLevel, "endpoint crashed under a request", zap.String("endpoint", endpoint.ID),
 		zap.Any("marks", s.admission.Marks()))
 	s.server.quarantine.ReportCrash(ctx, s.admission)
 	s.admission = quarantine.Admission{}
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -20,7 +20,7 @@
 // send places the request and sends it to one endpoint. The returned upstream must be ended.
 func (s *session) send(ctx context.Context, o sendOptions) (*upstream, error) {
 	if !o.continues() {
-		if err := s.admitToEndpoints(ctx); err != nil {
+		if err := s.awaitQuarantine(ctx); err != nil {
 			return nil, err
 		}
 	}
@@ -120,7 +120,7 @@
 	if s.workspace != nil {
 		a.Workspace = s.workspace.Name
 	}
-	a.Heard = func(said exchange.Statement) { s.server.placer.reportStatement(placement.Endpoint, said) }
+	a.OnStatement = func(statement exchange.Statement) { s.server.placer.reportStatement(placement.Endpoint, statement) }
 	a.CopyAddress, a.CopyHandle = o.copyAddress, o.copyHandle
 	return a
 }
--- a/service/edge/server_metrics.go
+++ b/service/edge/server_metrics.go
@@ -17,17 +17,16 @@
 	moves       tally.Counter
 	movesFailed tally.Counter
 	streamsCut  tally.Counter
-	// crashes counts the endpoints that crashed under requests of this node, quarantined the requests that were refused for it.
-	crashes     tally.Counter
-	quarantined tally.Counter
-	firstByte   tally.Histogram
+	// crashes counts the crashes of endpoints under requests of this node.
+	crashes   tally.Counter
+	firstByte tally.Histogram
 }
 
 func newServerMetrics(scope tally.Scope) *serverMetrics {
 	return &serverMetrics{
 		scope: scope, completed: scope.Counter("completed"), attempts: scope.Counter("attempts"),
 		repeats: scope.Counter("repeats"), moves: scope.Counter("moves"), movesFailed: scope.Counter("moves_failed"),
-		streamsCut: scope.Counter("streams_cut"), crashes: scope.Counter("endpoint_crashes"), quarantined: scope.Counter("quarantined"),
+		streamsCut: scope.Counter("streams_cut"), crashes: scope.Counter("endpoint_crashes"),
 		firstByte: scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
--- a/service/node/quarantine_peers.go
+++ b/service/node/quarantine_peers.go
@@ -61,7 +61,8 @@
 // Forward implements quarantine.Peers. The node that changed a mark sends it to all members itself.
 func (p quarantinePeers) Forward([]decision.Mark) {}
 
-// Repeat implements quarantine.Peers. A node that has missed a broadcast learns the mark at the home node, when it reserves a trial.
+// Repeat implements quarantine.Peers. Each member is called by Broadcast, so marks are not repeated. A member that could not be
+// reached learns of the fingerprint when one of its own endpoints crashes under it.
 func (p quarantinePeers) Repeat([]decision.Mark) {}
 
 // handleQuarantine registers the handlers for quarantine messages of other nodes.
--- a/service/quarantine/manager.go
+++ b/service/quarantine/manager.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
@@ -104,7 +105,7 @@
 // ReportCrash records that an endpoint crashed under an admitted attempt, and returns once the other nodes have answered the
 // broadcast of it or ctx has ended.
 func (m *Manager) ReportCrash(ctx context.Context, a Admission) {
-	m.change(ctx, "endpoint crashed under a request", func(reply chan<- []quarantine.Mark) taskMessage {
+	m.change(ctx, zap.WarnLevel, "evidence against a fingerprint after a crash", func(reply chan<- []quarantine.Mark) taskMessage {
 		return crashMessage{seen: a.marks, reply: reply}
 	})
 }
@@ -115,24 +116,28 @@
 	if m.Assess(fingerprints).Standing == quarantine.Clear {
 		return
 	}
-	m.change(ctx, "a request got its answer; evidence discarded", func(reply chan<- []quarantine.Mark) taskMessage {
+	m.change(ctx, zap.InfoLevel, "evidence against a fingerprint discarded after an answer", func(reply chan<- []quarantine.Mark) taskMessage {
 		return answerMessage{fingerprints: fingerprints, reply: reply}
 	})
 }
 
-// change sends a message that changes the table, and broadcasts the marks that have changed.
-func (m *Manager) change(ctx context.Context, event string, build func(reply chan<- []quarantine.Mark) taskMessage) {
+// change sends a message that changes the table, and logs and broadcasts the marks that have changed.
+func (m *Manager) change(ctx context.Context, level zapcore.Level, event string, build func(reply chan<- []quarantine.Mark) taskMessage) {
 	changed, err := mailbox.Call(ctx, m.messages, build)
 	if err != nil || len(changed) == 0 {
 		return
 	}
 	for _, mark := range changed {
-		m.log.Warn(event, zap.Uint64("fingerprint", uint64(mark.Fingerprint)), zap.Int("evidence", mark.Evidence),
-			zap.Uint32("term", mark.Term), zap.Stringer("standing", mark.Standing()))
+		m.logMark(level, event, mark)
 	}
 	m.peers.Broadcast(ctx, changed)
 }
 
+func (m *Manager) logMark(level zapcore.Level, event string, mark quarantine.Mark) {
+	m.log.Log(level, event, zap.Uint64("fingerprint", uint64(mark.Fingerprint)), zap.Int("evidence", mark.Evidence),
+		zap.Uint32("term", mark.Term), zap.Stringer("standing", mark.Standing()))
+}
+
 // Release ends the trials that are reserved for an attempt without an outcome.
 func (m *Manager) Release(ctx context.Context, a Admission) {
 	for _, f := range a.reserved {
--- a/service/quarantine/merge_message.go
+++ b/service/quarantine/merge_message.go
@@ -18,8 +18,7 @@
 	for _, mark := range g.marks {
 		if m.table.Merge(now, mark) {
 			changed = append(changed, mark)
-			m.log.Info("mark of another node applied", zap.Uint64("fingerprint", uint64(mark.Fingerprint)),
-				zap.Int("evidence", mark.Evidence), zap.Uint32("term", mark.Term), zap.Stringer("standing", mark.Standing()))
+			m.logMark(zap.InfoLevel, "mark of another node applied", mark)
 		}
 	}
 	if len(changed) == 0 {
--- a/test/edge/statement_test.go
+++ b/test/edge/statement_test.go
@@ -50,7 +50,7 @@
 	s.Fleet.Leave(t.Context(), "desk-1")
 	s.Eventually("the node hears that the endpoint leaves", func() bool {
 		lookups(t, s, n, "until-heard")
-		return strings.Contains(n.Log(), "endpoint said that it is leaving")
+		return strings.Contains(n.Log(), "endpoint announced that it is leaving")
 	})
 	assert.Equal(t, lookups(t, s, n, "after"), 0)
 	s.PutWorkerEntry(first, "ready")
@@ -69,7 +69,7 @@
 	s.Fleet.SetBehaviour(t.Context(), "desk-1", workers.Refuse)
 	s.Eventually("the endpoint has refused a request", func() bool {
 		lookups(t, s, n, "until-refused")
-		return strings.Contains(n.Log(), "endpoint wants no requests")
+		return strings.Contains(n.Log(), "endpoint asked for a pause")
 	})
 	s.Fleet.SetBehaviour(t.Context(), "desk-1", workers.Serve)
 	assert.Equal(t, lookups(t, s, n, "after"), 0)
