Compute the rest of a pause from the endpoints that a request may use

It is only asked when all usable endpoints pause, so callers were told a wrong time at most after a first attempt elsewhere. The rule for usable endpoints is now one method of Request.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/placement"
@@ -70,7 +69,7 @@
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
 	usable, paused, admitted := 0, 0, 0
 	for _, e := range t.services[r.Service] {
-		if r.RequiredEndpoint != "" && e.ID != r.RequiredEndpoint || e.isLeaving() || e.dataCentreOut || slices.Contains(r.Exclude, e.ID) {
+		if !r.mayUse(e) {
 			continue
 		}
 		usable++
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "slices"
+
 // Request holds the properties of a request that placement depends on.
 type Request struct {
 	Service string
@@ -27,6 +29,11 @@
 	Backup bool
 }
 
+// mayUse reports whether the request may run on an endpoint, now or once the endpoint accepts requests again.
+func (r *Request) mayUse(e *endpoint) bool {
+	return (r.RequiredEndpoint == "" || e.ID == r.RequiredEndpoint) && !e.isLeaving() && !e.dataCentreOut && !slices.Contains(r.Exclude, e.ID)
+}
+
 // prefill returns the number of prompt tokens that the endpoint computes or copies.
 func (r *Request) prefill() int {
 	if r.Resumed && !r.CopyPending {
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -182,15 +182,19 @@
 	return s
 }
 
-// PauseLeft returns the time until the first of the usable endpoints of a service accepts requests again.
-func (t *Table) PauseLeft(now time.Time, service string) time.Duration {
-	var first time.Time
-	for _, e := range t.services[service] {
-		if !e.isLeaving() && !e.dataCentreOut && (first.IsZero() || e.statement.pausedUntil.Before(first)) {
-			first = e.statement.pausedUntil
+// PauseLeft returns the time until the pause of the first endpoint that a request may use ends; 0 if one of them is not paused or
+// there is none.
+func (t *Table) PauseLeft(now time.Time, r *Request) time.Duration {
+	left, found := time.Duration(0), false
+	for _, e := range t.services[r.Service] {
+		if !r.mayUse(e) {
+			continue
+		}
+		if pause := max(0, e.statement.pausedUntil.Sub(now)); !found || pause < left {
+			left, found = pause, true
 		}
 	}
-	return max(0, first.Sub(now))
+	return left
 }
 
 // RecordRequest counts a new request of a service, on which its retry budget depends.
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -104,7 +104,7 @@
 	placement, refusal := d.table.Place(now, m.request)
 	var retryAfter time.Duration
 	if refusal == dispatch.AllEndpointsPaused {
-		retryAfter = d.table.PauseLeft(now, m.request.Service)
+		retryAfter = d.table.PauseLeft(now, &m.request)
 	}
 	// A request does not wait for a pause that outlasts its wait.
 	if refusal != "" && refusal != dispatch.RetryBudget && now.Add(retryAfter).Before(m.waitUntil) {
