--- a/decision/quarantine/simulation_test.go
+++ b/decision/quarantine/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -22,92 +21,34 @@
 	nextPart   Fingerprint
 }
 
-// simulationOptions are the parameters of one play.
-type simulationOptions struct {
-	seed           uint64
-	nodes, engines int
-	// rate is the number of requests per second, deadlyShare the share of them that contains the deadly part.
-	rate, deadlyShare float64
-	// powerCut is the number of engines that fail at once after 5 s.
-	powerCut int
-	// markLoss is the share of the marks that are lost on their way to a node.
-	markLoss float64
-	policy   simulatedPolicy
-}
-
-// simulatedPolicy selects what nodes do with the evidence.
-type simulatedPolicy string
-
 const (
-	noPolicy          simulatedPolicy = "none"
-	wholePromptPolicy simulatedPolicy = "whole prompt"
-	partsPolicy       simulatedPolicy = "parts"
-)
-
-// simulationResult counts what users would notice.
-type simulationResult struct {
-	enginesLost int
-	// sentLate counts the sends of deadly requests later than contactTime after the fifth crash.
-	sentLate int
-	// soundQuarantined counts the sound requests that were refused for a quarantined part, soundRefused also those that waited
-	// for a trial for too long.
-	sound, soundRefused, soundQuarantined int
-}
-
-type simulatedEngine struct {
-	downUntil time.Time
-	// waiting holds the runs that have no event yet.
-	waiting map[*simulatedRun]bool
-}
-
-type simulatedRun struct {
-	node     int
-	arrived  time.Time
-	deadly   bool
-	marks    []Mark
-	reserved []Fingerprint
-	engine   *simulatedEngine
-	parts    []Fingerprint
-}
-
-type simulatedEvent struct {
-	at  time.Time
-	run func()
-}
-
-type eventQueue []simulatedEvent
-
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(simulatedEvent)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-const (
-	simulatedTime    = 30 * time.Second
+	simulatedTime = 30 * time.Second
+	// contactTime is the time that the users allow nodes to learn of a crash, crashesPermitted the number of crashes after which it
+	// counts.
 	contactTime      = 3 * time.Second
-	engineDownTime   = 3 * time.Second
-	ambiguityWait    = 900 * time.Millisecond
-	ambiguityPoll    = 50 * time.Millisecond
-	nodesPerRelay    = 9
-	maxRepeated      = 32
-	commonParts      = 8
-	rareParts        = 110
 	crashesPermitted = 5
+	engineDownTime   = 3 * time.Second
+	// ambiguityWait is how long a request with several suspects waits, ambiguityPoll the interval at which it asks again.
+	ambiguityWait = 900 * time.Millisecond
+	ambiguityPoll = 50 * time.Millisecond
+	// nodesPerRelay and maxRepeated bound the marks that are sent again each second.
+	nodesPerRelay = 9
+	maxRepeated   = 32
+	// commonParts and rareParts are the numbers of first and of second parts of sound prompts.
+	commonParts = 8
+	rareParts   = 110
+	// deadlyPart is the second part of deadly prompts.
+	deadlyPart Fingerprint = 99
 )
 
+// simulate plays one seed of a case.
 func simulate(o simulationOptions) simulationResult {
 	s := &simulation{random: rand.New(rand.NewPCG(o.seed, 1)), options: o, now: time.Unix(0, 0), nextPart: 1 << 40}
 	for range o.nodes {
 		s.tables = append(s.tables, NewTable())
 	}
 	for range o.engines {
-		s.engines = append(s.engines, &simulatedEngine{waiting: map[*simulatedRun]bool{}})
+		s.engines = append(s.engines, &simulatedEngine{waiting: map[*simulatedRequest]bool{}})
 	}
 	end := s.now.Add(simulatedTime)
 	s.after(0, s.arrive)
@@ -138,25 +79,25 @@
 func (s *simulation) arrive() {
 	s.after(time.Duration(s.random.ExpFloat64()/s.options.rate*float64(time.Second)), s.arrive)
 	s.nextPart += 2
-	r := &simulatedRun{node: s.random.IntN(s.options.nodes), arrived: s.now, deadly: s.random.Float64() < s.options.deadlyShare}
+	r := &simulatedRequest{node: s.random.IntN(s.options.nodes), arrived: s.now, deadly: s.random.Float64() < s.options.deadlyShare}
 	common, rare := Fingerprint(2*s.random.IntN(commonParts)+1), Fingerprint(101+2*s.random.IntN(rareParts))
 	if r.deadly {
-		rare = 99
+		rare = deadlyPart
 	} else {
 		s.result.sound++
 	}
 	switch s.options.policy {
 	case wholePromptPolicy:
-		r.parts = []Fingerprint{s.nextPart}
+		r.fingerprints = []Fingerprint{s.nextPart}
 	case partsPolicy:
-		r.parts = []Fingerprint{s.nextPart, common, rare}
+		r.fingerprints = []Fingerprint{s.nextPart, common, rare}
 	}
 	s.admit(r)
 }
 
 // admit applies the quarantine to a request as a node does, and sends it to an engine if it may run.
-func (s *simulation) admit(r *simulatedRun) {
-	assessment := s.tables[r.node].Snapshot(s.now).Assess(r.parts)
+func (s *simulation) admit(r *simulatedRequest) {
+	assessment := s.tables[r.node].Snapshot(s.now).Assess(r.fingerprints)
 	waited := s.now.Sub(r.arrived)
 	standing := assessment.Standing
 	if assessment.IsAmbiguous() && waited < ambiguityWait {
@@ -191,14 +132,14 @@
 	}
 }
 
-func (s *simulation) release(r *simulatedRun) {
+func (s *simulation) release(r *simulatedRequest) {
 	for _, f := range r.reserved {
 		s.tables[int(f)%len(s.tables)].Release(s.now, f)
 	}
 	r.reserved = nil
 }
 
-func (s *simulation) send(r *simulatedRun) {
+func (s *simulation) send(r *simulatedRequest) {
 	if r.deadly && !s.fifthCrash.IsZero() && s.now.After(s.fifthCrash.Add(contactTime)) {
 		s.result.sentLate++
 	}
@@ -218,7 +159,7 @@
 }
 
 // begin is the moment at which the engine begins to write the answer.
-func (s *simulation) begin(r *simulatedRun) {
+func (s *simulation) begin(r *simulatedRequest) {
 	if !r.engine.waiting[r] {
 		return
 	}
@@ -231,7 +172,7 @@
 		return
 	}
 	delete(r.engine.waiting, r)
-	s.spread(r.node, s.tables[r.node].Completed(s.now, r.parts))
+	s.spread(r.node, s.tables[r.node].Completed(s.now, r.fingerprints))
 }
 
 // crash ends an engine. Each node that waits for an answer of it records the crash.
@@ -268,8 +209,3 @@
 		s.spread(i, s.tables[i].Marks(s.now, maxRepeated))
 	}
 }
-
-func (r simulationResult) String() string {
-	return fmt.Sprintf("engines lost %d, deadly sent late %d, sound %d, of these refused %d, for a quarantine %d",
-		r.enginesLost, r.sentLate, r.sound, r.soundRefused, r.soundQuarantined)
-}
--- a/test/edge/crash_test.go
+++ b/test/edge/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -69,18 +70,18 @@
 // Guards against a part of prompts that crashes one engine after the other in requests that are otherwise all different, and
 // against refusing sound requests that share other parts or the caller with them.
 func TestPromptPartThatCrashesEnginesIsRefusedAlone(t *testing.T) {
-	s := startCrashSite(t, 5, true, func(r *http.Request) bool { return strings.Contains(r.Header.Get("X-Prompt-Prefix"), "bad:") })
-	request := func(i int, parts string) (*http.Response, string) {
+	s := startCrashSite(t, 5, true, func(r *http.Request) bool { return harness.HasEdgePromptPart(r, "bad") })
+	request := func(i int, parts ...string) (*http.Response, string) {
 		id := fmt.Sprintf("r%d", i)
 		req := s.Request(s.Nodes[i%2], http.MethodPost, "/note/"+id, id)
-		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s,%s:100", parts, id))
+		harness.SetEdgePromptParts(req, append(slices.Clone(parts), id+":100")...)
 		resp, _, err := send(t, req)
 		assert.NilError(t, err)
 		return resp, id
 	}
 	deadlyRuns := 0
 	for i := range 6 {
-		resp, id := request(2*i, "common:50,bad:40")
+		resp, id := request(2*i, "common:50", "bad:40")
 		if len(s.Fleet.Runs(t.Context(), id)) > 0 {
 			deadlyRuns++
 			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
@@ -88,8 +89,8 @@
 			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 		}
 		awaitMark(s, 1)
-		for j, parts := range []string{"common:50,good:40", "common:50"} {
-			resp, _ = request(2*i+100*(j+1)+1, parts)
+		for j, parts := range [][]string{{"common:50", "good:40"}, {"common:50"}} {
+			resp, _ = request(2*i+100*(j+1)+1, parts...)
 			assert.Equal(t, resp.StatusCode, http.StatusOK)
 		}
 		awaitMark(s, 0)
--- a/test/harness/edge_headers.go
+++ b/test/harness/edge_headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	headerAuthorization = "Authorization"
 	headerDeadline      = "X-Deadline-Ms"
 	headerSignature     = "X-Server-Signature"
+	headerPromptParts   = "X-Prompt-Prefix"
 )
 
 // SetEdgeAPIKey sets the API key of a request.
@@ -22,6 +24,21 @@
 	req.Header.Set(headerDeadline, strconv.FormatInt(d.Milliseconds(), 10))
 }
 
+// SetEdgePromptParts sets the parts of a request's prompt, each as its id, a colon and its size in tokens.
+func SetEdgePromptParts(req *http.Request, parts ...string) {
+	req.Header.Set(headerPromptParts, strings.Join(parts, ","))
+}
+
+// HasEdgePromptPart reports whether a request's prompt contains the part with the given id.
+func HasEdgePromptPart(req *http.Request, id string) bool {
+	for _, part := range strings.Split(req.Header.Get(headerPromptParts), ",") {
+		if strings.HasPrefix(part, id+":") {
+			return true
+		}
+	}
+	return false
+}
+
 // EdgeSignature returns the signature of the worker that answered. It is empty if the node itself answered.
 func EdgeSignature(resp *http.Response) string { return resp.Header.Get(headerSignature) }
 
--- a/test/soak/check_statements.go
+++ b/test/soak/check_statements.go
@@ -11,11 +11,11 @@
 // in which a worker said that it leaves, and that reached this worker from the node.
 func findWorkAfterSaidLeaving(h *history) []string {
 	var found []string
-	heard := map[heardKey]time.Time{}
+	heard := map[nodeAndWorker]time.Time{}
 	attempts := h.byID()
 	for _, a := range h.workers.Arrivals {
 		if sent := attempts[a.Request]; sent != nil && a.SaidLeaving && sent.complete() && sent.hasSignature {
-			key := heardKey{sent.node, a.Worker}
+			key := nodeAndWorker{sent.node, a.Worker}
 			if at, ok := heard[key]; !ok || sent.endedAt.Before(at) {
 				heard[key] = sent.endedAt
 			}
@@ -26,7 +26,7 @@
 		if sent == nil {
 			continue
 		}
-		at, ok := heard[heardKey{sent.node, a.Worker}]
+		at, ok := heard[nodeAndWorker{sent.node, a.Worker}]
 		if ok && sent.sentAt.After(at.Add(leavingBound)) && h.nodeKeptRunning(sent.node, at, a.At) {
 			found = append(found, fmt.Sprintf("%s reached %s from node %d %v after the node had heard that it leaves",
 				a.Request, a.Worker, sent.node, a.At.Sub(at)))
@@ -40,10 +40,10 @@
 func findWorkInPause(h *history) []string {
 	var found []string
 	attempts := h.byID()
-	arrivals := map[heardKey][]workers.Arrival{}
+	arrivals := map[nodeAndWorker][]workers.Arrival{}
 	for _, a := range h.workers.Arrivals {
 		if sent := attempts[a.Request]; sent != nil {
-			key := heardKey{sent.node, a.Worker}
+			key := nodeAndWorker{sent.node, a.Worker}
 			arrivals[key] = append(arrivals[key], a)
 		}
 	}
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -18,12 +18,6 @@
 	// linkDelay is the latency of a delayed link, storeDelay the latency of a slow store.
 	linkDelay  = 80 * time.Millisecond
 	storeDelay = 250 * time.Millisecond
-	// leaveNotice is the time from the announcement that a worker leaves until the worker is killed.
-	leaveNotice = 1500 * time.Millisecond
-	// unlistedLeaveNotice is that time for a worker whose entry does not show that it leaves. It exceeds leavingBound.
-	unlistedLeaveNotice = leavingBound + 1500*time.Millisecond
-	// replacementDelay is the time from the end of a worker to the start of its replacement.
-	replacementDelay = 1500 * time.Millisecond
 	// maxAddedKeys limits the number of keys besides the permanent one.
 	maxAddedKeys = 2
 )
@@ -174,80 +168,6 @@
 	}
 }
 
-func (i *injector) injectWorkerFault(ctx context.Context, f fault) func(context.Context) {
-	w := i.workers[f.target]
-	link := i.site.Links[w.ID]
-	heal := func(context.Context) {
-		// The link of a worker that was replaced in the meantime stays cut.
-		if i.workers[f.target] == w {
-			link.Heal()
-		}
-	}
-	switch f.kind {
-	case workerLinkStall:
-		link.Stall()
-		return heal
-	case workerLinkOneWay:
-		link.StallOneWay(f.variant%2 == 0)
-		return heal
-	case workerLinkDelay:
-		link.Delay(linkDelay)
-		return heal
-	case workerLinkReset:
-		link.Heal()
-	case workerBehave:
-		ways := []workers.Behaviour{workers.Refuse, workers.Fail, workers.Reset, workers.Truncate, workers.WrongRequestID}
-		i.site.Fleet.SetBehaviour(ctx, w.ID, ways[f.variant%len(ways)])
-		return func(ctx context.Context) { i.site.Fleet.SetBehaviour(ctx, w.ID, workers.Serve) }
-	case workerCrash:
-		i.endWorker(f.target, f.length)
-	case workerLeave:
-		i.announceLeaving(ctx, f)
-	}
-	return nil
-}
-
-// announceLeaving announces that a worker leaves, by marking its entry as draining, by removing the entry or only in its answers,
-// and schedules the worker's end.
-func (i *injector) announceLeaving(ctx context.Context, f fault) {
-	w, notice := i.workers[f.target], leaveNotice
-	switch f.variant % 4 {
-	case 0:
-		i.site.RemoveWorkerEntry(w.ID)
-		i.departures = append(i.departures, departure{name: w.ID, acknowledgedAt: time.Now()})
-	case 1:
-		i.site.Fleet.Leave(ctx, w.ID)
-		notice = unlistedLeaveNotice
-	default:
-		i.site.PutWorkerEntry(w, "draining")
-		i.departures = append(i.departures, departure{name: w.ID, acknowledgedAt: time.Now()})
-	}
-	i.schedule(notice, func(context.Context) {
-		if i.workers[f.target] == w {
-			i.endWorker(f.target, 0)
-		}
-	})
-}
-
-// endWorker kills the worker of a slot, removes its entry after entryStays and schedules the start of a replacement.
-func (i *injector) endWorker(slot int, entryStays time.Duration) {
-	w := i.workers[slot]
-	i.workers[slot] = nil
-	i.site.KillWorker(w.ID)
-	i.schedule(entryStays, func(context.Context) { i.site.RemoveWorkerEntry(w.ID) })
-	i.schedule(replacementDelay, func(context.Context) { i.startWorker(slot, true) })
-}
-
-// startWorker starts a worker in a slot.
-func (i *injector) startWorker(slot int, cold bool) {
-	i.startCounts[slot]++
-	w := addWorker(i.site, slot, i.startCounts[slot], cold)
-	i.workers[slot] = w
-	if w.ColdFor > 0 {
-		i.coldUntil[w.ID] = time.Now().Add(w.ColdFor)
-	}
-}
-
 // applyOperatorChange writes a configuration change and publishes the new operatorState. It returns the function that ends the
 // fault; nil if there is nothing to end.
 func (i *injector) applyOperatorChange(f fault) func(context.Context) {
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -34,7 +34,8 @@
 	recoveryTime  = 3 * time.Second
 	overlapBound  = 400 * time.Millisecond
 	abandonBound  = 500 * time.Millisecond
-	// pauseTime is the time for which a refusing worker wants no requests; a node may send pauseRequests of them from pauseGrace on.
+	// pauseTime is the pause that a refusing worker asks for. A node may send it at most pauseRequests requests between pauseGrace
+	// after the refusal and the end of the pause.
 	pauseTime      = 1500 * time.Millisecond
 	pauseGrace     = 500 * time.Millisecond
 	pauseRequests  = 2
