--- a/test/edge/crash_test.go
+++ b/test/edge/crash_test.go
@@ -97,3 +97,27 @@
 	}
 	assert.Equal(t, deadlyRuns, 2)
 }
+
+// Guards against a node that sends a quarantined request because it was restarted, or because it is cut off from the store.
+func TestQuarantineReachesNodesThatRestartOrLoseTheStore(t *testing.T) {
+	s := startCrashSite(t, 4, false, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/deadly") })
+	first, second := s.Nodes[0], s.Nodes[1]
+	second.StoreLink.Cut()
+	for i := range 2 {
+		resp, _, err := send(t, s.Request(first, http.MethodPost, "/booking/deadly", fmt.Sprintf("crash-%d", i)))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	}
+	awaitMark(s, 3)
+	second.StoreLink.Heal()
+	applied := func() int { return strings.Count(second.Log(), `"msg":"gateway: mark of another node applied"`) }
+	before := applied()
+	second.Kill()
+	second.Start()
+	s.Eventually("the node is ready", second.Ready)
+	s.Eventually("the restarted node knows the mark", func() bool { return applied() > before })
+	resp, _, err := send(t, s.Request(second, http.MethodPost, "/booking/deadly", "after-restart"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(s.Fleet.History(t.Context()).Runs), 2)
+}
