--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/azuredyked ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin handover "$folder"
+exec target/review-standin revoke "$folder"
