--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(*site) ([]string, error){
 	"crash":    playCrash,
 	"handover": playHandover,
+	"leave":    playLeave,
 	"revoke":   playRevoke,
 	"stop":     playStop,
 }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -20,6 +20,7 @@
 	tenantName    = "tenant-1"
 	apiKey        = "key-of-tenant-1"
 	engineService = "note-writers"
+	deskService   = "booking-desk"
 	engineSlots   = 24
 	heartbeat     = 1200 * time.Millisecond
 	// contactTime is contactMs: a node is in touch once it has run undisturbed for that long.
@@ -103,6 +104,9 @@
 		"routes": []any{map[string]any{
 			"name": "r-note", "hostname": hostName, "pathPrefix": "/note/", "type": "streaming", "timeoutMs": 39000, "sloMs": 1800,
 			"priority": 1, "service": engineService, "maxAttempts": 1, "public": false, "sticky": true, "resumable": false, "gapSloMs": 180,
+		}, map[string]any{
+			"name": "r-booking", "hostname": hostName, "pathPrefix": "/booking/", "type": "non_idempotent", "timeoutMs": 3000, "sloMs": 300,
+			"priority": 2, "service": deskService, "maxAttempts": 1, "public": false,
 		}},
 		"services": []any{map[string]any{
 			"name": engineService, "healthPath": "/healthz", "maxConnections": 272, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 37.0,
@@ -110,6 +114,8 @@
 				"slots": engineSlots, "kvCapacity": 34388, "kvBytes": 327680, "linkMbps": 47000.0, "moves": true, "backups": true, "stride": 4,
 				"most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}},
 			},
+		}, map[string]any{
+			"name": deskService, "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
 		}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": tenants,
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -44,13 +44,17 @@
 	events atomic.Int64
 }
 
-// worker is one model server. It serves at the same address in all its incarnations.
+// deskWork is the time that a booking takes.
+const deskWork = 60 * time.Millisecond
+
+// worker is one model server, or one server of the order desk. It serves at the same address in all its incarnations.
 type worker struct {
 	site    *site
 	name    string
+	service string
 	zone    string
 	address string
-	// crashesUnder reports whether a request crashes the worker that runs it, and after how many events.
+	// crashesUnder reports whether a request crashes the worker that runs it, and how long after the begin of its run.
 	crashesUnder func(path string) (after time.Duration, crashes bool)
 	// worksOn is set if the worker doesn't notice that a connection was closed. It works until the end or the deadline of the run.
 	worksOn bool
@@ -69,11 +73,16 @@
 
 // addWorker starts a worker and registers it in the store.
 func (s *site) addWorker(name, zone string, crashesUnder func(string) (time.Duration, bool)) error {
+	return s.addWorkerOf(engineService, name, zone, crashesUnder)
+}
+
+// addWorkerOf starts a worker of a service and registers it in the store.
+func (s *site) addWorkerOf(service, name, zone string, crashesUnder func(string) (time.Duration, bool)) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	w := &worker{site: s, name: name, zone: zone, address: l.Addr().String(), crashesUnder: crashesUnder}
+	w := &worker{site: s, service: service, name: name, zone: zone, address: l.Addr().String(), crashesUnder: crashesUnder}
 	s.fleet.mu.Lock()
 	s.fleet.workers = append(s.fleet.workers, w)
 	s.fleet.mu.Unlock()
@@ -99,7 +108,7 @@
 	w.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 	entry := map[string]any{
-		"service": engineService, "address": w.address, "zone": w.zone, "version": "v1", "slots": engineSlots, "state": "ready",
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": engineSlots, "state": "ready",
 		"coldLeftMs": 0, "phase": "mixed", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
 		"sequence": 0, "born": time.Now().UnixMilli(),
 	}
@@ -241,7 +250,7 @@
 	}
 	body, err := io.ReadAll(in.Body)
 	var p prompt
-	if err != nil || id == "" || json.Unmarshal(body, &p) != nil {
+	if err != nil || id == "" || w.service == engineService && json.Unmarshal(body, &p) != nil {
 		header.Set("X-Not-Executed", "1")
 		out.WriteHeader(http.StatusBadRequest)
 		return
@@ -257,9 +266,26 @@
 		return
 	}
 	defer w.release()
+	if w.service == deskService {
+		w.book(out, in)
+		return
+	}
 	w.generate(out, in, p, from)
 }
 
+// book runs a booking. It drops the request when its connection closes.
+func (w *incarnation) book(out http.ResponseWriter, in *http.Request) {
+	id := in.Header.Get("X-Request-Id")
+	w.site.log.add("%s runs %s", w.name, id)
+	if !sleep(in.Context(), deskWork) {
+		w.site.log.add("%s drops %s: its connection was closed", w.name, id)
+		return
+	}
+	out.Header().Set("X-Server-Signature", "signed-by-"+w.id)
+	_, _ = fmt.Fprintf(out, "booked %s", id)
+	w.site.log.add("%s has booked %s", w.name, id)
+}
+
 // move copies the memory of a run to another worker. A final call stops the run first.
 func (w *incarnation) move(out http.ResponseWriter, in *http.Request) {
 	var call struct {
