--- a/review/standin/case_crash.go
+++ b/review/standin/case_crash.go
@@ -9,7 +9,7 @@
 
 const (
 	// crashAfter is the time between the begin of the poisonous run and the crash of its worker.
-	crashAfter = 400 * time.Millisecond
+	crashAfter = 60 * time.Millisecond
 	// poisonPause is the time after which the request comes again, and poisonTime the time for which it does.
 	poisonPause = 2 * time.Second
 	poisonTime  = 45 * time.Second
