Accept requests on a stopping node by their deadline, not by an estimate

Cause: a stopping node accepted a stream if three times its expected length ended in time, by the caller's estimate, which is often four times too low. Requests of other kinds were accepted without any condition, and those that waited for an endpoint when SIGTERM came were not checked again. At the end all connections were closed, also those without an answer.

Change: decision/shutdown accepts what must end before the cut by its deadline, and repeatable whole answers by their objective. All others are refused as not run at once, on arrival and again when an endpoint is granted. At the end of the grace period, requests whose answer has not begun get an error in place of a closed connection.

--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -79,7 +79,7 @@
 	n.server = &Server{
 		log: logging.For(log, logging.Gateway), cluster: n.view.current, placer: placer{messages: n.dispatcher.messages},
 		sender: d.Sender, mover: d.Mover, liveness: d.Liveness, newStream: d.NewStream, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
-		quarantine: n.quarantine,
+		quarantine: n.quarantine, graceEnd: newGraceEnd(),
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
 	return n
--- a/service/edge/readiness.go
+++ b/service/edge/readiness.go
@@ -18,6 +18,6 @@
 
 // ready reports whether the node is not stopping and has a configuration that is recent enough to check API keys.
 func (r *readiness) ready() bool {
-	return r.server.stopDeadline.Load() == nil && r.server.cluster.Load().Fleet.Configuration != nil &&
+	return !r.server.graceEnd.isSet() && r.server.cluster.Load().Fleet.Configuration != nil &&
 		r.server.stateAge() < r.server.revokeBound()-revokeMargin
 }
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -19,16 +19,30 @@
 
 // send places the request and sends it to one endpoint. The returned upstream must be ended.
 func (s *session) send(ctx context.Context, o sendOptions) (*upstream, error) {
-	if !o.continues() {
-		if err := s.awaitQuarantine(ctx); err != nil {
+	if o.continues() {
+		up, err := s.place(ctx, o)
+		if err != nil {
 			return nil, err
 		}
+		return s.sendTo(ctx, up, o)
+	}
+	if err := s.checkStop(); err != nil {
+		return nil, err
+	}
+	if err := s.awaitQuarantine(ctx); err != nil {
+		return nil, err
 	}
 	up, err := s.place(ctx, o)
 	if err != nil {
 		s.releaseTrial()
 		return nil, err
 	}
+	// The node may have begun to stop while the request waited for its endpoint.
+	if err := s.checkStop(); err != nil {
+		up.end(dispatch.Cancelled)
+		s.releaseTrial()
+		return nil, err
+	}
 	return s.sendTo(ctx, up, o)
 }
 
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -34,9 +34,9 @@
 	quarantine *quarantine.Manager
 	// revokeAfter is the setting bounds.revoke in nanoseconds.
 	revokeAfter atomic.Int64
-	// stopDeadline is the time at which a stopping node cuts the remaining requests; nil while the node is not stopping.
-	stopDeadline atomic.Pointer[time.Time]
-	active       atomic.Int64
+	// graceEnd is the end of the time that a stopping node gives its requests.
+	graceEnd *graceEnd
+	active   atomic.Int64
 }
 
 // Limits returns the limits on callers' requests in the configuration in force; all zero before the first configuration.
@@ -61,6 +61,16 @@
 	current.refuse(err)
 }
 
+// withGraceEnd returns a context that is cancelled with the cause errGraceEnded when a stopping node ends its remaining requests.
+func (s *Server) withGraceEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(s.graceEnd.ctx, func() { cancel(errGraceEnded) })
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -32,11 +32,6 @@
 	// averageLengthRatio is the ratio of a run's output length, averaged over its duration, to the caller's estimate. The
 	// output grows from zero, and about half of the answers are longer than estimated.
 	averageLengthRatio = 0.6
-	// tokenTime is the time per token of a busy engine. An engine with a single request takes 7 ms.
-	tokenTime = 10 * time.Millisecond
-	// estimateFactor is the factor by which a stopping node extends the expected length of an answer before it accepts the
-	// request.
-	estimateFactor = 3
 )
 
 // session handles one request from its arrival to its answer.
@@ -71,6 +66,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	ctx, cancelAtGraceEnd := s.server.withGraceEnd(ctx)
+	defer cancelAtGraceEnd()
 	s.setFingerprints()
 	defer s.releaseTrial()
 	for {
@@ -117,8 +114,8 @@
 			return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "unknown API key in configuration version %d", c.Version)
 		}
 	}
-	if deadline := s.server.stopDeadline.Load(); deadline != nil && s.route.Streaming && s.expectedEnd().After(*deadline) {
-		return verdict.New(verdict.NotRun, verdict.ReasonStopping, "the node is stopping").WithRetryAfter(minRetryAfter)
+	if err := s.checkStop(); err != nil {
+		return err
 	}
 	s.service = s.route.Service(xxh3.HashString(s.request.ID))
 	return nil
@@ -146,7 +143,7 @@
 func (s *session) mayRetry(ctx context.Context, err error) bool {
 	v := verdict.Of(err)
 	if ctx.Err() != nil || s.sends >= maxSends || v.Reason == verdict.ReasonNoEndpoint || v.Reason == verdict.ReasonCancelled ||
-		v.Reason == verdict.ReasonQuarantined {
+		v.Reason == verdict.ReasonQuarantined || v.Reason == verdict.ReasonStopping {
 		return false
 	}
 	switch v.Verdict {
@@ -161,7 +158,10 @@
 // to not-run.
 func (s *session) finalError(ctx context.Context, err error) *verdict.Error {
 	v := *verdict.Of(err)
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), errGraceEnded):
+		v.Reason = verdict.ReasonStopping
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		v.Reason = verdict.ReasonTimeout
 	}
 	if s.runs > 0 {
@@ -227,12 +227,6 @@
 	return min(s.request.MaxTokens, int(averageLengthRatio*float64(s.request.LengthHint)))
 }
 
-// expectedEnd returns the time by which a stream has most likely ended. The caller's estimate is often far off, so it
-// is multiplied by estimateFactor.
-func (s *session) expectedEnd() time.Time {
-	return s.request.Received.Add(s.route.FirstByteObjective + time.Duration(estimateFactor*s.expectedOutput())*tokenTime)
-}
-
 // priority returns the rank of the request; 0 is the most urgent.
 func (s *session) priority() int {
 	if s.workspace != nil && s.workspace.HasPriority {
--- a/service/edge/stop.go
+++ b/service/edge/stop.go
@@ -14,8 +14,10 @@
 	// readinessNoticeTime is how long the platform may keep sending connections to a node that is not ready: two readiness
 	// probes one second apart.
 	readinessNoticeTime = 2500 * time.Millisecond
-	// stopReserve is the part of the grace period that is reserved for ending the process.
+	// stopReserve is the part of the grace period that is reserved for ending the remaining requests and the process.
 	stopReserve = 400 * time.Millisecond
+	// refusalTime is the part of stopReserve in which the requests without an answer get an error.
+	refusalTime = 200 * time.Millisecond
 	// listenerCloseReserve is the time before the end of the grace period at which the listener closes even if connections
 	// still arrive. They do if most nodes of a data centre stop at once, because the platform then uses all nodes.
 	listenerCloseReserve = 2 * time.Second
@@ -24,17 +26,17 @@
 )
 
 // stop shuts the node down without cutting requests that can end within the grace period. The node reports that it is not
-// ready, refuses streams that would last too long, and closes the listener once the platform has noticed and no request is
-// in progress.
+// ready, refuses requests that may last too long, and closes the listener once the platform has noticed and no request is
+// in progress. Requests that are left at the end get an error if their answer has not begun.
 func (n *Node) stop(callers *httpserver.Server) {
 	start := time.Now()
 	deadline := start.Add(n.settings.Stop.Grace - stopReserve)
 	n.log.Info("stopping", zap.Int64("active", n.server.Active()), zap.Duration("grace", n.settings.Stop.Grace))
-	n.server.stopDeadline.Store(&deadline)
+	n.server.graceEnd.set(deadline)
 	callers.HTTP.SetKeepAlivesEnabled(false)
 	n.awaitIdle(start)
 	n.log.Info("closing the callers' listener", zap.Int64("active", n.server.Active()), zap.Duration("after", time.Since(start)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(refusalTime))
 	defer cancel()
 	if err := callers.HTTP.Shutdown(ctx); err != nil {
 		n.log.Warn("grace period ended; cutting the remaining requests", zap.Int64("active", n.server.Active()), logging.Cause(err))
--- a/test/harness/edge_headers.go
+++ b/test/harness/edge_headers.go
@@ -14,6 +14,7 @@
 	headerDeadline      = "X-Deadline-Ms"
 	headerSignature     = "X-Server-Signature"
 	headerPromptParts   = "X-Prompt-Prefix"
+	headerLengthHint    = "X-Length-Hint"
 )
 
 // SetEdgeAPIKey sets the API key of a request.
@@ -24,6 +25,11 @@
 	req.Header.Set(headerDeadline, strconv.FormatInt(d.Milliseconds(), 10))
 }
 
+// SetEdgeLengthHint sets the caller's estimate of the number of output tokens.
+func SetEdgeLengthHint(req *http.Request, tokens int) {
+	req.Header.Set(headerLengthHint, strconv.Itoa(tokens))
+}
+
 // SetEdgePromptParts sets the parts of a request's prompt, each as its id, a colon and its size in tokens.
 func SetEdgePromptParts(req *http.Request, parts ...string) {
 	req.Header.Set(headerPromptParts, strings.Join(parts, ","))
--- a/test/soak/balancer.go
+++ b/test/soak/balancer.go
@@ -11,7 +11,8 @@
 // readinessInterval is the time between two readiness checks of the nodes.
 const readinessInterval = 250 * time.Millisecond
 
-// balancer is the task that publishes the indices of the ready nodes, as a load balancer's health checks do.
+// balancer is the task that publishes the indices of the nodes that get requests: the ready ones, or all if fewer than half are
+// ready, as the users' platform chooses them.
 type balancer struct {
 	nodes []*harness.EdgeNode
 	ready *atomic.Pointer[[]int]
@@ -28,6 +29,12 @@
 				ready = append(ready, i)
 			}
 		}
+		if 2*len(ready) < len(b.nodes) {
+			ready = ready[:0]
+			for i := range b.nodes {
+				ready = append(ready, i)
+			}
+		}
 		b.ready.Store(&ready)
 		select {
 		case <-ctx.Done():
--- a/test/soak/routes.go
+++ b/test/soak/routes.go
@@ -8,4 +8,6 @@
 	// routeBooking runs at most once; routeLookup is idempotent.
 	routeBooking = "booking"
 	routeLookup  = "lookup"
+	// longSegment follows the route of a long note.
+	longSegment = "/long"
 )
