Count crashes after the first event against a request

Its first try alone ended six engines within half a second.

Cause: the first event of an answer discarded the evidence against the request, and a later crash was not reported. The run went on from its copy at the next engine, without a limit. Resumptions by the caller and repeats within the node had the same gap.

Change: the first event clears the shared parts of the prompt only; the request is cleared by its complete answer. A crash after the first event counts one against the request, at any node and from any way in which it comes again, and three put it into quarantine. The check of the first crash runs beside the continuation, so that sound streams do not wait for it. A quarantined request is not moved.

--- /dev/null
+++ b/decision/quarantine/late_result_test.go
@@ -0,0 +1,27 @@
+package quarantine
+
+import "fmt"
+
+// lateResult counts what users would notice of late crashes.
+type lateResult struct {
+	// enginesLost counts the engines that deadly requests crashed.
+	enginesLost int
+	// lateTries counts the runs of deadly requests later than contactTime after their third crash.
+	lateTries int
+	// sound counts the sound streams. Of them, withoutCopy were lost because the engine with the copy had failed too, and dropped
+	// were lost because a node did not let them go on.
+	sound, withoutCopy, dropped int
+}
+
+func (r lateResult) String() string {
+	return fmt.Sprintf("engines lost %d, late tries %d, sound streams %d, lost without a copy %d, dropped %d",
+		r.enginesLost, r.lateTries, r.sound, r.withoutCopy, r.dropped)
+}
+
+func (r *lateResult) add(o lateResult) {
+	r.enginesLost += o.enginesLost
+	r.lateTries += o.lateTries
+	r.sound += o.sound
+	r.withoutCopy += o.withoutCopy
+	r.dropped += o.dropped
+}
--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -91,6 +91,24 @@
 	return changed
 }
 
+// CrashedLate records that an endpoint crashed under a request that had begun its answer, and returns the marks that have
+// changed. Only the request as a whole becomes a suspect: its shared parts were cleared when the answer began. A crash breaks all
+// runs of an endpoint, most of which are sound, so a single suspect needs one more crash than before an answer.
+func (t *Table) CrashedLate(now time.Time, seen []Mark) []Mark {
+	var changed []Mark
+	for _, m := range seen {
+		if m.Fingerprint.IsShared() {
+			continue
+		}
+		m.Evidence += crashEvidence
+		m.Remaining = maxQuarantine
+		if t.Merge(now, m) {
+			changed = append(changed, t.entries[m.Fingerprint].mark(now, m.Fingerprint))
+		}
+	}
+	return changed
+}
+
 // Completed records that a request with the fingerprints got its answer, and discards the evidence against them. It returns
 // the marks that have changed.
 func (t *Table) Completed(now time.Time, fingerprints []Fingerprint) []Mark {
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -33,6 +33,8 @@
 	// Crashes reports whether a request crashes the worker that begins to run it; nil if none does. Crash ends the worker's process.
 	Crashes func(*http.Request) bool
 	Crash   func()
+	// EventsUntilCrash returns the number of events after which a request crashes the engine that runs it; nil or 0 if it does not.
+	EventsUntilCrash func(*http.Request) int
 }
 
 // ServeHTTP implements http.Handler.
@@ -176,6 +178,10 @@
 	if w.EventsOf != nil {
 		events = w.EventsOf(in.URL.Path)
 	}
+	untilCrash := 0
+	if w.EventsUntilCrash != nil {
+		untilCrash = w.EventsUntilCrash(in)
+	}
 	for n := run.From; n <= events; n++ {
 		if _, err := fmt.Fprintf(out, "id: %d\ndata: %d of %s\n\n", n, run.Generation, request); err != nil {
 			return
@@ -184,6 +190,10 @@
 		if backup != "" {
 			ask(in.Context(), w.Fleet, func(s *state) bool { s.copies[backup+"/"+request] = run.Generation; return true })
 		}
+		if untilCrash > 0 && n-run.From+1 == untilCrash {
+			w.Crash()
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case <-time.After(w.Interval):
 		case <-in.Context().Done():
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -9,6 +9,7 @@
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	decision "azuredyke.dev/azuredyke/decision/quarantine"
 )
 
 const (
@@ -80,6 +81,8 @@
 	m.attempts++
 	switch {
 	case m.attempts > maxMigrationAttempts || m.copying:
+	case r.standing() == decision.Quarantined:
+		r.log(zap.WarnLevel, "run not moved, since the request is in quarantine", zap.String("endpoint", r.up.placement.Endpoint.ID))
 	case m.leaving && m.handle != "":
 		r.continueAtStandby()
 	case m.target != nil && !m.leaving && r.server.placer.underMemoryPressure(r.ctx, r.service):
--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -31,11 +31,12 @@
 	if err != nil {
 		return s.failIncomplete(ctx, up, err)
 	}
-	s.reportAnswer(ctx)
 	if len(body) == maxBufferedBytes {
-		s.relayLarge(up, body)
+		s.reportBegun(ctx)
+		s.relayLarge(ctx, up, body)
 		return nil
 	}
+	s.reportAnswer(ctx)
 	if !up.answer.Successful() && up.answer.Status >= 500 {
 		up.end(dispatch.Failed)
 		s.triedEndpoints = append(s.triedEndpoints, up.placement.Endpoint.ID)
@@ -69,7 +70,7 @@
 }
 
 // relayLarge forwards an answer of which only the start has been read.
-func (s *session) relayLarge(up *upstream, start []byte) {
+func (s *session) relayLarge(ctx context.Context, up *upstream, start []byte) {
 	if s.caller.Begin(up.answer.Status, up.answer.Header, up.answer.Length) != nil || s.caller.Write(start) != nil {
 		up.end(dispatch.Cancelled)
 		return
@@ -83,11 +84,13 @@
 		}
 		if err == io.EOF {
 			up.end(dispatch.Succeeded)
+			s.reportAnswer(ctx)
 			s.finish(up)
 			return
 		}
 		if err != nil {
 			up.end(dispatch.Broken)
+			s.beginCrashCheck(ctx, up.placement.Endpoint)
 			s.abort(up, err)
 		}
 	}
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -20,6 +20,7 @@
 // send places the request and sends it to one endpoint. The returned upstream must be ended.
 func (s *session) send(ctx context.Context, o sendOptions) (*upstream, error) {
 	if o.continues() {
+		s.admission = s.server.quarantine.Continue(s.fingerprints)
 		up, err := s.place(ctx, o)
 		if err != nil {
 			return nil, err
@@ -61,7 +62,7 @@
 		s.arrivals++
 	}
 	if err != nil {
-		return nil, s.failAttempt(ctx, up, err, time.Since(start))
+		return nil, s.failAttempt(ctx, up, o, err, time.Since(start))
 	}
 	up.answer = answer
 	s.runs++
@@ -72,7 +73,7 @@
 }
 
 // failAttempt ends an attempt that got no answer.
-func (s *session) failAttempt(ctx context.Context, up *upstream, err error, took time.Duration) error {
+func (s *session) failAttempt(ctx context.Context, up *upstream, o sendOptions, err error, took time.Duration) error {
 	v := verdict.Of(err)
 	s.copyEndpoint = fleet.Endpoint{}
 	if v.Verdict != verdict.NotRun {
@@ -82,13 +83,24 @@
 	s.endAttempt(ctx, up, outcomeOf(v))
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placement.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
 		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
-	if v.Verdict != verdict.NotRun && s.reportCrash(ctx, up.placement.Endpoint) {
+	if v.Verdict != verdict.NotRun && !s.mayContinueAfterFailure(ctx, up.placement.Endpoint, o) {
 		s.copyEndpoint = fleet.Endpoint{}
 	}
-	s.releaseTrial()
+	if !o.continues() {
+		// The admission of a run that was to continue elsewhere still holds where it runs.
+		s.releaseTrial()
+	}
 	return err
 }
 
+// mayContinueAfterFailure reports whether a run may continue from a copy after an attempt that got no answer and may have run.
+func (s *session) mayContinueAfterFailure(ctx context.Context, endpoint fleet.Endpoint, o sendOptions) bool {
+	if o.lastEvent == "" && s.request.LastEvent == "" {
+		return !s.reportCrash(ctx, endpoint)
+	}
+	return s.mayContinueAfterBreak(ctx, endpoint)
+}
+
 // endAttempt ends an attempt and excludes its endpoint from the next attempts. If the request itself has ended, the
 // outcome is not counted against the endpoint.
 func (s *session) endAttempt(ctx context.Context, up *upstream, o dispatch.Outcome) {
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -56,6 +56,8 @@
 	fingerprints []decision.Fingerprint
 	// admission is the quarantine's admission of the current attempt. It is empty once the outcome was reported.
 	admission quarantine.Admission
+	// check is the check of the last break after the answer had begun; nil if there is none or its result is included.
+	check *crashCheck
 }
 
 // serve checks the request and answers it.
--- a/service/edge/session_quarantine.go
+++ b/service/edge/session_quarantine.go
@@ -23,6 +23,8 @@
 	trialRetryAfter = time.Second
 	// crashCheckTimeout bounds the check whether an endpoint has ended.
 	crashCheckTimeout = 300 * time.Millisecond
+	// crashReportTimeout bounds the check and the report of its result.
+	crashReportTimeout = time.Second
 )
 
 // setFingerprints computes the fingerprints by which the quarantine knows the request.
@@ -75,32 +77,83 @@
 		cause.Fingerprint).WithRetryAfter(rest)
 }
 
-// reportCrash checks whether the endpoint of a broken attempt has crashed, and reports that to the
+// reportCrash checks whether the endpoint of an attempt that broke before its answer began has crashed, and reports that to the
 // quarantine. It returns false if the attempt broke for another reason, or if its outcome was reported before.
 func (s *session) reportCrash(ctx context.Context, endpoint fleet.Endpoint) bool {
-	if len(s.admission.Marks()) == 0 || ctx.Err() != nil || !s.isExpectedToServe(endpoint) {
+	if !s.isCrashEvidence(ctx, endpoint) || !s.server.hasCrashed(ctx, s.request.ID, s.fingerprints, endpoint) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	if !s.server.liveness.HasEnded(ctx, endpoint.Address) {
-		return false
-	}
-	s.server.metrics.crashes.Inc(1)
-	s.log(zap.WarnLevel, "endpoint crashed under a request", zap.String("endpoint", endpoint.ID),
-		zap.Any("marks", s.admission.Marks()))
 	s.server.quarantine.ReportCrash(ctx, s.admission)
 	s.admission = quarantine.Admission{}
 	return true
 }
 
+// mayContinueAfterBreak checks whether the endpoint of an attempt that broke after its answer began has crashed, reports that to
+// the quarantine, and returns whether the run may continue at another endpoint.
+func (s *session) mayContinueAfterBreak(ctx context.Context, endpoint fleet.Endpoint) bool {
+	s.awaitCrashCheck()
+	s.beginCrashCheck(ctx, endpoint)
+	if s.standing() == decision.Clear {
+		// One crash does not stop a run, so the caller does not wait for the check.
+		return true
+	}
+	s.awaitCrashCheck()
+	return s.standing() != decision.Quarantined
+}
+
+// beginCrashCheck starts to check whether the endpoint of an attempt that broke after its answer began has crashed. The check
+// outlives the request, whose caller may come again.
+func (s *session) beginCrashCheck(ctx context.Context, endpoint fleet.Endpoint) {
+	check := newCrashCheck()
+	s.check = check
+	if !s.isCrashEvidence(ctx, endpoint) {
+		close(check.done)
+		return
+	}
+	server, request, fingerprints, admission := s.server, s.request.ID, s.fingerprints, s.admission
+	go func() {
+		defer close(check.done)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashReportTimeout)
+		defer cancel()
+		if check.crashed = server.hasCrashed(ctx, request, fingerprints, endpoint); check.crashed {
+			server.quarantine.ReportLateCrash(ctx, admission)
+		}
+	}()
+}
+
+// awaitCrashCheck waits for the check that was begun last. After a crash, the next one counts with the marks of the request at
+// that time.
+func (s *session) awaitCrashCheck() {
+	if s.check == nil {
+		return
+	}
+	<-s.check.done
+	if s.check.crashed {
+		s.admission = s.server.quarantine.Continue(s.fingerprints)
+	}
+	s.check = nil
+}
+
+// standing returns the standing of the request as a whole.
+func (s *session) standing() decision.Standing {
+	return s.server.quarantine.Assess(s.fingerprints[:1]).Standing
+}
+
+// isCrashEvidence reports whether a crash of the endpoint would be evidence against the request.
+func (s *session) isCrashEvidence(ctx context.Context, endpoint fleet.Endpoint) bool {
+	return len(s.admission.Marks()) > 0 && ctx.Err() == nil && s.isExpectedToServe(endpoint)
+}
+
 // isExpectedToServe reports whether the endpoint is still listed and not leaving. An endpoint that leaves ends as planned.
 func (s *session) isExpectedToServe(endpoint fleet.Endpoint) bool {
 	listed := s.server.cluster.Load().Fleet.Endpoints[s.service]
 	return slices.ContainsFunc(listed, func(e fleet.Endpoint) bool { return e.SameIncarnation(&endpoint.Endpoint) && !e.Leaving })
 }
 
-// reportAnswer reports that the endpoint began its answer without a crash.
+// reportBegun reports that the endpoint began its answer without a crash.
+func (s *session) reportBegun(ctx context.Context) { s.server.quarantine.ReportBegun(ctx, s.admission) }
+
+// reportAnswer reports that the endpoint completed its answer without a crash.
 func (s *session) reportAnswer(ctx context.Context) {
 	s.server.quarantine.ReportAnswer(ctx, s.admission)
 	s.admission = quarantine.Admission{}
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -121,7 +121,7 @@
 	}
 	now := time.Now()
 	if r.eventCount == 0 {
-		r.reportAnswer(r.ctx)
+		r.reportBegun(r.ctx)
 		r.server.metrics.firstByte.RecordDuration(now.Sub(r.request.Received))
 	} else {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastForwardedAt))
@@ -164,13 +164,10 @@
 	r.triedEndpoints = append(r.triedEndpoints, old.placement.Endpoint.ID)
 	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placement.Endpoint.ID), zap.Int("events", r.eventCount),
 		zap.String("last_event", r.lastEvent), logging.Cause(cause))
-	switch crashed := r.eventCount == 0 && r.reportCrash(r.ctx, old.placement.Endpoint); {
-	case crashed:
-		// The copy's endpoint would begin the same answer and may crash as well.
-		r.dropTarget()
-	case r.continueFromCopy(old):
+	if r.mayContinue(old) && r.continueFromCopy(old) {
 		return nil
 	}
+	r.dropTarget()
 	err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "stream of %s broke: %w", old.placement.Endpoint.ID, cause)
 	for r.mayRetry(r.ctx, err) {
 		next, failure := r.send(r.ctx, sendOptions{lastEvent: r.lastEvent})
@@ -191,6 +188,15 @@
 	return nil
 }
 
+// mayContinue reports whether a run that broke at an endpoint may continue from its copy. The copy's endpoint would work on the
+// same answer and may crash as well.
+func (r *streamRelay) mayContinue(broken *upstream) bool {
+	if r.eventCount == 0 && r.request.LastEvent == "" {
+		return !r.reportCrash(r.ctx, broken.placement.Endpoint)
+	}
+	return r.mayContinueAfterBreak(r.ctx, broken.placement.Endpoint)
+}
+
 // continueFromCopy continues a run whose endpoint failed from a copy of its memory, and reports whether that succeeded.
 func (r *streamRelay) continueFromCopy(old *upstream) bool {
 	var next *upstream
--- a/service/quarantine/manager.go
+++ b/service/quarantine/manager.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -110,9 +111,31 @@
 	})
 }
 
-// ReportAnswer records that an admitted attempt got its answer, which clears its fingerprints.
-func (m *Manager) ReportAnswer(ctx context.Context, a Admission) {
-	fingerprints := a.fingerprints()
+// ReportLateCrash records that an endpoint crashed under an admitted attempt that had begun its answer, and returns once the
+// change is broadcast or ctx has ended.
+func (m *Manager) ReportLateCrash(ctx context.Context, a Admission) {
+	m.change(ctx, zap.WarnLevel, "evidence against a fingerprint after a crash", func(reply chan<- []quarantine.Mark) taskMessage {
+		return lateCrashMessage{seen: a.marks, reply: reply}
+	})
+}
+
+// Continue returns the admission of an attempt that continues an earlier one at another endpoint. It reserves no trial.
+func (m *Manager) Continue(fingerprints []quarantine.Fingerprint) Admission {
+	assessment := m.Assess(fingerprints)
+	return Admission{Standing: assessment.Standing, marks: assessment.Marks}
+}
+
+// ReportBegun records that an endpoint began the answer of an admitted attempt. That clears the shared parts of the request, but not
+// the request as a whole, which may crash the endpoint later.
+func (m *Manager) ReportBegun(ctx context.Context, a Admission) {
+	m.discard(ctx, slices.DeleteFunc(a.fingerprints(), func(f quarantine.Fingerprint) bool { return !f.IsShared() }))
+}
+
+// ReportAnswer records that an admitted attempt got its complete answer, which clears its fingerprints.
+func (m *Manager) ReportAnswer(ctx context.Context, a Admission) { m.discard(ctx, a.fingerprints()) }
+
+// discard discards the evidence against fingerprints.
+func (m *Manager) discard(ctx context.Context, fingerprints []quarantine.Fingerprint) {
 	if m.Assess(fingerprints).Standing == quarantine.Clear {
 		return
 	}
--- a/test/edge/crash_test.go
+++ b/test/edge/crash_test.go
@@ -15,10 +15,16 @@
 
 // startCrashSite starts a site with two nodes and endpoints that the given requests crash.
 func startCrashSite(t *testing.T, endpoints int, engine bool, crashes func(*http.Request) bool) *harness.EdgeSite {
+	t.Helper()
+	return startSiteOf(t, endpoints, engine, func(w *workers.Worker) { w.Crashes, w.Events = crashes, 5 })
+}
+
+// startSiteOf starts a site with two nodes and endpoints that change has adjusted.
+func startSiteOf(t *testing.T, endpoints int, engine bool, change func(*workers.Worker)) *harness.EdgeSite {
 	t.Helper()
 	s := harness.NewEdgeSite(t, 2)
 	for i := range endpoints {
-		s.AddWorkerWith(fmt.Sprintf("endpoint-%d", i+1), engine, func(w *workers.Worker) { w.Crashes, w.Events = crashes, 5 })
+		s.AddWorkerWith(fmt.Sprintf("endpoint-%d", i+1), engine, change)
 	}
 	s.Start()
 	for _, n := range s.Nodes {
@@ -34,6 +40,20 @@
 	}
 }
 
+// awaitMarks waits until all nodes have a mark with at least the given evidence. A crash can count more than once.
+func awaitMarks(s *harness.EdgeSite, evidence int) {
+	for _, n := range s.Nodes {
+		s.Eventually("the node knows of the crash", func() bool {
+			for e := evidence; e <= 3; e++ {
+				if strings.Contains(n.Log(), fmt.Sprintf(`"evidence":%d,`, e)) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 // Guards against a request that its caller sends again and again, at one node and at others, and that crashes an endpoint each time.
 func TestRepeatedRequestCrashesAtMostTwoEndpoints(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -67,6 +87,59 @@
 	}
 }
 
+// Guards against a request that crashes its engine after the first event: one try that goes on at one engine after the other, and
+// further tries at the same node and at others, with and without the id of the last event.
+func TestRequestThatCrashesLateReachesAtMostThreeEndpoints(t *testing.T) {
+	for name, route := range map[string]string{"copied": "note", "resumable": "reply"} {
+		for _, events := range []int{1, 20} {
+			t.Run(fmt.Sprintf("%s after event %d", name, events), func(t *testing.T) {
+				s := startSiteOf(t, 6, true, func(w *workers.Worker) {
+					w.EventsUntilCrash = func(r *http.Request) int {
+						if strings.HasSuffix(r.URL.Path, "/deadly") {
+							return events
+						}
+						return 0
+					}
+				})
+				for i := range 6 {
+					id := fmt.Sprintf("deadly-%d", i)
+					req := s.Request(s.Nodes[i%2], http.MethodPost, "/"+route+"/deadly", id)
+					if i > 0 && route == "reply" {
+						harness.SetEdgeLastEvent(req, "1")
+					}
+					resp, _, err := send(t, req)
+					if ran := len(s.Fleet.Runs(t.Context(), id)) > 0; ran {
+						assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway)
+						awaitMarks(s, len(s.Fleet.History(t.Context()).Runs))
+						continue
+					}
+					assert.NilError(t, err)
+					assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+					assert.Assert(t, resp.Header.Get("Retry-After") != "")
+				}
+				runs := len(s.Fleet.History(t.Context()).Runs)
+				assert.Assert(t, runs == 2 || runs == 3, "%d runs", runs)
+				ids, err := readEvents(t, s.Request(s.Nodes[1], http.MethodPost, "/"+route+"/sound", "sound"), func(int) {})
+				assert.NilError(t, err)
+				assertComplete(t, ids, 60)
+			})
+		}
+	}
+}
+
+// Guards against a sound stream that is dropped as if it had crashed its engines, because two of them failed one after the other.
+func TestStreamContinuesAfterTwoCrashes(t *testing.T) {
+	s := startSiteOf(t, 4, true, func(*workers.Worker) {})
+	ids, err := readEvents(t, s.Request(s.Nodes[0], http.MethodPost, "/note/sound", "r1"), func(count int) {
+		if count == 10 || count == 40 {
+			s.KillWorker(currentWorker(t, s, "r1"))
+		}
+	})
+	assert.NilError(t, err)
+	assertComplete(t, ids, 60)
+	assert.Equal(t, len(s.Fleet.Runs(t.Context(), "r1")), 3)
+}
+
 // Guards against a part of prompts that crashes one engine after the other in requests that are otherwise all different, and
 // against refusing sound requests that share other parts or the caller with them.
 func TestPromptPartThatCrashesEnginesIsRefusedAlone(t *testing.T) {
--- a/test/harness/edge_headers.go
+++ b/test/harness/edge_headers.go
@@ -15,6 +15,7 @@
 	headerSignature     = "X-Server-Signature"
 	headerPromptParts   = "X-Prompt-Prefix"
 	headerLengthHint    = "X-Length-Hint"
+	headerLastEvent     = "Last-Event-Id"
 )
 
 // SetEdgeAPIKey sets the API key of a request.
@@ -30,6 +31,9 @@
 	req.Header.Set(headerLengthHint, strconv.Itoa(tokens))
 }
 
+// SetEdgeLastEvent sets the id of the last event that the caller has received.
+func SetEdgeLastEvent(req *http.Request, id string) { req.Header.Set(headerLastEvent, id) }
+
 // SetEdgePromptParts sets the parts of a request's prompt, each as its id, a colon and its size in tokens.
 func SetEdgePromptParts(req *http.Request, parts ...string) {
 	req.Header.Set(headerPromptParts, strings.Join(parts, ","))
