Bound the Retry-After of a quarantined request by a minute

Callers that honour Retry-After stayed away for up to an hour, the rest of the quarantine, although marks are kept in memory only and are lost when all nodes restart.

Change: the time is at most a minute. An early return costs a refusal that no endpoint sees.

--- a/service/edge/session_quarantine.go
+++ b/service/edge/session_quarantine.go
@@ -21,6 +21,9 @@
 	trialPollInterval = 50 * time.Millisecond
 	// trialRetryAfter is the Retry-After time of a suspect that was refused: a trial usually has its outcome by then.
 	trialRetryAfter = time.Second
+	// maxQuarantineRetryAfter bounds the Retry-After time of a quarantined request. Marks are lost when all nodes restart, so the
+	// quarantine can end long before its time.
+	maxQuarantineRetryAfter = time.Minute
 	// crashCheckTimeout bounds the check whether an endpoint has ended.
 	crashCheckTimeout = 300 * time.Millisecond
 	// crashReportTimeout bounds the check and the report of its result.
@@ -64,7 +67,7 @@
 }
 
 // quarantineError returns the error for a request with a quarantined fingerprint. Its Retry-After time is the rest of the
-// quarantine, since the request cannot be served earlier.
+// quarantine, up to maxQuarantineRetryAfter.
 func (s *session) quarantineError() *verdict.Error {
 	var rest time.Duration
 	var cause decision.Mark
@@ -74,7 +77,7 @@
 		}
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "requests with the fingerprint %d have crashed the endpoints that ran them",
-		cause.Fingerprint).WithRetryAfter(rest)
+		cause.Fingerprint).WithRetryAfter(min(rest, maxQuarantineRetryAfter))
 }
 
 // reportCrash checks whether the endpoint of an attempt that broke before its answer began has crashed, and reports that to the
--- a/service/edge/session_quarantine_test.go
+++ b/service/edge/session_quarantine_test.go
@@ -12,6 +12,7 @@
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	decision "azuredyke.dev/azuredyke/decision/quarantine"
 	"azuredyke.dev/azuredyke/service/quarantine"
@@ -60,3 +61,22 @@
 		})
 	}
 }
+
+// Guards against callers that are told to stay away for the hour of a quarantine, although its marks may be lost before.
+func TestRetryAfterOfAQuarantineIsBounded(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	manager := quarantine.NewManager(zap.NewNop(), quarantine.NoPeers{})
+	go manager.Run(ctx)
+	s := &session{
+		request: &exchange.Request{Received: time.Now()}, route: &catalog.Route{}, fingerprints: []decision.Fingerprint{2},
+		server: &Server{quarantine: manager},
+	}
+	for range 2 {
+		manager.ReportCrash(ctx, manager.Admit(ctx, s.fingerprints))
+	}
+	refusal := s.awaitQuarantine(ctx)
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Reason, verdict.ReasonQuarantined)
+	assert.Equal(t, refusal.RetryAfter, maxQuarantineRetryAfter)
+}
