Stop a run at the endpoint before when it goes on elsewhere

Cause: the close of the connection was taken for the end of the run. Most engines notice the close; one that does not was never told.

Change: 50 ms after the close, a task calls the old engine with a final move, which ends the run first. It repeats the call while its outcome is not known, until the engine confirms or refuses connections. This holds for moves off leaving engines, for broken streams that continue or are resumed by the node, and for attempts that may have run before the request is sent to the next engine.

The soak's check excused engines that had announced their leave and nodes disturbed at any time since the request; it now judges the time of the move, and its engines do not notice the close of long notes.

--- a/common/exchange/move.go
+++ b/common/exchange/move.go
@@ -7,4 +7,6 @@
 	// Source and Target are the addresses of the endpoints.
 	Source string
 	Target string
+	// Final is set if the source stops the run before the transfer.
+	Final bool
 }
--- a/fake/workers/run.go
+++ b/fake/workers/run.go
@@ -24,4 +24,14 @@
 	// Ended is set when the worker has stopped working on the run, at EndedAt.
 	Ended   bool
 	EndedAt time.Time
+
+	// stop is closed when a final move stops the run.
+	stop chan struct{}
+}
+
+// end records that the worker has stopped working on the run.
+func (r *Run) end() {
+	if !r.Ended {
+		r.Ended, r.EndedAt = true, time.Now()
+	}
 }
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,10 +57,7 @@
 }
 
 // mayMove reports whether the run's memory can be copied and the run cannot simply be repeated.
-func (r *streamRelay) mayMove() bool {
-	service := r.cluster.Fleet.Configuration.Services[r.service]
-	return !r.route.MayRepeat() && r.request.PromptTokens > 0 && service != nil && service.Engine != nil && service.Engine.SupportsMoves
-}
+func (r *streamRelay) mayMove() bool { return !r.route.MayRepeat() && r.canMove() }
 
 // handleDeparture starts a migration because an endpoint of the run is leaving.
 func (r *streamRelay) handleDeparture(d departure) {
@@ -151,14 +149,21 @@
 // cannot be used, the run stays at its endpoint.
 func (r *streamRelay) handOver(next *upstream, o sendOptions) bool {
 	old, id := r.up, next.placement.Endpoint.ID
-	overlap := time.AfterFunc(moveOverlap, old.cancel)
+	stop := r.newRunStop(old.placement.Endpoint, next.placement.Endpoint)
+	overlap := time.AfterFunc(moveOverlap, func() {
+		old.cancel()
+		stop.run(context.WithoutCancel(r.ctx))
+	})
 	next, err := r.sendContinuation(next, o)
-	overlap.Stop()
+	overlapping := overlap.Stop()
 	if err != nil {
 		r.logUnusable(id, err)
 		return false
 	}
 	r.completeMove(old, next)
+	if overlapping {
+		go stop.run(context.WithoutCancel(r.ctx))
+	}
 	return true
 }
 
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -55,6 +55,7 @@
 		s.server.metrics.repeats.Inc(1)
 	}
 	s.sends++
+	s.stopGivenUp(ctx, up.placement.Endpoint)
 	s.server.metrics.attempts.Inc(1)
 	start := time.Now()
 	answer, err := s.server.sender.Send(sendCtx, s.request, s.newAttempt(up.placement, o))
@@ -81,6 +82,9 @@
 		s.copyEndpoint = up.placement.Backup
 	}
 	s.endAttempt(ctx, up, outcomeOf(v))
+	if v.Verdict != verdict.NotRun {
+		s.giveUp(up.placement.Endpoint)
+	}
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placement.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
 		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
 	if v.Verdict != verdict.NotRun && !s.mayContinueAfterFailure(ctx, up.placement.Endpoint, o) {
--- a/service/edge/server_metrics.go
+++ b/service/edge/server_metrics.go
@@ -18,8 +18,10 @@
 	movesFailed tally.Counter
 	streamsCut  tally.Counter
 	// crashes counts the crashes of endpoints under requests of this node.
-	crashes   tally.Counter
-	firstByte tally.Histogram
+	crashes tally.Counter
+	// runsStopped counts the runs that endpoints went on with after the close of their connections.
+	runsStopped tally.Counter
+	firstByte   tally.Histogram
 }
 
 func newServerMetrics(scope tally.Scope) *serverMetrics {
@@ -27,7 +29,8 @@
 		scope: scope, completed: scope.Counter("completed"), attempts: scope.Counter("attempts"),
 		repeats: scope.Counter("repeats"), moves: scope.Counter("moves"), movesFailed: scope.Counter("moves_failed"),
 		streamsCut: scope.Counter("streams_cut"), crashes: scope.Counter("endpoint_crashes"),
-		firstByte: scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+		runsStopped: scope.Counter("runs_stopped"),
+		firstByte:   scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
 
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -52,6 +52,8 @@
 	// copyEndpoint is the endpoint that holds a copy of the memory of a run that ended without an answer. Its ID is empty if
 	// there is none.
 	copyEndpoint fleet.Endpoint
+	// givenUp holds the endpoints that may still work on the request although its connection to them was closed.
+	givenUp []fleet.Endpoint
 	// fingerprints are those by which the quarantine knows the request.
 	fingerprints []decision.Fingerprint
 	// admission is the quarantine's admission of the current attempt. It is empty once the outcome was reported.
--- a/test/edge/stream_test.go
+++ b/test/edge/stream_test.go
@@ -49,6 +49,40 @@
 	assert.Assert(t, runs[0].Worker != runs[1].Worker)
 }
 
+// Guards against an engine that works on a run that goes on at another engine, because it does not notice the close of the
+// connection: while it leaves, and after its connection broke.
+func TestRunStopsAtEngineThatIgnoresTheClose(t *testing.T) {
+	for name, disturb := range map[string]func(*harness.EdgeSite, *workers.Worker){
+		"leaving":           func(s *harness.EdgeSite, w *workers.Worker) { s.PutWorkerEntry(w, "draining") },
+		"broken connection": func(s *harness.EdgeSite, w *workers.Worker) { s.Links[w.ID].Heal() },
+	} {
+		for _, route := range []string{"note", "reply"} {
+			if name == "leaving" && route == "reply" {
+				// Streams that can be repeated stay at an engine that leaves.
+				continue
+			}
+			t.Run(name+", "+route, func(t *testing.T) {
+				s, byID := startEngineSite(t)
+				for _, w := range byID {
+					w.Events, w.IgnoresClose = 300, func(string) bool { return true }
+				}
+				ids, err := readEvents(t, s.Request(s.Nodes[0], http.MethodPost, "/"+route+"/1", "r1"), func(count int) {
+					switch count {
+					case 10:
+						disturb(s, byID[currentWorker(t, s, "r1")])
+					case 200:
+						runs := s.Fleet.Runs(t.Context(), "r1")
+						assert.Equal(t, len(runs), 2)
+						assert.Assert(t, runs[0].Ended, "the first engine still works on the run")
+					}
+				})
+				assert.NilError(t, err)
+				assertComplete(t, ids, 300)
+			})
+		}
+	}
+}
+
 // Guards against a stream that is lost when its engine crashes without notice.
 func TestStreamContinuesWhenItsEngineCrashes(t *testing.T) {
 	s, _ := startEngineSite(t)
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -72,6 +72,7 @@
 	}
 	return s.AddWorkerWith(fmt.Sprintf("%s-%d-%d", name, slot, number), engine, func(w *workers.Worker) {
 		w.RetryAfter = strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64)
+		w.IgnoresClose = ignoresClose
 		w.EventsOf, w.Interval, w.Zone = eventsOf, eventInterval, dataCentres[slot%len(dataCentres)]
 		if cold && engine {
 			w.ColdFor = coldTime
@@ -79,6 +80,10 @@
 	})
 }
 
+// ignoresClose reports whether an engine does not notice that the connection of a run was closed. Callers never leave the runs of
+// which that holds, since the work of callers who have left must stop as a rule.
+func ignoresClose(path string) bool { return isLong(path) }
+
 // eventsOf returns the number of events of the stream for a path.
 func eventsOf(path string) int {
 	if isLong(path) {
