Refuse every key if the list of workspaces is empty

Cause: a nil map of keys stood for a deployment without keys, and the decoder made the map only when a workspace added to it.

Change: NeedsNoKeys is a field of its own whose zero value refuses, and only an absent list of workspaces sets it. An empty key is never valid.

--- a/service/edge/helper_test.go
+++ b/service/edge/helper_test.go
@@ -76,7 +76,7 @@
 	t.Helper()
 	route.Name, route.Host, route.PathPrefix, route.Shares = "r", "h", "/", []catalog.Share{{Service: "s", Weight: 1}}
 	configuration := &catalog.Configuration{
-		Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s"}}, Routes: []catalog.Route{route},
+		Version: 1, NeedsNoKeys: true, Services: map[string]*catalog.Service{"s": {Name: "s"}}, Routes: []catalog.Route{route},
 	}
 	configuration.Index()
 	snapshot := &fleet.Snapshot{Configuration: configuration, Endpoints: map[string][]fleet.Endpoint{}}
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -110,11 +110,12 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownPath, "no route for %s %s in configuration version %d", s.request.Host, s.request.URL.Path, c.Version)
 	}
 	s.setDeadline()
-	if c.Keys != nil && !s.route.Public {
+	if !c.NeedsNoKeys && !s.route.Public {
 		if stale {
 			return s.staleError(age)
 		}
-		if s.workspace = c.Keys[s.request.APIKey]; s.workspace == nil {
+		var ok bool
+		if s.workspace, ok = c.Workspace(s.request.APIKey); !ok {
 			return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "unknown API key in configuration version %d", c.Version)
 		}
 	}
--- a/service/edge/session_test.go
+++ b/service/edge/session_test.go
@@ -38,7 +38,7 @@
 			route := test.route
 			route.Name, route.Host, route.PathPrefix, route.FirstByteObjective = "r", "h", "/", 1500*time.Millisecond
 			route.Shares = []catalog.Share{{Service: "s", Weight: 1}}
-			c := &catalog.Configuration{Version: 1, Routes: []catalog.Route{route}}
+			c := &catalog.Configuration{Version: 1, NeedsNoKeys: true, Routes: []catalog.Route{route}}
 			c.Index()
 			server := &Server{log: zap.NewNop(), cluster: latest.New(&clusterState{Fleet: &fleet.Snapshot{Configuration: c}}), graceEnd: newGraceEnd()}
 			admit := func() *verdict.Error {
--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -27,6 +27,27 @@
 	s.Eventually("the key is refused", func() bool { return lookupStatus(t, s, n, "r2") == http.StatusUnauthorized })
 }
 
+// Guards against a node that accepts every key once the last workspace or its last key was removed.
+func TestNoKeyIsAcceptedWithoutWorkspaces(t *testing.T) {
+	for name, c := range map[string]harness.EdgeConfiguration{"no workspace": {NoTenants: true}, "no key": {}} {
+		t.Run(name, func(t *testing.T) {
+			s, n := startPlainSite(t)
+			assert.Equal(t, lookupStatus(t, s, n, "r1"), http.StatusOK)
+			s.PutConfiguration(c)
+			s.Eventually("the key is refused", func() bool { return lookupStatus(t, s, n, "r2") == http.StatusUnauthorized })
+			for i, key := range []string{"", "key-that-never-existed", harness.EdgeAPIKey} {
+				id := fmt.Sprint("later-", i)
+				req := s.Request(n, http.MethodGet, "/lookup/1", id)
+				harness.SetEdgeAPIKey(req, key)
+				resp, _, err := send(t, req)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
+				assert.Equal(t, s.Fleet.Arrivals(t.Context(), id), 0)
+			}
+		})
+	}
+}
+
 // Guards against a node that keeps serving keys while it cannot reach the store and so cannot learn of a revocation.
 func TestNodeWithoutTheStoreStopsServingKeys(t *testing.T) {
 	s, n := startPlainSite(t)
--- a/test/harness/edge_configuration.go
+++ b/test/harness/edge_configuration.go
@@ -4,6 +4,8 @@
 type EdgeConfiguration struct {
 	// APIKeys holds the API keys of the workspace.
 	APIKeys []string
+	// NoTenants is set if the list of workspaces is empty.
+	NoTenants bool
 	// AddedRoutes holds the names of additional routes, whose requests are idempotent.
 	AddedRoutes []string
 	// ColdRate is the request rate that a cold engine can handle, in requests per second.
--- a/test/harness/edge_site.go
+++ b/test/harness/edge_site.go
@@ -144,6 +144,10 @@
 	for _, name := range c.AddedRoutes {
 		routes = append(routes, route(name, "idempotent", "desk", nil))
 	}
+	tenants := []any{map[string]any{"name": EdgeWorkspace, "apiKeys": c.APIKeys}}
+	if c.NoTenants {
+		tenants = []any{}
+	}
 	s.putJSON("op/config", map[string]any{
 		"version": s.version,
 		"routes":  routes,
@@ -152,7 +156,7 @@
 			map[string]any{"name": "desk", "healthPath": "/healthz", "maxConnections": 100},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": EdgeWorkspace, "apiKeys": c.APIKeys}},
+		"tenants": tenants,
 	})
 }
 
