Test that a stopping node answers requests that may not be repeated

Operators of similar systems reported requests that were taken late in the grace period of a planned stop, passed on, and cut with no answer, among them some that may not be repeated (LOST).

--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -28,6 +28,8 @@
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
+	// Delay is the time that a worker that is no engine works on a request.
+	Delay time.Duration
 	// RetryAfter is the header Retry-After with the behaviour Refuse; none if it is empty.
 	RetryAfter string
 	// Crashes reports whether a request crashes the worker that begins to run it; nil if none does. Crash ends the worker's process.
@@ -168,6 +170,11 @@
 			w.writeEvents(out, in, run)
 			return
 		}
+		select {
+		case <-time.After(w.Delay):
+		case <-in.Context().Done():
+			return
+		}
 		_, _ = fmt.Fprintf(out, "%s %s by %s", in.Method, in.URL.RequestURI(), w.ID)
 	}
 }
