--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -117,3 +119,18 @@
 		p.t.Logf("log of node %s:\n%s", p.name, log[max(0, len(log)-logTailBytes):])
 	}
 }
+
+// PeakMemory returns the largest amount of memory in bytes that the process has held.
+func (p *Process) PeakMemory() int64 {
+	p.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.process.Pid))
+	assert.NilError(p.t, err)
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+			return kilobytes << 10
+		}
+	}
+	p.t.Fatal("the status of the process has no peak memory")
+	return 0
+}
