Answer callers that have ended their side of the connection

The node then wrote no answer, since the caller had disconnected, and net/http sends 200 for a handler that has written nothing.

Change: a refused request is always answered with its error: 503 if it was not sent, 502 otherwise.

--- a/common/exchange/caller.go
+++ b/common/exchange/caller.go
@@ -19,6 +19,4 @@
 	Write(part []byte) error
 	// Abort terminates the answer so that it does not look complete. It does not return.
 	Abort()
-	// Disconnected returns a channel that is closed when the caller has disconnected.
-	Disconnected() <-chan struct{}
 }
--- a/service/edge/helper_test.go
+++ b/service/edge/helper_test.go
@@ -68,8 +68,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (c *recordedCaller) Disconnected() <-chan struct{} { return nil }
-
 // serveRequest serves one request on a route of a service with three endpoints, for which no repeats are allowed. It must be
 // called in a synctest bubble, and returns once the request has ended.
 func serveRequest(t *testing.T, route catalog.Route, sender exchange.Sender, stream exchange.Stream, adjust ...func(*Server)) *recordedCaller {
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -188,11 +188,8 @@
 	s.server.metrics.countRefusal(err)
 	s.log(zap.WarnLevel, "request refused", zap.String("reason", string(err.Reason)), zap.Stringer("verdict", err.Verdict),
 		zap.Duration("retry_after", err.RetryAfter), logging.Cause(err.Cause))
-	select {
-	case <-s.caller.Disconnected():
-	default:
-		s.caller.Refuse(err)
-	}
+	// A caller that has ended only its side of the connection still reads the answer.
+	s.caller.Refuse(err)
 }
 
 // log writes a line about the request, with the versions of the configuration and state used and the attempts so far.
--- a/test/edge/plain_test.go
+++ b/test/edge/plain_test.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -84,6 +88,33 @@
 	assert.Equal(t, len(s.Fleet.Runs(t.Context(), "r1")), 0)
 }
 
+// Guards against a success that no endpoint gave, for a caller that has ended its side of the connection and waits for the answer.
+func TestHalfClosedCallerGetsNoFalseSuccess(t *testing.T) {
+	s := harness.NewEdgeSite(t, 1)
+	s.AddWorkerWith("desk-1", false, func(w *workers.Worker) { w.Delay = 200 * time.Millisecond })
+	s.Start()
+	for i, method := range []string{http.MethodGet, http.MethodPost} {
+		path := map[string]string{http.MethodGet: "/lookup/1", http.MethodPost: "/booking/1"}[method]
+		conn, err := net.Dial("tcp", s.Nodes[0].Settings.Listen.Callers)
+		assert.NilError(t, err)
+		id := fmt.Sprint("half-closed-", i)
+		req := s.Request(s.Nodes[0], method, path, id)
+		assert.NilError(t, req.Write(conn))
+		assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+		assert.NilError(t, err)
+		switch resp.StatusCode {
+		case http.StatusServiceUnavailable:
+			assert.Equal(t, s.Fleet.Arrivals(t.Context(), id), 0)
+		case http.StatusBadGateway:
+		default:
+			assert.Assert(t, harness.EdgeSignature(resp) != "", "%d", resp.StatusCode)
+		}
+		_ = resp.Body.Close()
+		_ = conn.Close()
+	}
+}
+
 // Guards against forwarding requests with a body over the limit, an unknown path or an unknown key to an endpoint.
 func TestBadRequestsReachNoEndpoint(t *testing.T) {
 	s, n := startPlainSite(t)
