Keep an unanswered call of the key-value stand-in open until its caller has left

TestLostAnswerTookEffect failed now and then, 16 of 100 times with -race and 28 of 100 without: "internal != deadline_exceeded".

Cause: the stand-in ended a call without a reply at the deadline of the call. That is also the client's, so the reset of the stream could reach the client before its own deadline.

Change: it waits until the client has ended the stream.

--- a/fake/kvserver/admit_message.go
+++ b/fake/kvserver/admit_message.go
@@ -79,7 +79,7 @@
 func applyLoss(ctx context.Context, l AnswerLoss) {
 	switch l {
 	case AnswerLossNoReply:
-		<-ctx.Done()
+		<-callerLeft(ctx)
 		panic(http.ErrAbortHandler)
 	case AnswerLossReset:
 		panic(http.ErrAbortHandler)
--- a/fake/kvserver/answer_loss.go
+++ b/fake/kvserver/answer_loss.go
@@ -7,6 +7,6 @@
 	answerLossNone AnswerLoss = iota
 	// AnswerLossReset closes the connection.
 	AnswerLossReset
-	// AnswerLossNoReply keeps the call open without an answer until its deadline.
+	// AnswerLossNoReply keeps the call open without an answer until its caller has left.
 	AnswerLossNoReply
 )
--- a/fake/kvserver/server.go
+++ b/fake/kvserver/server.go
@@ -51,7 +51,15 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(s.lifetime, cancel)()
-	s.handler.ServeHTTP(w, r.WithContext(ctx))
+	s.handler.ServeHTTP(w, r.WithContext(context.WithValue(ctx, callerKey{}, ctx)))
+}
+
+// callerKey is the key of the context that ends when the caller has left, whatever the deadline of the call.
+type callerKey struct{}
+
+// callerLeft returns a channel that is closed when the caller of a call has left.
+func callerLeft(ctx context.Context) <-chan struct{} {
+	return ctx.Value(callerKey{}).(context.Context).Done()
 }
 
 // Run runs the task that owns the store until ctx is cancelled. It may be called only once.
