Report a lapsed grant as unused, whichever error the transport returns

Cause: when the guard refuses the first write, net/http closes the connection, and the request returns either the error of the write or that of the read on the closed connection, "use of closed network connection".

Change: the guard remembers that it refused, and names the cause. Nothing else changes: the verdict was not-run in both cases.

--- a/transport/engine/call.go
+++ b/transport/engine/call.go
@@ -19,7 +19,7 @@
 	}
 	resp, err := c.sendRequest(req, guard)
 	if err != nil {
-		return Answer{}, &Failure{Sent: guard.sent.Load(), Err: err}
+		return Answer{}, &Failure{Sent: guard.sent.Load(), Err: guard.cause(err)}
 	}
 	if resp.Header.Get(HeaderRefused) != "" {
 		return Answer{}, newStatusFailure(resp)
--- a/transport/engine/send_guard.go
+++ b/transport/engine/send_guard.go
@@ -14,6 +14,8 @@
 	// deadline is the latest time for the first byte. Zero means no limit.
 	deadline time.Time
 	sent     atomic.Bool
+	// lapsed is set once a write was refused because the deadline had passed.
+	lapsed atomic.Bool
 }
 
 // checkWrite is called before each write. It returns an error only if no byte of the request was sent.
@@ -22,8 +24,18 @@
 		return nil
 	}
 	if !s.deadline.IsZero() && now.After(s.deadline) {
+		s.lapsed.Store(true)
 		return ErrGrantLapsed
 	}
 	s.sent.Store(true)
 	return nil
 }
+
+// cause returns the cause of a failed request. After a refused write, the transport reports either the error of the write or that of a
+// read on the connection that it closes.
+func (s *sendGuard) cause(err error) error {
+	if s.lapsed.Load() {
+		return ErrGrantLapsed
+	}
+	return err
+}
--- a/transport/engine/stream.go
+++ b/transport/engine/stream.go
@@ -62,7 +62,7 @@
 	}
 	resp, err := c.sendRequest(req, guard)
 	if err != nil {
-		s.sendFailure(ctx, &Failure{Sent: guard.sent.Load(), Err: err})
+		s.sendFailure(ctx, &Failure{Sent: guard.sent.Load(), Err: guard.cause(err)})
 		return
 	}
 	if resp.StatusCode != http.StatusOK {
