--- a/common/catalog/configuration.go
+++ b/common/catalog/configuration.go
@@ -13,7 +13,7 @@
 	Limits   CallerLimits
 	// Keys maps API keys to the workspaces that own them.
 	Keys map[string]*Workspace
-	// NeedsNoKeys is set if the operators use no API keys at all. Without it, a request without a key of Keys is refused, also if
+	// NeedsNoKeys is set if the operators use no API keys at all. Otherwise a request whose key is not in Keys is refused, also if
 	// Keys is empty.
 	NeedsNoKeys bool
 
--- a/decision/quarantine/late_comparison_test.go
+++ b/decision/quarantine/late_comparison_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Guards against a quarantine that drops a sound stream after two power cuts as if its request had caused them.
+// Guards against a quarantine that drops sound streams after repeated power cuts as if their requests had caused them.
 func TestRepeatedPowerCutsDropFewSoundStreams(t *testing.T) {
 	o := lateOptions{nodes: 7, engines: 71, rate: 40, powerCut: 20, powerCuts: []time.Duration{8 * time.Second, 12 * time.Second, 16 * time.Second}}
 	results := map[latePolicy]lateResult{}
--- a/decision/quarantine/late_simulation_test.go
+++ b/decision/quarantine/late_simulation_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -53,14 +52,7 @@
 			}
 		})
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simulatedEvent)
-		if e.at.After(end) {
-			break
-		}
-		s.now = e.at
-		e.run()
-	}
+	s.playUntil(end)
 	return s.result
 }
 
--- a/decision/quarantine/simulation_test.go
+++ b/decision/quarantine/simulation_test.go
@@ -60,15 +60,20 @@
 			}
 		})
 	}
+	s.playUntil(end)
+	return s.result
+}
+
+// playUntil runs the events up to a time, in their order.
+func (s *simulation) playUntil(end time.Time) {
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(simulatedEvent)
 		if e.at.After(end) {
-			break
+			return
 		}
 		s.now = e.at
 		e.run()
 	}
-	return s.result
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
--- a/decision/shutdown/request.go
+++ b/decision/shutdown/request.go
@@ -8,7 +8,8 @@
 	LatestEnd time.Time
 	// ExpectedEnd is an estimate that many answers exceed.
 	ExpectedEnd time.Time
-	// WholeAnswer is set if nothing of the answer reaches the caller before it is complete.
+	// WholeAnswer is set if the answer is no stream. The caller then receives it once it is complete, unless it is too large to be
+	// buffered.
 	WholeAnswer bool
 	// Repeatable is set if the caller may send the request again after a failure.
 	Repeatable bool
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -155,13 +155,14 @@
 		stop.run(context.WithoutCancel(r.ctx))
 	})
 	next, err := r.sendContinuation(next, o)
-	overlapping := overlap.Stop()
+	// If the overlap has ended, its function stops the run at the old endpoint.
+	stopPending := overlap.Stop()
 	if err != nil {
 		r.logUnusable(id, err)
 		return false
 	}
 	r.completeMove(old, next)
-	if overlapping {
+	if stopPending {
 		go stop.run(context.WithoutCancel(r.ctx))
 	}
 	return true
--- a/service/edge/run_stop.go
+++ b/service/edge/run_stop.go
@@ -16,7 +16,7 @@
 	// closeNoticeTime is the time that an endpoint gets to notice that the connection of a run was closed. Most endpoints stop the
 	// run then, which spares them a copy of its memory.
 	closeNoticeTime = 50 * time.Millisecond
-	// runStopTimeout bounds one call. The endpoint stops the run at its begin, and the copy that follows has no use.
+	// runStopTimeout bounds one call. The endpoint stops the run before it copies the memory, and the copy is not needed.
 	runStopTimeout = 150 * time.Millisecond
 	// runStopInterval is the pause after a call whose outcome is not known, and maxRunStopCalls bounds the calls.
 	runStopInterval = 20 * time.Millisecond
