--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	boot.AddFeatures(&s)
 	writer := logging.NewAsyncWriter()
 	log, level, err := logging.NewAsync(s.Log.Level, s.Log.Format, writer)
 	if err != nil {
--- a/cmd/azuredyked/watch_settings.go
+++ b/cmd/azuredyked/watch_settings.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/settings"
+	"azuredyke.dev/azuredyke/platform/boot"
 	"azuredyke.dev/azuredyke/service/edge"
 )
 
@@ -38,6 +39,7 @@
 		var s settings.Edge
 		if err == nil {
 			s, err = settings.ParseEdge(data)
+			boot.AddFeatures(&s)
 		}
 		if err == nil {
 			err = level.UnmarshalText([]byte(s.Log.Level))
--- a/common/catalog/endpoint.go
+++ b/common/catalog/endpoint.go
@@ -11,6 +11,8 @@
 	Address    string
 	DataCentre string
 	Slots      int
+	// Version is the version of the endpoint's software; empty if it is unknown.
+	Version string
 	// Leaving is set when the endpoint must get no new requests.
 	Leaving bool
 	// ColdFor is the time for which the endpoint stays cold, counted from the read of its store entry.
--- a/common/exchange/answer.go
+++ b/common/exchange/answer.go
@@ -13,6 +13,8 @@
 	Body   io.ReadCloser
 	// Length is the length of Body in bytes, or -1 when it is not known.
 	Length int64
+	// Load is the load that the endpoint stated.
+	Load EndpointLoad
 }
 
 // Successful reports whether the status is 2xx.
--- a/common/exchange/attempt.go
+++ b/common/exchange/attempt.go
@@ -20,6 +20,10 @@
 	CopyHandle string
 	// OnStatement is called with what the endpoint says about itself when the header of its answer arrives. It may be nil.
 	OnStatement func(Statement)
+	// Priority is the rank by which the endpoint orders its work, from 0, the most urgent, to 9. It is stated only if HasPriority
+	// is set.
+	Priority    int
+	HasPriority bool
 	// LastEvent is the id of the last event that the caller received.
 	LastEvent string
 }
--- a/common/exchange/request.go
+++ b/common/exchange/request.go
@@ -27,6 +27,8 @@
 	LengthHint int
 	// SharedParts holds the ids of the parts of the prompt that other requests may contain too, in the order of the prompt.
 	SharedParts []string
+	// PromptParts holds all parts of the prompt in order; the last one belongs to the request or its session.
+	PromptParts []PromptPart
 	// LastEvent is the id of the last event that the caller received from a stream that it resumes.
 	LastEvent string
 }
--- a/common/settings/edge.go
+++ b/common/settings/edge.go
@@ -14,7 +14,10 @@
 	Limits EdgeLimits `yaml:"limits"`
 	Bounds EdgeBounds `yaml:"bounds"`
 	Stop   EdgeStop   `yaml:"stop"`
-	Log    Log        `yaml:"log"`
+	// Contracts lists the parts of the platform's terms that are in force. Package boot derives Features from them.
+	Contracts []string `yaml:"contracts"`
+	Features  Features `yaml:"features"`
+	Log       Log      `yaml:"log"`
 }
 
 // LoadEdge reads and validates a settings file. It returns all problems of the file as one error.
@@ -66,6 +69,9 @@
 	c.positive("bounds.revoke", e.Bounds.Revoke)
 	c.positive("bounds.retry_window", e.Bounds.RetryWindow)
 	c.positive("stop.grace", e.Stop.Grace)
+	if e.Bounds.Rollback < 0 {
+		c.add("bounds.rollback", "must not be negative")
+	}
 	for _, b := range []struct {
 		key   string
 		value float64
@@ -76,6 +82,8 @@
 		{"bounds.retry_allowance", e.Bounds.RetryAllowance},
 		{"bounds.cold_overage", e.Bounds.ColdOverage},
 		{"bounds.cold_slack", e.Bounds.ColdSlack},
+		{"bounds.exposure_share", e.Bounds.ExposureShare},
+		{"bounds.exposure_slack", e.Bounds.ExposureSlack},
 	} {
 		if b.value < 0 {
 			c.add(b.key, "must not be negative")
--- a/common/settings/edge_bounds.go
+++ b/common/settings/edge_bounds.go
@@ -15,4 +15,9 @@
 	// ColdSlack.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
+	// ExposureShare and ExposureSlack bound the requests to a version that is being rolled out and may be bad: this share of the
+	// service's requests, plus ExposureSlack. Rollback is the time after the 50th bad answer within which they must stop.
+	ExposureShare float64       `yaml:"exposure_share"`
+	ExposureSlack float64       `yaml:"exposure_slack"`
+	Rollback      time.Duration `yaml:"rollback"`
 }
--- a/common/settings/edge_test.go
+++ b/common/settings/edge_test.go
@@ -45,6 +45,8 @@
 		"{{platform.address|json}}", `"10.0.0.2:5"`, "{{limits.memoryMb}}", "134", "{{limits.cpuShare}}", "0.4", "{{limits.cores}}", "1", "{{bounds.revokeMs}}", "5000",
 		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryAllowance}}", "56", "{{bounds.budgetWindowS}}", "10",
 		"{{bounds.coldOverage}}", "1.5", "{{bounds.coldSlack}}", "5", "{{bounds.graceS}}", "8",
+		"{{#bounds.exposureShare}}\n", "", "{{/bounds.exposureShare}}\n", "", "{{bounds.exposureShare}}", "0.1", "{{bounds.exposureSlack}}", "50",
+		"{{bounds.rollbackMs}}", "5000", "{{contracts|json}}", `["base","rollout"]`,
 	).Replace(string(template))
 	_, err = ParseEdge([]byte(filled))
 	assert.NilError(t, err)
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -25,6 +25,10 @@
 	StepModel *StepModel
 	// Failures is the fraction of recent requests that failed on the endpoint, from 0 to 1.
 	Failures float64
+	// Slowdown is the time that work takes on the endpoint, relative to the usual time; 0 if it is unknown.
+	Slowdown float64
+	// CachedTokens is the expected number of the request's prompt tokens that the endpoint need not compute. It differs by request.
+	CachedTokens float64
 	// Nearby is set if the endpoint is in the data centre of this node.
 	Nearby bool
 }
