Place requests by the measured speed of endpoints

Change: with the feature endpoint_speed, streams measure the time between the events when these are read from the endpoint, without the pauses of a slow caller, and report it to the dispatcher every 500 ms and at the end. Long runs prefer engines with a short time between events, all prompts the earliest first event in time, plain calls the fewest requests weighted by slowdown. The cost of leaving the data centre is a time. Random samples, memory and reliability stay as they were.

--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -7,6 +7,7 @@
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/placement"
+	"azuredyke.dev/azuredyke/decision/speed"
 )
 
 const (
@@ -47,6 +48,9 @@
 	own Load
 	// others is the others' load on the endpoint.
 	others Load
+	// usage is the load over time, speed the slowdown of this incarnation.
+	usage usage
+	speed speed.Estimate
 
 	// statement is what the endpoint has said about itself.
 	statement       *statement
@@ -73,6 +77,11 @@
 	return c.Admits
 }
 
+// advanceUsage adds the time since the last call to the usage.
+func (e *endpoint) advanceUsage(now time.Time) {
+	e.usage.advance(now, e.own.InFlight+e.others.InFlight, e.own.Prefill+e.others.Prefill)
+}
+
 // isLeaving reports whether the endpoint is leaving, by its entry or by what it said itself.
 func (e *endpoint) isLeaving() bool { return e.Leaving || e.statement.leaving }
 
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -44,7 +44,10 @@
 	placed := Placement{
 		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
 	}
-	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill()}
+	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), promptTokens: chosen.candidate.Prefill + r.prefill()}
+	placed.Measured, placed.Slowdown = t.params.EndpointSpeed, chosen.candidate.Slowdown
+	chosen.advanceUsage(now)
+	newRun.usage = chosen.usage
 	chosen.own.InFlight++
 	chosen.own.Tokens += r.Tokens
 	chosen.own.Prefill += newRun.prefill
@@ -87,21 +90,14 @@
 		if r.SpareMemoryOnly {
 			e.candidate.Capacity *= maxCopyMemoryShare
 		}
+		t.setCandidateSpeed(now, e)
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
 	query := &placement.Request{
-		PromptTokens: r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
+		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
-	policies := []*placement.Policy{t.plainPolicy}
-	switch {
-	case r.SpareMemoryOnly, r.Tokens > 0 && r.RequireMemoryFit:
-		policies = []*placement.Policy{t.strictEnginePolicy}
-	case r.Tokens > 0:
-		// If the memory fits on no engine, the request goes to an engine that queues it.
-		policies = []*placement.Policy{t.strictEnginePolicy, t.enginePolicy}
-	}
-	if e := t.pickEligible(r, query, policies); e != nil {
+	if e := t.pickEligible(r, query, t.policies(r)); e != nil {
 		return e, ""
 	}
 	switch {
--- a/decision/dispatch/run.go
+++ b/decision/dispatch/run.go
@@ -12,4 +12,8 @@
 	copyTokens         int
 	prefill            int
 	firstEventReceived bool
+	// promptTokens is the number of prompt tokens that are computed until the first event, those queued before included.
+	promptTokens int
+	// usage is that of the endpoint at the last measurement of the run.
+	usage usage
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -11,6 +11,7 @@
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/placement"
 	"azuredyke.dev/azuredyke/decision/retry"
+	"azuredyke.dev/azuredyke/decision/speed"
 )
 
 // othersLoadExpiry is the time after which the load of the other nodes no longer counts if it was not reported again.
@@ -37,10 +38,14 @@
 	// ownLoadChanged is set when the node's own load may differ from the last result of OwnLoads.
 	ownLoadChanged bool
 
-	random                                        *rand.Rand
-	enginePolicy, strictEnginePolicy, plainPolicy *placement.Policy
-	candidates                                    []*placement.Candidate
-	eligible                                      []*endpoint
+	// speeds holds the usual times by service.
+	speeds map[string]*speed.Service
+
+	random                                                 *rand.Rand
+	enginePolicy, strictEnginePolicy, plainPolicy          *placement.Policy
+	engineSpeedPolicy, strictSpeedPolicy, plainSpeedPolicy *placement.Policy
+	candidates                                             []*placement.Candidate
+	eligible                                               []*endpoint
 }
 
 // NewTable returns a table without endpoints for a node that was started at nodeStarted.
@@ -48,10 +53,14 @@
 	return &Table{
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
+		speeds:             map[string]*speed.Service{},
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
 		plainPolicy:        placement.NewSharedPlainPolicy(random),
+		engineSpeedPolicy:  placement.NewEngineSpeedPolicy(random, false),
+		strictSpeedPolicy:  placement.NewEngineSpeedPolicy(random, true),
+		plainSpeedPolicy:   placement.NewPlainSpeedPolicy(random),
 	}
 }
 
@@ -111,6 +120,7 @@
 	for _, l := range loads {
 		t.others[l.Endpoint] = l
 		if e := t.endpoints[l.Endpoint]; e != nil {
+			e.advanceUsage(now)
 			e.others = l
 		}
 	}
@@ -230,6 +240,7 @@
 	delete(t.runs, number)
 	t.ownLoadChanged = true
 	e := r.endpoint
+	e.advanceUsage(now)
 	e.own.InFlight--
 	e.own.Tokens -= r.tokens
 	if !r.firstEventReceived {
--- a/decision/placement/candidate.go
+++ b/decision/placement/candidate.go
@@ -27,6 +27,13 @@
 	Failures float64
 	// Slowdown is the time that work takes on the endpoint, relative to the usual time; 0 if it is unknown.
 	Slowdown float64
+	// EventInterval is the expected time in seconds between two events of a run that is placed now, Slowdown included, and
+	// UsualInterval the usual one over all endpoints; both are 0 if they are unknown.
+	EventInterval, UsualInterval float64
+	// PromptTokenTime is the expected time in seconds for one prompt token, Slowdown included; 0 if it is unknown.
+	PromptTokenTime float64
+	// AnswerTime is the usual time in seconds of a plain call; 0 if it is unknown.
+	AnswerTime float64
 	// CachedTokens is the expected number of the request's prompt tokens that the endpoint need not compute. It differs by request.
 	CachedTokens float64
 	// Nearby is set if the endpoint is in the data centre of this node.
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -11,6 +11,8 @@
 	// PrefixHashes are the hashes of the prompt's leading blocks, in order.
 	PrefixHashes []uint64
 	PromptTokens int
+	// OutputTokens is the expected length of the answer.
+	OutputTokens int
 	// Memory is the expected memory of the request in tokens.
 	Memory Forecast
 }
--- a/service/edge/event_reader.go
+++ b/service/edge/event_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -12,6 +13,9 @@
 	// readAheadEvents and readAheadBytes bound the events that are read ahead of a slow caller.
 	readAheadEvents = 64
 	readAheadBytes  = 32 << 10
+	// lateRead is the time for which a full buffer may stop the reader without the next event counting as late. It is far below the
+	// time between two events.
+	lateRead = 2 * time.Millisecond
 )
 
 // eventReader is the task that reads the events of one stream ahead of the caller.
@@ -29,9 +33,10 @@
 }
 
 func (r *eventReader) run(ctx context.Context, stream exchange.Stream) {
+	late := false
 	for {
 		event, err := stream.Next()
-		item := streamItem{event: event, err: err}
+		item := streamItem{event: event, err: err, readAt: time.Now(), late: late}
 		if r.ahead.Acquire(ctx, item.weight()) != nil {
 			return
 		}
@@ -43,6 +48,7 @@
 		if err != nil {
 			return
 		}
+		late = time.Since(item.readAt) > lateRead
 	}
 }
 
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -58,6 +58,11 @@
 	_ = p.messages.Send(context.Background(), firstEventMessage{run: run})
 }
 
+// reportMeasurement reports the times that were measured of a run.
+func (p placer) reportMeasurement(run uint64, m dispatch.Measurement) {
+	_ = p.messages.Send(context.Background(), measurementMessage{run: run, measurement: m})
+}
+
 // reportStatement reports what an endpoint says about itself.
 func (p placer) reportStatement(e fleet.Endpoint, statement exchange.Statement) {
 	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, statement: statement})
--- /dev/null
+++ b/service/edge/run_timer_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/decision/dispatch"
+)
+
+// Guards against an endpoint that counts as slow, or as fast, because a caller stopped reading: the pause and the events that
+// arrived meanwhile must not be measured.
+func TestRunTimerIgnoresPausesOfTheCaller(t *testing.T) {
+	messages := mailbox.New[dispatcherMessage](64)
+	sent := time.Unix(1000, 0)
+	timer := runTimer{}
+	timer.start(&upstream{placement: dispatch.Placement{Run: 7, Measured: true}, placer: placer{messages: messages}, sentAt: sent})
+	at := sent.Add(300 * time.Millisecond)
+	for i := range 60 {
+		late := i == 20
+		switch {
+		case late:
+			at = at.Add(3 * time.Second)
+		case i > 20 && i < 40:
+			at = at.Add(10 * time.Microsecond)
+		default:
+			at = at.Add(50 * time.Millisecond)
+		}
+		timer.observe(streamItem{readAt: at, late: late})
+	}
+	timer.report()
+	first := (<-messages.Receive()).(measurementMessage)
+	assert.Equal(t, first.measurement.FirstEvent, 350*time.Millisecond)
+	for len(messages.Receive()) > 0 {
+		m := (<-messages.Receive()).(measurementMessage)
+		assert.Equal(t, m.run, uint64(7))
+		assert.Equal(t, m.measurement.Elapsed, time.Duration(m.measurement.Events)*50*time.Millisecond)
+	}
+}
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -58,6 +58,7 @@
 	s.stopGivenUp(ctx, up.placement.Endpoint)
 	s.server.metrics.attempts.Inc(1)
 	start := time.Now()
+	up.sentAt = start
 	answer, err := s.server.sender.Send(sendCtx, s.request, s.newAttempt(up.placement, o))
 	if err == nil || verdict.Of(err).Reason != verdict.ReasonUnreachable {
 		s.arrivals++
@@ -67,9 +68,11 @@
 	}
 	up.answer = answer
 	s.runs++
+	up.measureAnswer(!s.route.Streaming, time.Since(start))
 	s.log(zap.InfoLevel, "endpoint answered", zap.String("endpoint", up.placement.Endpoint.ID), zap.Int("status", answer.Status),
 		zap.String("backup", up.placement.Backup.ID), zap.Int("in_flight", up.placement.InFlight),
-		zap.Int("prefill", up.placement.Prefill), zap.Duration("load_age", up.placement.LoadAge), zap.Duration("took", time.Since(start)))
+		zap.Int("prefill", up.placement.Prefill), zap.Duration("load_age", up.placement.LoadAge),
+		zap.Float64("slowdown", up.placement.Slowdown), zap.Duration("took", time.Since(start)))
 	return up, nil
 }
 
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -38,6 +38,7 @@
 	// headerSent is set once the header of the answer was forwarded.
 	headerSent bool
 	migration  migration
+	timer      runTimer
 }
 
 // relayStream forwards a stream. An error means that the caller has received none of it.
@@ -60,6 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.up, r.stopReading, r.migration = up, cancel, migration{}
+	r.timer.start(up)
 	r.reader = readStream(ctx, r.server.newStream(up.answer.Body))
 	r.scheduleCopy()
 }
@@ -89,11 +91,13 @@
 			r.handleCopyDone(copied)
 		case item := <-r.reader.items:
 			r.reader.release(item)
+			r.timer.observe(item)
 			if item.err == io.EOF && r.eventCount == 0 && r.request.LastEvent == "" {
 				item.err = errNoEvents
 			}
 			switch {
 			case item.err == io.EOF:
+				r.timer.report()
 				r.up.end(dispatch.Succeeded)
 				r.reportAnswer(r.ctx)
 				r.finish(r.up, zap.Int("events", r.eventCount), zap.Duration("longest_pause", r.longestPause))
--- a/service/edge/upstream.go
+++ b/service/edge/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/decision/dispatch"
@@ -13,8 +14,10 @@
 	// answer is nil until the endpoint has answered.
 	answer *exchange.Answer
 	// leaving receives a departure when the run's endpoint or its backup starts to leave.
-	leaving            <-chan departure
-	cancel             context.CancelFunc
+	leaving <-chan departure
+	cancel  context.CancelFunc
+	// sentAt is the time at which the request was sent.
+	sentAt             time.Time
 	placer             placer
 	firstEventReported bool
 	ended              bool
@@ -29,6 +32,20 @@
 	}
 }
 
+// measureAnswer reports what the endpoint stated about its speed, and how long a plain call took.
+func (u *upstream) measureAnswer(plain bool, took time.Duration) {
+	if !u.placement.Measured {
+		return
+	}
+	m := dispatch.Measurement{State: u.answer.Load.Slowdown}
+	if plain && u.answer.Successful() {
+		m.Answer = took
+	}
+	if m != (dispatch.Measurement{}) {
+		u.placer.reportMeasurement(u.placement.Run, m)
+	}
+}
+
 // end closes the connection, which stops the work at the endpoint, and releases the run.
 func (u *upstream) end(o dispatch.Outcome) {
 	if u.ended {
