Share the measured speed of endpoints with the load

Cause: a node runs a few streams at a time and has measured few of the engines; a node that has never run on an engine does not know its speed.

Change: dispatch.Load has the sum of the logarithms of the measured slowdowns and their number, which relays add like the rest. They go with the next update and never cause one. Nodes without the feature neither send nor use them.

--- a/decision/dispatch/load.go
+++ b/decision/dispatch/load.go
@@ -8,4 +8,8 @@
 	Tokens int `cbor:"3,keyasint,omitempty"`
 	// Prefill is the number of prompt tokens of the runs that have not sent their first event.
 	Prefill int `cbor:"4,keyasint,omitempty"`
+	// SpeedSum and SpeedCount are the sum and the number of the measurements of the endpoint's speed, in the units of
+	// speed.Estimate.Share. Both add up over nodes.
+	SpeedSum   int `cbor:"5,keyasint,omitempty"`
+	SpeedCount int `cbor:"6,keyasint,omitempty"`
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -92,6 +92,7 @@
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
 				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
+				t.setOthersSpeed(now, e, e.others)
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -122,6 +123,7 @@
 		if e := t.endpoints[l.Endpoint]; e != nil {
 			e.advanceUsage(now)
 			e.others = l
+			t.setOthersSpeed(now, e, l)
 		}
 	}
 }
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -47,6 +47,27 @@
 	return s
 }
 
+// setOthersSpeed replaces what the other nodes measured of an endpoint. If their load expires, what they measured decays.
+func (t *Table) setOthersSpeed(now time.Time, e *endpoint, others Load) {
+	if t.params.EndpointSpeed {
+		e.speed.SetOthers(now, others.SpeedSum, others.SpeedCount)
+	}
+}
+
+// ShareSpeeds adds the measured speeds to the own load. It is called once a second, so that changes of speed cause no more updates
+// than that.
+func (t *Table) ShareSpeeds(now time.Time) {
+	for _, e := range t.endpoints {
+		sum, count := 0, 0
+		if t.params.EndpointSpeed {
+			sum, count = e.speed.Share(now)
+		}
+		if sum != e.own.SpeedSum || count != e.own.SpeedCount {
+			e.own.SpeedSum, e.own.SpeedCount, t.ownLoadChanged = sum, count, true
+		}
+	}
+}
+
 // setCandidateSpeed sets the expected times of an endpoint in its candidate.
 func (t *Table) setCandidateSpeed(now time.Time, e *endpoint) {
 	c := &e.candidate
--- a/decision/dispatch/table_speed_test.go
+++ b/decision/dispatch/table_speed_test.go
@@ -44,3 +44,55 @@
 	placed, _ := table.Place(now, Request{Service: "s", PromptTokens: 2000, Tokens: 2010})
 	assert.Equal(t, placed.Endpoint.ID, "slow")
 }
+
+// Guards against a node that learns the speed of an engine only by running on it, against nodes without the feature that send or
+// use speeds, and against a speed that is shared with every measurement.
+func TestSpeedIsSharedBetweenNodes(t *testing.T) {
+	p := params
+	p.EndpointSpeed = true
+	measuring, _ := newTable(0, "fast", "slow")
+	measuring.SetParams(p)
+	now := start
+	for range 30 {
+		for id, interval := range map[string]time.Duration{"fast": 20, "slow": 50} {
+			r := request(100)
+			r.RequiredEndpoint = id
+			placed, _ := measuring.Place(now, r)
+			measuring.RecordFirstEvent(placed.Run)
+			measuring.RecordMeasurement(now.Add(500*time.Millisecond), placed.Run, Measurement{Events: 10, Elapsed: 10 * interval * time.Millisecond})
+			measuring.Release(now.Add(500*time.Millisecond), placed.Run, Succeeded)
+		}
+		now = now.Add(time.Second)
+	}
+	measuring.OwnLoads()
+	assert.Assert(t, !measuring.OwnLoadsChanged())
+	measuring.ShareSpeeds(now)
+	loads := measuring.OwnLoads()
+	assert.Equal(t, len(loads), 2)
+	assert.Assert(t, loads[0].SpeedSum < 0 && loads[1].SpeedSum > 0 && loads[0].SpeedCount > 0)
+	measuring.ShareSpeeds(now.Add(time.Second))
+	assert.Assert(t, !measuring.OwnLoadsChanged())
+
+	learning, snapshot := newTable(0)
+	learning.SetParams(p)
+	learning.SetOthersLoad(now, loads)
+	_, listed := newTable(0, "fast", "slow")
+	learning.SetSnapshot(now, listed)
+	learning.UpdateOthersLoad(now, loads)
+	assert.Assert(t, learning.endpoints["slow"].speed.Learned(now) > 1.8*learning.endpoints["fast"].speed.Learned(now))
+	// The speed outlasts the load of nodes that can't be reached.
+	later := now.Add(othersLoadExpiry)
+	learning.ExpireOthersLoad(later)
+	assert.Equal(t, learning.endpoints["slow"].others, Load{})
+	assert.Assert(t, learning.endpoints["slow"].speed.Learned(later) > 1.5*learning.endpoints["fast"].speed.Learned(later))
+	learning.SetSnapshot(later, snapshot)
+
+	unaware, _ := newTable(0, "fast", "slow")
+	unaware.SetOthersLoad(now, loads)
+	unaware.ShareSpeeds(now)
+	unaware.OwnLoads()
+	assert.Equal(t, unaware.endpoints["slow"].speed.Learned(now), 1.0)
+	measuring.SetParams(params)
+	measuring.ShareSpeeds(now)
+	assert.Equal(t, len(measuring.OwnLoads()), 0)
+}
--- a/decision/gather/arithmetic.go
+++ b/decision/gather/arithmetic.go
@@ -6,6 +6,7 @@
 func sum(endpoint string, a, b dispatch.Load) dispatch.Load {
 	return dispatch.Load{
 		Endpoint: endpoint, InFlight: a.InFlight + b.InFlight, Tokens: a.Tokens + b.Tokens, Prefill: a.Prefill + b.Prefill,
+		SpeedSum: a.SpeedSum + b.SpeedSum, SpeedCount: a.SpeedCount + b.SpeedCount,
 	}
 }
 
@@ -13,6 +14,7 @@
 func difference(endpoint string, a, b dispatch.Load) dispatch.Load {
 	return dispatch.Load{
 		Endpoint: endpoint, InFlight: a.InFlight - b.InFlight, Tokens: a.Tokens - b.Tokens, Prefill: a.Prefill - b.Prefill,
+		SpeedSum: a.SpeedSum - b.SpeedSum, SpeedCount: a.SpeedCount - b.SpeedCount,
 	}
 }
 
@@ -36,8 +38,13 @@
 	return loads
 }
 
-// isZero reports whether there is no load.
-func isZero(l dispatch.Load) bool { return l.InFlight == 0 && l.Tokens == 0 && l.Prefill == 0 }
+// isZero reports whether there is neither load nor a measured speed.
+func isZero(l dispatch.Load) bool { return isSpeedOnly(l) && l.SpeedSum == 0 && l.SpeedCount == 0 }
+
+// isSpeedOnly reports whether a change concerns at most the measured speed.
+func isSpeedOnly(change dispatch.Load) bool {
+	return change.InFlight == 0 && change.Tokens == 0 && change.Prefill == 0
+}
 
 // isUrgent reports whether other nodes need a change before they place their next prompt. Changes by plain calls are not
 // urgent, because plain calls end before an update about them would arrive.
--- a/decision/gather/load_sums_test.go
+++ b/decision/gather/load_sums_test.go
@@ -156,7 +156,10 @@
 	var loads []dispatch.Load
 	for _, id := range []string{"x", "y", "z"} {
 		if random.IntN(2) == 0 {
-			loads = append(loads, dispatch.Load{Endpoint: id, InFlight: 1 + random.IntN(3), Tokens: random.IntN(2) * 100, Prefill: random.IntN(2) * 50})
+			loads = append(loads, dispatch.Load{
+				Endpoint: id, InFlight: random.IntN(3), Tokens: random.IntN(2) * 100, Prefill: random.IntN(2) * 50,
+				SpeedSum: random.IntN(200) - 100, SpeedCount: 1 + random.IntN(30),
+			})
 		}
 	}
 	return loads
--- a/decision/gather/update_schedule.go
+++ b/decision/gather/update_schedule.go
@@ -37,6 +37,9 @@
 	changedEndpoints map[string]struct{}
 	// receivers is the number of nodes to which each update is sent.
 	receivers int
+	// loadChanged is set when a change since the last update concerns more than the speed of an endpoint. A change of speed alone
+	// goes with the next update, since the speed is a mean over seconds.
+	loadChanged bool
 	// urgent is set when a change since the last update is urgent.
 	urgent bool
 	sentAt time.Time
@@ -55,6 +58,7 @@
 func (s *updateSchedule) recordChanges(changes []dispatch.Load) {
 	for _, c := range changes {
 		s.changedEndpoints[c.Endpoint] = struct{}{}
+		s.loadChanged = s.loadChanged || !isSpeedOnly(c)
 		s.urgent = s.urgent || isUrgent(c)
 	}
 }
@@ -74,7 +78,7 @@
 	switch {
 	case s.urgent:
 		interval = urgentInterval
-	case len(s.changedEndpoints) > 0 || s.full || s.updateRequested:
+	case s.loadChanged || s.full || s.updateRequested:
 		interval = changeInterval
 	}
 	return s.sentAt.Add(max(interval, time.Duration(s.receivers)*receiverSpacing))
@@ -91,6 +95,6 @@
 		s.fullAt = now
 	}
 	clear(s.changedEndpoints)
-	s.urgent, s.full, s.updateRequested, s.sentAt = false, false, false, now
+	s.loadChanged, s.urgent, s.full, s.updateRequested, s.sentAt = false, false, false, false, now
 	return u
 }
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -72,6 +72,7 @@
 			d.retryWaiting()
 		case now := <-expire.C:
 			d.table.ExpireOthersLoad(now)
+			d.table.ShareSpeeds(now)
 		}
 		if d.table.OwnLoadsChanged() {
 			d.ownLoads.Publish(d.table.OwnLoads())
