--- a/decision/speed/regression.go
+++ b/decision/speed/regression.go
@@ -9,15 +9,23 @@
 	// regressionHalfLife is the time after which a measurement counts half. The usual times depend on the engines' type and change
 	// rarely; a node that runs two streams makes about 100 measurements in this time.
 	regressionHalfLife = 30 * time.Second
-	// minSpread is the variance of a factor, relative to its mean square, below which its influence can't be determined.
-	minSpread = 1e-4
+	// noise is the standard deviation of measured times relative to their mean: hosts are up to 2.5 times slower for a seventh of
+	// the time. Influences that are uncertain because of it are reduced, since a node often sees nearly the same load on all engines.
+	noise = 0.4
+	// likelyGrowth is how much the time typically grows, relative to its mean, with the first factor from 0 to its mean;
+	// likelyShareGrowth with the second one from 0 to 1.
+	likelyGrowth      = 0.3
+	likelyShareGrowth = 1.0
 	// minRegressionWeight is the number of measurements from which a prediction is given.
 	minRegressionWeight = 3
 )
 
-// Regression predicts a time from two factors by linear regression over decayed measurements. A larger factor never predicts a
-// shorter time. The zero value has no measurements.
+// Regression predicts a time from two factors by ridge regression over decayed measurements. The second factor is a share. A larger
+// factor never predicts a shorter time. The zero value has no measurements.
 type Regression struct {
+	// PriorSlope is the growth with the first factor that is assumed without measurements.
+	PriorSlope float64
+
 	at                     time.Time
 	weight                 float64
 	sumA, sumB, sumT       float64
@@ -55,27 +63,22 @@
 // fit determines the line from the sums.
 func (r *Regression) fit() {
 	meanA, meanB, meanT := r.sumA/r.weight, r.sumB/r.weight, r.sumT/r.weight
-	varA, varB := r.sumAA/r.weight-meanA*meanA, r.sumBB/r.weight-meanB*meanB
+	ridgeA, ridgeB := noise*noise/(likelyGrowth*likelyGrowth)*meanA*meanA/r.weight, noise*noise/(likelyShareGrowth*likelyShareGrowth)/r.weight
+	varA, varB := r.sumAA/r.weight-meanA*meanA+ridgeA, r.sumBB/r.weight-meanB*meanB+ridgeB
 	covAB := r.sumAB/r.weight - meanA*meanB
-	covAT, covBT := r.sumAT/r.weight-meanA*meanT, r.sumBT/r.weight-meanB*meanT
-	usableA, usableB := varA > minSpread*r.sumAA/r.weight, varB > minSpread*r.sumBB/r.weight
+	covAT, covBT := r.sumAT/r.weight-meanA*meanT+ridgeA*r.PriorSlope, r.sumBT/r.weight-meanB*meanT
 	r.slopeA, r.slopeB = 0, 0
-	if determinant := varA*varB - covAB*covAB; usableA && usableB && determinant > minSpread*varA*varB {
+	if determinant := varA*varB - covAB*covAB; determinant > 0 {
 		r.slopeA, r.slopeB = (covAT*varB-covBT*covAB)/determinant, (covBT*varA-covAT*covAB)/determinant
 	}
 	// A factor without influence of its own leaves the other one to explain the times.
-	if r.slopeA <= 0 || r.slopeB <= 0 {
-		a, b := 0.0, 0.0
-		if usableA {
-			a = max(0, covAT/varA)
-		}
-		if usableB {
-			b = max(0, covBT/varB)
-		}
-		if a*covAT >= b*covBT {
-			r.slopeA, r.slopeB = a, 0
-		} else {
-			r.slopeA, r.slopeB = 0, b
+	switch {
+	case r.slopeA < 0:
+		r.slopeA, r.slopeB = 0, max(0, covBT/varB)
+	case r.slopeB < 0:
+		r.slopeA, r.slopeB = 0, 0
+		if varA > 0 {
+			r.slopeA = max(0, covAT/varA)
 		}
 	}
 	r.offset = meanT - r.slopeA*meanA - r.slopeB*meanB
--- a/decision/speed/service.go
+++ b/decision/speed/service.go
@@ -11,8 +11,9 @@
 	// initialPromptTokenTime is the time for a prompt token in seconds until it has been measured: 14,000 tokens in one second, by
 	// which prompts are placed without measurements.
 	initialPromptTokenTime = 1.0 / 14_000
-	// minPromptTokenTime bounds the measured time for a prompt token from below, so that queued prompts always count.
-	minPromptTokenTime = initialPromptTokenTime / 4
+	// maxPromptTimeRatio bounds the ratio of the measured time for a prompt token to the initial one, so that queued prompts always
+	// count.
+	maxPromptTimeRatio = 4
 )
 
 // Service holds the usual times of a service, in seconds. The zero value knows none.
@@ -32,6 +33,7 @@
 
 // ObserveFirstEvent adds the time to the first event of a run whose prompt is the last of some tokens.
 func (s *Service) ObserveFirstEvent(now time.Time, e *Estimate, took, promptTokens float64) {
+	s.firstEvent.PriorSlope = initialPromptTokenTime
 	observe(now, &s.firstEvent, e, took, promptTokens, 0, firstEventWeight)
 }
 
@@ -58,10 +60,10 @@
 
 // PromptTokenTime returns the usual time for one prompt token.
 func (s *Service) PromptTokenTime() float64 {
-	if !s.firstEvent.Known() || s.firstEvent.SlopeA() <= 0 {
+	if !s.firstEvent.Known() {
 		return initialPromptTokenTime
 	}
-	return max(minPromptTokenTime, s.firstEvent.SlopeA())
+	return min(initialPromptTokenTime*maxPromptTimeRatio, max(initialPromptTokenTime/maxPromptTimeRatio, s.firstEvent.SlopeA()))
 }
 
 // AnswerTime returns the usual time of a plain call; 0 if it is unknown.
--- a/decision/speed/service_test.go
+++ b/decision/speed/service_test.go
@@ -55,10 +55,10 @@
 	for i := range 20 {
 		s.ObserveFirstEvent(start, &e, 0.010, float64(1000*i))
 	}
-	assert.Assert(t, s.PromptTokenTime() >= minPromptTokenTime)
+	assert.Assert(t, s.PromptTokenTime() >= initialPromptTokenTime/maxPromptTimeRatio)
 	s, e = Service{}, Estimate{}
-	for i := range 20 {
-		s.ObserveFirstEvent(start, &e, 0.010+float64(i)/7, float64(1000*i))
+	for i := range 60 {
+		s.ObserveFirstEvent(start, &e, 0.010+float64(i%20)/7, float64(1000*(i%20)))
 	}
 	assert.Assert(t, s.PromptTokenTime() > 1.0/8000 && s.PromptTokenTime() < 1.0/6000, "%v", s.PromptTokenTime())
 }
