Keep copies in the data centre of their source; try a busy backup less

Cause: copies between data centres take twice as long, and the preferred data centre was that of the node. A stream was lost after the engine with its backup had refused it three times for lack of a slot.

Change, with endpoint_speed: copies and backups go to an engine in the data centre of their source if one there has free memory, each from a random sample, backups to slow engines at equal memory. After two refusals of the backup the memory is copied elsewhere; the backup keeps its copy and is tried again after each copy that failed. An engine that refused a run from its standby copy gets no further copy of it.

--- a/decision/dispatch/earlier_choices_test.go
+++ b/decision/dispatch/earlier_choices_test.go
@@ -48,7 +48,7 @@
 		fmt.Fprintln(hash, refusal, placed.Endpoint.ID, placed.Backup.ID, placed.InFlight, placed.Prefill)
 		if refusal == "" {
 			open = append(open, placed.Run)
-			assert.Assert(t, !placed.Measured)
+			assert.Assert(t, !placed.BySpeed)
 			table.RecordMeasurement(now, placed.Run, Measurement{Events: 20, Elapsed: time.Second, State: 2})
 		}
 		if len(open) > 60 {
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -45,7 +45,7 @@
 		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
 	}
 	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), promptTokens: chosen.candidate.Prefill + r.prefill()}
-	placed.Measured, placed.Slowdown = t.params.EndpointSpeed, chosen.candidate.Slowdown
+	placed.BySpeed, placed.Slowdown = t.params.EndpointSpeed, chosen.candidate.Slowdown
 	chosen.advanceUsage(now)
 	newRun.usage = chosen.usage
 	chosen.own.InFlight++
@@ -80,7 +80,7 @@
 			paused++
 			continue
 		}
-		if !e.refreshCandidate(now, t.params.DataCentre) {
+		if !e.refreshCandidate(now, t.nearDataCentre(r)) {
 			continue
 		}
 		admitted++
@@ -95,7 +95,7 @@
 		t.candidates = append(t.candidates, &e.candidate)
 	}
 	query := &placement.Request{
-		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Memory: placement.FlatForecast(float64(r.Tokens)),
+		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Copy: r.CopyPending, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
 	if e := t.pickEligible(r, query, t.policies(r)); e != nil {
 		return e, ""
@@ -115,10 +115,12 @@
 // pickEligible chooses among the eligible endpoints. It tries a random sample first, so that nodes that place requests at the
 // same moment with the same load figures don't all choose the same endpoint.
 func (t *Table) pickEligible(r *Request, query *placement.Request, policies []*placement.Policy) *endpoint {
-	t.random.Shuffle(len(t.eligible), func(i, j int) {
-		t.eligible[i], t.eligible[j] = t.eligible[j], t.eligible[i]
-		t.candidates[i], t.candidates[j] = t.candidates[j], t.candidates[i]
-	})
+	t.shuffleEligible()
+	if t.params.EndpointSpeed && r.CopyPending {
+		if e := t.pickNearFirst(r, query, policies[0]); e != nil {
+			return e
+		}
+	}
 	if i, ok := policies[0].Choose(query, t.candidates[:t.sampleSize(r, len(t.candidates))]); ok {
 		return t.eligible[i]
 	}
@@ -159,6 +161,9 @@
 	if !r.Backup || primary.service.Engine == nil || !primary.service.Engine.SupportsBackups || t.UnderMemoryPressure(now, r.Service) {
 		return nil
 	}
+	if t.params.EndpointSpeed {
+		return t.chooseBackupBySpeed(now, r, primary)
+	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
 	for _, e := range t.services[r.Service] {
 		if e == primary || e.isCold(now) || !e.refreshCandidate(now, t.params.DataCentre) {
--- a/decision/dispatch/placement.go
+++ b/decision/dispatch/placement.go
@@ -17,8 +17,9 @@
 	InFlight int
 	// Prefill is the number of prompt tokens on the endpoint that are computed before those of this request.
 	Prefill int
-	// Measured is set if the times of the run are to be measured, Slowdown is then the expected slowdown of the endpoint.
-	Measured bool
+	// BySpeed is set if endpoints are chosen by their speed, so that the times of the run are to be measured. Slowdown is then the
+	// expected slowdown of the endpoint.
+	BySpeed  bool
 	Slowdown float64
 	// LoadAge is the age of the last report of the other nodes' load.
 	LoadAge time.Duration
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -15,6 +15,8 @@
 	Resumed bool
 	// CopyPending is set when the run's memory is first copied to the endpoint, which takes about as long as computing the prompt.
 	CopyPending bool
+	// SourceDataCentre is the data centre from which the run's memory is copied; empty if it is not known.
+	SourceDataCentre string
 	// RequireMemoryFit is set when the request should be refused rather than placed on an engine on which its memory does not fit.
 	RequireMemoryFit bool
 	// SpareMemoryOnly limits the request to memory that is not reserved for new runs.
--- a/decision/dispatch/simulated_engine_test.go
+++ b/decision/dispatch/simulated_engine_test.go
@@ -25,7 +25,6 @@
 	running  []*simulatedRun
 	used     int
 	freeAt   time.Time
-	started  int
 	maxBatch int
 }
 
--- a/decision/dispatch/speed_simulation_test.go
+++ b/decision/dispatch/speed_simulation_test.go
@@ -206,4 +206,3 @@
 	return fmt.Sprintf("ratio %.2f, %d ended, %d late, %d with a long pause, %d refused, mean first event %v, largest batch %d", s.longRatio(),
 		s.ended, s.late, s.paused, s.refused, s.firstSum/time.Duration(max(1, s.ended)), most)
 }
-
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -44,6 +44,7 @@
 	random                                                 *rand.Rand
 	enginePolicy, strictEnginePolicy, plainPolicy          *placement.Policy
 	engineSpeedPolicy, strictSpeedPolicy, plainSpeedPolicy *placement.Policy
+	backupSpeedPolicy                                      *placement.Policy
 	candidates                                             []*placement.Candidate
 	eligible                                               []*endpoint
 }
@@ -61,6 +62,7 @@
 		engineSpeedPolicy:  placement.NewEngineSpeedPolicy(random, false),
 		strictSpeedPolicy:  placement.NewEngineSpeedPolicy(random, true),
 		plainSpeedPolicy:   placement.NewPlainSpeedPolicy(random),
+		backupSpeedPolicy:  placement.NewBackupSpeedPolicy(random),
 	}
 }
 
--- a/decision/dispatch/table_speed_test.go
+++ b/decision/dispatch/table_speed_test.go
@@ -21,7 +21,7 @@
 			r.RequiredEndpoint = id
 			placed, refusal := table.Place(now, r)
 			assert.Equal(t, refusal, Refusal(""))
-			assert.Assert(t, placed.Measured)
+			assert.Assert(t, placed.BySpeed)
 			table.RecordMeasurement(now.Add(200*time.Millisecond), placed.Run, Measurement{FirstEvent: 200 * time.Millisecond})
 			table.RecordMeasurement(now.Add(700*time.Millisecond), placed.Run, Measurement{Events: 10, Elapsed: 10 * interval * time.Millisecond})
 			table.Release(now.Add(700*time.Millisecond), placed.Run, Succeeded)
--- a/decision/placement/first_event_scorer.go
+++ b/decision/placement/first_event_scorer.go
@@ -10,17 +10,25 @@
 	// crossingTimePerToken is the price of the bytes of each token of the answer. The bytes of an answer of 750 tokens weigh as
 	// much as half of a queued prompt of 1,000 tokens.
 	crossingTimePerToken = 0.00005
+	// copyTimePerToken is the time for copying the memory of a token: 163,840 bytes over 24,000 Mbit/s. A copy to another data centre
+	// takes twice as long.
+	copyTimePerToken = 0.0000546
 )
 
 // FirstEventScorer prefers the endpoint with the earliest expected first event: the time for the prompt tokens that are queued
-// there and those of the request that are not cached, and the cost of leaving the data centre of this node.
+// there and those of the request that are not cached, and the cost of leaving the data centre of this node, or for a copy that of
+// its source.
 type FirstEventScorer struct{}
 
 // Score implements Scorer.
 func (FirstEventScorer) Score(r *Request, c *Candidate) float64 {
 	tokens := max(0, float64(max(0, c.Prefill)+r.PromptTokens)-c.CachedTokens)
 	expected := tokens * c.PromptTokenTime
-	if !c.Nearby {
+	switch {
+	case c.Nearby:
+	case r.Copy:
+		expected += copyTimePerToken * float64(r.PromptTokens+max(0, r.OutputTokens))
+	default:
 		expected += crossingTime + crossingTimePerToken*float64(max(0, r.OutputTokens))
 	}
 	return halfScoreTime / (halfScoreTime + expected)
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -13,6 +13,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	// Copy is set if the memory of a run is copied to the endpoint, instead of computing the prompt there.
+	Copy bool
 	// Memory is the expected memory of the request in tokens.
 	Memory Forecast
 }
--- a/decision/placement/speed_policies.go
+++ b/decision/placement/speed_policies.go
@@ -13,6 +13,9 @@
 	speedIntervalWeight   = 1.5
 	speedBatchWeight      = 0.5
 	speedAnswerWeight     = 2
+	// speedBackupSlowWeight decides between engines with nearly the same free memory: an engine at 1.7 times the usual time scores 0.04
+	// more than one at 0.7, as much as 1,100 free tokens of 26,800. It is small because the run continues there if its engine leaves.
+	speedBackupSlowWeight = 0.2
 )
 
 // NewEngineSpeedPolicy returns the policy for model engines that several nodes use at the same time and whose speed is measured. If
@@ -46,3 +49,17 @@
 		Picker: MaxScorePicker{Random: random},
 	}
 }
+
+// NewBackupSpeedPolicy returns the policy for copies of the memory of runs. A copy takes memory but no steps, so that it fits best on
+// a slow engine with free memory.
+func NewBackupSpeedPolicy(random *rand.Rand) *Policy {
+	return &Policy{
+		Filters: []Filter{AdmissibleFilter{}, ExcludeFilter{}, ExpectedMemoryFilter{}},
+		Scorers: []WeightedScorer{
+			{Scorer: ExpectedMemoryScorer{}, Weight: 1},
+			{Scorer: SlownessScorer{}, Weight: speedBackupSlowWeight},
+			{Scorer: ReliabilityScorer{}, Weight: reliabilityWeight},
+		},
+		Picker: MaxScorePicker{Random: random},
+	}
+}
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -25,6 +25,9 @@
 	moveTimeout = 2 * time.Second
 	// releaseCopyTimeout bounds the call that releases a copy. If the call fails, the engine drops the copy later by itself.
 	releaseCopyTimeout = time.Second
+	// maxBackupRefusals is the number of refusals of the backup, such as for lack of a slot, after which the memory is copied
+	// elsewhere. Engines leave 1.5 to 2 s after the notice, and a copy takes up to half a second.
+	maxBackupRefusals = 2
 	// maxMigrationAttempts bounds the migration attempts of a run at one endpoint. A leaving endpoint serves for about 2 s.
 	maxMigrationAttempts = 16
 )
@@ -44,6 +47,8 @@
 	// copyDone receives the result of a copy. copying is set while a copy is in progress.
 	copyDone chan exchange.MoveResult
 	copying  bool
+	// backupRefusals is the number of attempts to continue at the backup that failed since the memory was last copied elsewhere.
+	backupRefusals int
 	// refusedEndpoints lists the endpoints to which the copy failed.
 	refusedEndpoints []string
 }
@@ -90,19 +95,26 @@
 		r.retryMigration()
 	case m.target != nil:
 		r.copyMemory()
-	case r.up.placement.Backup.ID == "":
+	case r.up.placement.Backup.ID == "", m.leaving && r.backupIsBusy():
 		r.startCopy()
 	case m.leaving:
 		if r.continueAtBackup() {
 			return
 		}
-		if m.attempts >= maxBackupAttempts {
+		m.backupRefusals++
+		if !r.up.placement.BySpeed && m.attempts >= maxBackupAttempts {
 			r.up.placement.Backup.ID = ""
 		}
 		m.timer = time.After(migrationRetryInterval)
 	}
 }
 
+// backupIsBusy reports whether the backup has refused the run so often that its memory is copied elsewhere. The backup keeps its copy,
+// and is tried once more after each attempt to copy that failed.
+func (r *streamRelay) backupIsBusy() bool {
+	return r.up.placement.BySpeed && r.migration.backupRefusals >= maxBackupRefusals
+}
+
 // continueAtBackup continues the run at its backup endpoint and reports whether that succeeded.
 func (r *streamRelay) continueAtBackup() bool {
 	next, o, err := r.placeAtBackup()
@@ -130,6 +142,10 @@
 	}
 	target, o := r.takeTarget()
 	if !r.handOver(target, o) {
+		if r.up.placement.BySpeed {
+			// The engine has no slot, so the next copy is made elsewhere.
+			r.migration.refusedEndpoints = append(r.migration.refusedEndpoints, target.placement.Endpoint.ID)
+		}
 		r.retryMigration()
 	}
 }
--- a/service/edge/run_timer.go
+++ b/service/edge/run_timer.go
@@ -26,7 +26,7 @@
 func (t *runTimer) start(up *upstream) {
 	t.report()
 	*t = runTimer{}
-	if up.placement.Measured {
+	if up.placement.BySpeed {
 		t.up = up
 	}
 }
--- a/service/edge/run_timer_test.go
+++ b/service/edge/run_timer_test.go
@@ -16,7 +16,7 @@
 	messages := mailbox.New[dispatcherMessage](64)
 	sent := time.Unix(1000, 0)
 	timer := runTimer{}
-	timer.start(&upstream{placement: dispatch.Placement{Run: 7, Measured: true}, placer: placer{messages: messages}, sentAt: sent})
+	timer.start(&upstream{placement: dispatch.Placement{Run: 7, BySpeed: true}, placer: placer{messages: messages}, sentAt: sent})
 	at := sent.Add(300 * time.Millisecond)
 	for i := range 60 {
 		late := i == 20
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -125,7 +125,7 @@
 	m.waitUntil = s.request.Received.Add(s.route.FirstByteObjective / waitDivisor)
 	if o.continues() {
 		m.request.ForceRepeat, m.request.Resumed, m.request.SpareMemoryOnly, m.request.CopyPending = true, true, o.spareMemoryOnly, o.copyPending
-		m.request.RequiredEndpoint, m.request.Exclude = o.endpoint, o.exclude
+		m.request.RequiredEndpoint, m.request.Exclude, m.request.SourceDataCentre = o.endpoint, o.exclude, o.sourceDataCentre
 		m.waitUntil = time.Now()
 	}
 	if m.waitUntil.After(s.deadline) {
--- a/service/edge/send_options.go
+++ b/service/edge/send_options.go
@@ -12,6 +12,8 @@
 	copyHandle  string
 	// copyPending is set if the copy has not been made yet.
 	copyPending bool
+	// sourceDataCentre is the data centre from which the copy will be made.
+	sourceDataCentre string
 	// spareMemoryOnly is set for a standby copy, which may only use memory that other runs do not need.
 	spareMemoryOnly bool
 	// lastEvent is the id of the last event that the caller has received.
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -16,7 +16,14 @@
 func (r *streamRelay) startCopy() {
 	m := &r.migration
 	exclude := append(slices.Clone(m.refusedEndpoints), r.up.placement.Endpoint.ID)
-	target, err := r.place(r.ctx, sendOptions{copyPending: true, spareMemoryOnly: !m.leaving, exclude: exclude})
+	if backup := r.up.placement.Backup.ID; backup != "" {
+		exclude = append(exclude, backup)
+	}
+	if m.backupRefusals > 0 {
+		m.backupRefusals = maxBackupRefusals - 1
+	}
+	o := sendOptions{copyPending: true, spareMemoryOnly: !m.leaving, exclude: exclude, sourceDataCentre: r.up.placement.Endpoint.DataCentre}
+	target, err := r.place(r.ctx, o)
 	if err != nil {
 		r.log(zap.InfoLevel, "no endpoint for a copy", zap.String("endpoint", r.up.placement.Endpoint.ID),
 			zap.Bool("leaving", m.leaving), logging.Cause(err))
--- a/service/edge/upstream.go
+++ b/service/edge/upstream.go
@@ -34,7 +34,7 @@
 
 // measureAnswer reports what the endpoint stated about its speed, and how long a plain call took.
 func (u *upstream) measureAnswer(plain bool, took time.Duration) {
-	if !u.placement.Measured {
+	if !u.placement.BySpeed {
 		return
 	}
 	m := dispatch.Measurement{State: u.answer.Load.Slowdown}
