Show the learnt speed of endpoints as metrics

Cause: operators could not see which speeds a node has learnt.

Change: gauges of the least, median and largest slowdown and of the number of measurements by service, once a second. Expected times are computed only for the endpoints that are compared.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -90,14 +90,13 @@
 		if r.SpareMemoryOnly {
 			e.candidate.Capacity *= maxCopyMemoryShare
 		}
-		t.setCandidateSpeed(now, e)
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
 	query := &placement.Request{
 		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Copy: r.CopyPending, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
-	if e := t.pickEligible(r, query, t.policies(r)); e != nil {
+	if e := t.pickEligible(now, r, query, t.policies(r)); e != nil {
 		return e, ""
 	}
 	switch {
@@ -114,16 +113,19 @@
 
 // pickEligible chooses among the eligible endpoints. It tries a random sample first, so that nodes that place requests at the
 // same moment with the same load figures don't all choose the same endpoint.
-func (t *Table) pickEligible(r *Request, query *placement.Request, policies []*placement.Policy) *endpoint {
+func (t *Table) pickEligible(now time.Time, r *Request, query *placement.Request, policies []*placement.Policy) *endpoint {
 	t.shuffleEligible()
 	if t.params.EndpointSpeed && r.CopyPending {
-		if e := t.pickNearFirst(r, query, policies[0]); e != nil {
+		if e := t.pickNearFirst(now, r, query, policies[0]); e != nil {
 			return e
 		}
 	}
-	if i, ok := policies[0].Choose(query, t.candidates[:t.sampleSize(r, len(t.candidates))]); ok {
+	sample := t.sampleSize(r, len(t.candidates))
+	t.setCandidateSpeeds(now, t.eligible[:sample])
+	if i, ok := policies[0].Choose(query, t.candidates[:sample]); ok {
 		return t.eligible[i]
 	}
+	t.setCandidateSpeeds(now, t.eligible[sample:])
 	for _, p := range policies {
 		if i, ok := p.Choose(query, t.candidates); ok {
 			return t.eligible[i]
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/placement"
@@ -47,6 +49,26 @@
 	return s
 }
 
+// SpeedSummaries returns the measured speeds by service, sorted by service; nil if endpoints are not chosen by speed.
+func (t *Table) SpeedSummaries(now time.Time) []SpeedSummary {
+	if !t.params.EndpointSpeed {
+		return nil
+	}
+	var summaries []SpeedSummary
+	for _, service := range slices.Sorted(maps.Keys(t.services)) {
+		summary := SpeedSummary{Service: service}
+		var slowdowns []float64
+		for _, e := range t.services[service] {
+			slowdowns = append(slowdowns, e.speed.Learned(now))
+			summary.Observations += e.speed.Observations(now)
+		}
+		slices.Sort(slowdowns)
+		summary.Fastest, summary.Median, summary.Slowest = slowdowns[0], slowdowns[len(slowdowns)/2], slowdowns[len(slowdowns)-1]
+		summaries = append(summaries, summary)
+	}
+	return summaries
+}
+
 // setOthersSpeed replaces what the other nodes measured of an endpoint. If their load expires, what they measured decays.
 func (t *Table) setOthersSpeed(now time.Time, e *endpoint, others Load) {
 	if t.params.EndpointSpeed {
@@ -68,22 +90,25 @@
 	}
 }
 
-// setCandidateSpeed sets the expected times of an endpoint in its candidate.
-func (t *Table) setCandidateSpeed(now time.Time, e *endpoint) {
-	c := &e.candidate
-	if !t.params.EndpointSpeed {
+// setCandidateSpeeds sets the expected times of endpoints in their candidates. It is called for the endpoints that are compared, not
+// for all, because it takes much longer than the rest of a candidate.
+func (t *Table) setCandidateSpeeds(now time.Time, endpoints []*endpoint) {
+	if !t.params.EndpointSpeed || len(endpoints) == 0 {
 		return
 	}
-	s := t.speedOf(e.service.Name)
-	c.Slowdown = e.speed.Slowdown(now)
-	if e.service.Engine == nil {
-		c.AnswerTime = s.AnswerTime(1)
-		return
+	s := t.speedOf(endpoints[0].service.Name)
+	for _, e := range endpoints {
+		c := &e.candidate
+		c.Slowdown = e.speed.Slowdown(now)
+		if e.service.Engine == nil {
+			c.AnswerTime = s.AnswerTime(1)
+			continue
+		}
+		// The time between events of a run of many seconds depends on the learnt speed, not on that of the moment.
+		c.EventInterval = e.speed.Learned(now) * s.Interval(float64(c.InFlight+1), 0)
+		c.UsualInterval = s.Interval(1, 0)
+		c.PromptTokenTime = c.Slowdown * s.PromptTokenTime()
 	}
-	// The time between events of a run of many seconds depends on the learnt speed, not on that of the moment.
-	c.EventInterval = e.speed.Learned(now) * s.Interval(float64(c.InFlight+1), 0)
-	c.UsualInterval = s.Interval(1, 0)
-	c.PromptTokenTime = c.Slowdown * s.PromptTokenTime()
 }
 
 // policies returns the policies for a request, in the order in which they are tried.
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/latest"
@@ -38,6 +39,8 @@
 	snapshot *fleet.Snapshot
 	waiting  []placeMessage
 	leaving  map[uint64]*leavingRun
+
+	speedMetrics speedMetrics
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
@@ -45,7 +48,7 @@
 	return &dispatcher{
 		log: log, table: dispatch.NewTable(time.Now(), p, random), cluster: cluster,
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
-		leaving: map[uint64]*leavingRun{},
+		leaving: map[uint64]*leavingRun{}, speedMetrics: speedMetrics{scope: tally.NoopScope},
 	}
 }
 
@@ -73,6 +76,7 @@
 		case now := <-expire.C:
 			d.table.ExpireOthersLoad(now)
 			d.table.ShareSpeeds(now)
+			d.speedMetrics.record(d.table.SpeedSummaries(now))
 		}
 		if d.table.OwnLoadsChanged() {
 			d.ownLoads.Publish(d.table.OwnLoads())
