Use shared speeds on nodes without measurements of their own

Cause: a node that had not yet run three streams treated all engines as equally fast although it knew the speeds that the others had measured.

Change: without a usual interval, the slowdowns are compared alone.

Result: TestSpeedIsSharedBetweenNodes places 20 of 20 long runs of a new node on the faster of two engines.

--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -123,8 +123,12 @@
 			continue
 		}
 		// The time between events of a run of many seconds depends on the learnt speed, not on that of the moment.
-		c.EventInterval = e.speed.Learned(now) * s.Interval(float64(c.InFlight+1), 0)
-		c.UsualInterval = s.Interval(1, 0)
+		// Without own measurements, the speeds that the others measured are compared alone.
+		c.EventInterval, c.UsualInterval = s.Interval(float64(c.InFlight+1), 0), s.Interval(1, 0)
+		if c.UsualInterval == 0 {
+			c.EventInterval, c.UsualInterval = 1, 1
+		}
+		c.EventInterval *= e.speed.Learned(now)
 		c.PromptTokenTime = c.Slowdown * s.PromptTokenTime()
 	}
 }
--- a/decision/dispatch/table_speed_test.go
+++ b/decision/dispatch/table_speed_test.go
@@ -80,6 +80,12 @@
 	learning.SetSnapshot(now, listed)
 	learning.UpdateOthersLoad(now, loads)
 	assert.Assert(t, learning.endpoints["slow"].speed.Learned(now) > 1.8*learning.endpoints["fast"].speed.Learned(now))
+	for range 20 {
+		placed, refusal := learning.Place(now, Request{Service: "s", PromptTokens: 1000, Tokens: 1700})
+		assert.Equal(t, refusal, Refusal(""))
+		assert.Equal(t, placed.Endpoint.ID, "fast")
+		learning.Release(now, placed.Run, Cancelled)
+	}
 	// The speed outlasts the load of nodes that can't be reached.
 	later := now.Add(othersLoadExpiry)
 	learning.ExpireOthersLoad(later)
