Make the test of shared speeds depend on the intervals alone

Cause: the test passed without the change it was written for, since the faster prompt decided.

Change: a waiting prompt makes the start of the fast engine later.

--- a/decision/dispatch/table_speed_test.go
+++ b/decision/dispatch/table_speed_test.go
@@ -80,8 +80,14 @@
 	learning.SetSnapshot(now, listed)
 	learning.UpdateOthersLoad(now, loads)
 	assert.Assert(t, learning.endpoints["slow"].speed.Learned(now) > 1.8*learning.endpoints["fast"].speed.Learned(now))
+	// The short prompt that waits at the fast engine outweighs its faster start, but not its shorter intervals.
+	_, refusal := learning.Place(now, Request{Service: "s", PromptTokens: 100, Tokens: 108, RequiredEndpoint: "fast"})
+	assert.Equal(t, refusal, Refusal(""))
+	short, _ := learning.Place(now, Request{Service: "s", PromptTokens: 1, Tokens: 9})
+	assert.Equal(t, short.Endpoint.ID, "slow")
+	learning.Release(now, short.Run, Cancelled)
 	for range 20 {
-		placed, refusal := learning.Place(now, Request{Service: "s", PromptTokens: 1000, Tokens: 1700})
+		placed, refusal := learning.Place(now, Request{Service: "s", PromptTokens: 1, Tokens: 700})
 		assert.Equal(t, refusal, Refusal(""))
 		assert.Equal(t, placed.Endpoint.ID, "fast")
 		learning.Release(now, placed.Run, Cancelled)
