Cross data centres only for a gain in expected time

Work crosses if the gain is above the cost, or if no engine here permits it. The first event of an answer that an endpoint repeats up to a known event is not measured.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -115,8 +115,12 @@
 // same moment with the same load figures don't all choose the same endpoint.
 func (t *Table) pickEligible(now time.Time, r *Request, query *placement.Request, policies []*placement.Policy) *endpoint {
 	t.shuffleEligible()
-	if t.params.EndpointSpeed && r.CopyPending {
-		if e := t.pickNearFirst(now, r, query, policies[0]); e != nil {
+	if t.params.EndpointSpeed && r.Tokens > 0 {
+		pick := t.pickByTime
+		if r.CopyPending {
+			pick = t.pickNearFirst
+		}
+		if e := pick(now, r, query, policies[0]); e != nil {
 			return e
 		}
 	}
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -123,10 +123,10 @@
 			continue
 		}
 		// The time between events of a run of many seconds depends on the learnt speed, not on that of the moment.
-		// Without own measurements, the speeds that the others measured are compared alone.
 		c.EventInterval, c.UsualInterval = s.Interval(float64(c.InFlight+1), 0), s.Interval(1, 0)
 		if c.UsualInterval == 0 {
-			c.EventInterval, c.UsualInterval = 1, 1
+			// Without own measurements, the speeds that the others measured are compared alone.
+			c.EventInterval, c.UsualInterval = speed.InitialInterval, speed.InitialInterval
 		}
 		c.EventInterval *= e.speed.Learned(now)
 		c.PromptTokenTime = c.Slowdown * s.PromptTokenTime()
--- a/decision/placement/first_event_scorer.go
+++ b/decision/placement/first_event_scorer.go
@@ -22,14 +22,9 @@
 
 // Score implements Scorer.
 func (FirstEventScorer) Score(r *Request, c *Candidate) float64 {
-	tokens := max(0, float64(max(0, c.Prefill)+r.PromptTokens)-c.CachedTokens)
-	expected := tokens * c.PromptTokenTime
-	switch {
-	case c.Nearby:
-	case r.Copy:
-		expected += copyTimePerToken * float64(r.PromptTokens+max(0, r.OutputTokens))
-	default:
-		expected += crossingTime + crossingTimePerToken*float64(max(0, r.OutputTokens))
+	expected := promptTime(r, c)
+	if !c.Nearby {
+		expected += CrossingCost(r)
 	}
 	return halfScoreTime / (halfScoreTime + expected)
 }
--- a/decision/speed/service.go
+++ b/decision/speed/service.go
@@ -16,6 +16,9 @@
 	maxPromptTimeRatio = 4
 )
 
+// InitialInterval is the time between two events in seconds that is assumed until it has been measured: 4 tokens in steps of 7 ms.
+const InitialInterval = 0.03
+
 // Service holds the usual times of a service, in seconds. The zero value knows none.
 type Service struct {
 	// interval is the time between two events, by requests in flight and by the share of time in which prompts were computed.
--- a/service/edge/run_timer.go
+++ b/service/edge/run_timer.go
@@ -14,6 +14,8 @@
 // The zero value measures nothing.
 type runTimer struct {
 	up *upstream
+	// resumed is set if the endpoint computes earlier events again before it sends the first one.
+	resumed bool
 	// lastAt is the time of the last event, elapsed and events the time and number of the events since the last report.
 	lastAt  time.Time
 	elapsed time.Duration
@@ -23,9 +25,9 @@
 }
 
 // start begins to measure the events of an attempt, after reporting those of the one before.
-func (t *runTimer) start(up *upstream) {
+func (t *runTimer) start(up *upstream, resumed bool) {
 	t.report()
-	*t = runTimer{}
+	*t = runTimer{resumed: resumed}
 	if up.placement.BySpeed {
 		t.up = up
 	}
@@ -39,6 +41,7 @@
 	switch {
 	case item.late:
 		t.elapsed, t.events, t.ignoreUntil = 0, 0, item.readAt.Add(measureInterval)
+	case t.lastAt.IsZero() && t.resumed:
 	case t.lastAt.IsZero():
 		t.up.placer.reportMeasurement(t.up.placement.Run, dispatch.Measurement{FirstEvent: item.readAt.Sub(t.up.sentAt)})
 	case !item.readAt.Before(t.ignoreUntil):
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.up, r.stopReading, r.migration = up, cancel, migration{}
-	r.timer.start(up)
+	r.timer.start(up, r.lastEvent != "")
 	r.reader = readStream(ctx, r.server.newStream(up.answer.Body))
 	r.scheduleCopy()
 }
