--- a/decision/dispatch/copy_speed.go
+++ b/decision/dispatch/copy_speed.go
@@ -28,5 +28,5 @@
 	}
 	t.shuffleEligible()
 	query := &placement.Request{Exclude: r.Exclude, Memory: placement.FlatForecast(float64(r.Tokens))}
-	return t.pickNearFirst(now, r, query, t.backupSpeedPolicy)
+	return t.pickNearFirst(now, r, query, t.speed.backup)
 }
--- a/decision/dispatch/earlier_choices_test.go
+++ b/decision/dispatch/earlier_choices_test.go
@@ -62,5 +62,5 @@
 		fmt.Fprintln(hash, l.Endpoint, l.InFlight, l.Tokens, l.Prefill)
 	}
 	assert.Equal(t, hash.Sum64(), uint64(earlierChoices))
-	assert.Equal(t, len(table.speeds), 0)
+	assert.Equal(t, len(table.speed.usual), 0)
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -11,7 +11,6 @@
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/placement"
 	"azuredyke.dev/azuredyke/decision/retry"
-	"azuredyke.dev/azuredyke/decision/speed"
 )
 
 // othersLoadExpiry is the time after which the load of the other nodes no longer counts if it was not reported again.
@@ -38,15 +37,13 @@
 	// ownLoadChanged is set when the node's own load may differ from the last result of OwnLoads.
 	ownLoadChanged bool
 
-	// speeds holds the usual times by service.
-	speeds map[string]*speed.Service
+	// speed is used if endpoints are chosen by their speed.
+	speed speedState
 
-	random                                                 *rand.Rand
-	enginePolicy, strictEnginePolicy, plainPolicy          *placement.Policy
-	engineSpeedPolicy, strictSpeedPolicy, plainSpeedPolicy *placement.Policy
-	backupSpeedPolicy                                      *placement.Policy
-	candidates                                             []*placement.Candidate
-	eligible                                               []*endpoint
+	random                                        *rand.Rand
+	enginePolicy, strictEnginePolicy, plainPolicy *placement.Policy
+	candidates                                    []*placement.Candidate
+	eligible                                      []*endpoint
 }
 
 // NewTable returns a table without endpoints for a node that was started at nodeStarted.
@@ -54,15 +51,11 @@
 	return &Table{
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
-		speeds:             map[string]*speed.Service{},
+		speed:              newSpeedState(random),
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
 		plainPolicy:        placement.NewSharedPlainPolicy(random),
-		engineSpeedPolicy:  placement.NewEngineSpeedPolicy(random, false),
-		strictSpeedPolicy:  placement.NewEngineSpeedPolicy(random, true),
-		plainSpeedPolicy:   placement.NewPlainSpeedPolicy(random),
-		backupSpeedPolicy:  placement.NewBackupSpeedPolicy(random),
 	}
 }
 
@@ -93,8 +86,8 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
-				t.setOthersSpeed(now, e, e.others)
+				e = &endpoint{statement: t.statements.of(&listed.Endpoint)}
+				t.setOthers(now, e, t.others[listed.ID])
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -123,9 +116,7 @@
 	for _, l := range loads {
 		t.others[l.Endpoint] = l
 		if e := t.endpoints[l.Endpoint]; e != nil {
-			e.advanceUsage(now)
-			e.others = l
-			t.setOthersSpeed(now, e, l)
+			t.setOthers(now, e, l)
 		}
 	}
 }
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -26,7 +26,7 @@
 	if r == nil || !t.params.EndpointSpeed {
 		return
 	}
-	e, s := r.endpoint, t.speedOf(r.endpoint.service.Name)
+	e, s := r.endpoint, t.speed.of(r.endpoint.service.Name)
 	e.speed.RecordState(now, m.State)
 	e.advanceUsage(now)
 	inFlight, prefillShare, known := e.usage.meanSince(r.usage)
@@ -42,16 +42,6 @@
 	}
 }
 
-// speedOf returns the usual times of a service.
-func (t *Table) speedOf(service string) *speed.Service {
-	s := t.speeds[service]
-	if s == nil {
-		s = &speed.Service{}
-		t.speeds[service] = s
-	}
-	return s
-}
-
 // SpeedSummaries returns the measured speeds by service, sorted by service; nil if endpoints are not chosen by speed.
 func (t *Table) SpeedSummaries(now time.Time) []SpeedSummary {
 	if !t.params.EndpointSpeed {
@@ -72,8 +62,10 @@
 	return summaries
 }
 
-// setOthersSpeed replaces what the other nodes measured of an endpoint. If their load expires, what they measured decays.
-func (t *Table) setOthersSpeed(now time.Time, e *endpoint, others Load) {
+// setOthers replaces the others' load on an endpoint and what they measured of it. If their load expires, what they measured decays.
+func (t *Table) setOthers(now time.Time, e *endpoint, others Load) {
+	e.advanceUsage(now)
+	e.others = others
 	if t.params.EndpointSpeed {
 		e.speed.SetOthers(now, others.SpeedSum, others.SpeedCount)
 	}
@@ -114,7 +106,7 @@
 	if !t.params.EndpointSpeed || len(endpoints) == 0 {
 		return
 	}
-	s := t.speedOf(endpoints[0].service.Name)
+	s := t.speed.of(endpoints[0].service.Name)
 	for _, e := range endpoints {
 		c := &e.candidate
 		c.Slowdown = e.speed.Slowdown(now)
@@ -137,7 +129,7 @@
 func (t *Table) policies(r *Request) []*placement.Policy {
 	plain, strict, lenient := t.plainPolicy, t.strictEnginePolicy, t.enginePolicy
 	if t.params.EndpointSpeed {
-		plain, strict, lenient = t.plainSpeedPolicy, t.strictSpeedPolicy, t.engineSpeedPolicy
+		plain, strict, lenient = t.speed.plain, t.speed.strictEngine, t.speed.engine
 	}
 	switch {
 	case r.SpareMemoryOnly, r.Tokens > 0 && r.RequireMemoryFit:
