--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -37,6 +37,9 @@
 	// ownLoadChanged is set when the node's own load may differ from the last result of OwnLoads.
 	ownLoadChanged bool
 
+	// speed is used if endpoints are chosen by their speed.
+	speed speedState
+
 	random                                        *rand.Rand
 	enginePolicy, strictEnginePolicy, plainPolicy *placement.Policy
 	candidates                                    []*placement.Candidate
@@ -48,6 +51,7 @@
 	return &Table{
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
+		speed:              newSpeedState(random),
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
@@ -82,7 +86,8 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
+				e = &endpoint{statement: t.statements.of(&listed.Endpoint)}
+				t.setOthers(now, e, t.others[listed.ID])
 			}
 			wasOut := e.dataCentreOut
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
@@ -111,7 +116,7 @@
 	for _, l := range loads {
 		t.others[l.Endpoint] = l
 		if e := t.endpoints[l.Endpoint]; e != nil {
-			e.others = l
+			t.setOthers(now, e, l)
 		}
 	}
 }
@@ -230,6 +235,7 @@
 	delete(t.runs, number)
 	t.ownLoadChanged = true
 	e := r.endpoint
+	e.advanceUsage(now)
 	e.own.InFlight--
 	e.own.Tokens -= r.tokens
 	if !r.firstEventReceived {
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -11,6 +11,10 @@
 	// PrefixHashes are the hashes of the prompt's leading blocks, in order.
 	PrefixHashes []uint64
 	PromptTokens int
+	// OutputTokens is the expected length of the answer.
+	OutputTokens int
+	// Copy is set if the memory of a run is copied to the endpoint, instead of computing the prompt there.
+	Copy bool
 	// Memory is the expected memory of the request in tokens.
 	Memory Forecast
 }
