Choose endpoints by speed where they state it

Change: a service whose endpoints state the speed of their hosts is placed by speed, on each node from the first such answer or the first speed that another node shares; the setting switches it on for all services.

--- a/common/settings/features.go
+++ b/common/settings/features.go
@@ -6,7 +6,8 @@
 	Rollouts bool `yaml:"rollouts"`
 	// OrderedAdmission holds requests on the nodes, in the order of rank, deadline and workspace, while engines have no room.
 	OrderedAdmission bool `yaml:"ordered_admission"`
-	// EndpointSpeed places requests by the measured speed of the endpoints.
+	// EndpointSpeed places requests by the measured speed of the endpoints on all services. On a service whose endpoints state the
+	// speed of their hosts, that is always done.
 	EndpointSpeed bool `yaml:"endpoint_speed"`
 	// CallerBuffers buffers streams for slow callers within a budget that all streams of the node share.
 	CallerBuffers bool `yaml:"caller_buffers"`
--- a/decision/dispatch/copy_speed.go
+++ b/decision/dispatch/copy_speed.go
@@ -8,7 +8,7 @@
 
 // nearDataCentre returns the data centre whose endpoints count as near: that of the node, or of the source for a copy.
 func (t *Table) nearDataCentre(r *Request) string {
-	if t.params.EndpointSpeed && r.CopyPending && r.SourceDataCentre != "" {
+	if t.choosesBySpeed(r.Service) && r.CopyPending && r.SourceDataCentre != "" {
 		return r.SourceDataCentre
 	}
 	return t.params.DataCentre
--- a/decision/dispatch/params.go
+++ b/decision/dispatch/params.go
@@ -13,6 +13,6 @@
 	// ColdOverage and ColdSlack limit the requests per second on a cold endpoint to rate times overage plus slack.
 	ColdOverage float64
 	ColdSlack   float64
-	// EndpointSpeed places requests by the measured speed of the endpoints.
+	// EndpointSpeed places requests by the measured speed of the endpoints, also on services whose endpoints don't state it.
 	EndpointSpeed bool
 }
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -45,7 +45,7 @@
 		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
 	}
 	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), promptTokens: chosen.candidate.Prefill + r.prefill()}
-	placed.BySpeed, placed.Slowdown = t.params.EndpointSpeed, chosen.candidate.Slowdown
+	placed.BySpeed, placed.Slowdown = t.choosesBySpeed(r.Service), chosen.candidate.Slowdown
 	chosen.advanceUsage(now)
 	newRun.usage = chosen.usage
 	chosen.own.InFlight++
@@ -115,7 +115,7 @@
 // same moment with the same load figures don't all choose the same endpoint.
 func (t *Table) pickEligible(now time.Time, r *Request, query *placement.Request, policies []*placement.Policy) *endpoint {
 	t.shuffleEligible()
-	if t.params.EndpointSpeed && r.Tokens > 0 {
+	if t.choosesBySpeed(r.Service) && r.Tokens > 0 {
 		pick := t.pickByTime
 		if r.CopyPending {
 			pick = t.pickNearFirst
@@ -167,7 +167,7 @@
 	if !r.Backup || primary.service.Engine == nil || !primary.service.Engine.SupportsBackups || t.UnderMemoryPressure(now, r.Service) {
 		return nil
 	}
-	if t.params.EndpointSpeed {
+	if t.choosesBySpeed(r.Service) {
 		return t.chooseBackupBySpeed(now, r, primary)
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
--- a/decision/dispatch/speed_state.go
+++ b/decision/dispatch/speed_state.go
@@ -11,13 +11,15 @@
 type speedState struct {
 	// usual holds the usual times by service.
 	usual map[string]*speed.Service
+	// stated contains the services whose endpoints state the speed of their hosts.
+	stated map[string]bool
 
 	engine, strictEngine, plain, backup *placement.Policy
 }
 
 func newSpeedState(random *rand.Rand) speedState {
 	return speedState{
-		usual:  map[string]*speed.Service{},
+		usual: map[string]*speed.Service{}, stated: map[string]bool{},
 		engine: placement.NewEngineSpeedPolicy(random, false), strictEngine: placement.NewEngineSpeedPolicy(random, true),
 		plain: placement.NewPlainSpeedPolicy(random), backup: placement.NewBackupSpeedPolicy(random),
 	}
@@ -32,3 +34,8 @@
 	}
 	return usual
 }
+
+// recordStatement records that endpoints of a service state the speed of their hosts.
+func (s *speedState) recordStatement(service string) {
+	s.stated[service] = true
+}
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -86,7 +86,7 @@
 		for _, listed := range list {
 			e := previous[listed.ID]
 			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{statement: t.statements.of(&listed.Endpoint)}
+				e = &endpoint{service: service, statement: t.statements.of(&listed.Endpoint)}
 				t.setOthers(now, e, t.others[listed.ID])
 			}
 			wasOut := e.dataCentreOut
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -23,7 +23,13 @@
 // RecordMeasurement records the times that were measured of a run.
 func (t *Table) RecordMeasurement(now time.Time, number uint64, m Measurement) {
 	r := t.runs[number]
-	if r == nil || !t.params.EndpointSpeed {
+	if r == nil {
+		return
+	}
+	if m.State > 0 {
+		t.speed.recordStatement(r.endpoint.service.Name)
+	}
+	if !t.choosesBySpeed(r.endpoint.service.Name) {
 		return
 	}
 	e, s := r.endpoint, t.speed.of(r.endpoint.service.Name)
@@ -42,13 +48,19 @@
 	}
 }
 
-// SpeedSummaries returns the measured speeds by service, sorted by service; nil if endpoints are not chosen by speed.
+// choosesBySpeed reports whether the endpoints of a service are chosen by their speed: if the settings say so, or if endpoints of the
+// service state the speed of their hosts, which differs then.
+func (t *Table) choosesBySpeed(service string) bool {
+	return t.params.EndpointSpeed || t.speed.stated[service]
+}
+
+// SpeedSummaries returns the measured speeds of the services whose endpoints are chosen by speed, sorted by service.
 func (t *Table) SpeedSummaries(now time.Time) []SpeedSummary {
-	if !t.params.EndpointSpeed {
-		return nil
-	}
 	var summaries []SpeedSummary
 	for _, service := range slices.Sorted(maps.Keys(t.services)) {
+		if !t.choosesBySpeed(service) {
+			continue
+		}
 		summary := SpeedSummary{Service: service}
 		var slowdowns []float64
 		for _, e := range t.services[service] {
@@ -66,7 +78,10 @@
 func (t *Table) setOthers(now time.Time, e *endpoint, others Load) {
 	e.advanceUsage(now)
 	e.others = others
-	if t.params.EndpointSpeed {
+	if others.SpeedCount > 0 {
+		t.speed.recordStatement(e.service.Name)
+	}
+	if t.choosesBySpeed(e.service.Name) {
 		e.speed.SetOthers(now, others.SpeedSum, others.SpeedCount)
 	}
 }
@@ -74,13 +89,10 @@
 // ShareSpeeds adds the measured speeds to the own load, for a random choice of the endpoints whose speed has changed. It is called once
 // a second, so that changes of speed cause no more updates than that.
 func (t *Table) ShareSpeeds(now time.Time) {
-	if !t.params.EndpointSpeed {
-		t.clearSharedSpeeds()
-		return
-	}
+	t.clearUnusedSpeeds()
 	var changed []*endpoint
 	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
-		if e := t.endpoints[id]; e.speed.ShareDue(now) {
+		if e := t.endpoints[id]; t.choosesBySpeed(e.service.Name) && e.speed.ShareDue(now) {
 			changed = append(changed, e)
 		}
 	}
@@ -91,10 +103,10 @@
 	}
 }
 
-// clearSharedSpeeds removes the measured speeds from the own load after the feature was switched off.
-func (t *Table) clearSharedSpeeds() {
+// clearUnusedSpeeds removes the measured speeds from the own load of services whose endpoints are no longer chosen by speed.
+func (t *Table) clearUnusedSpeeds() {
 	for _, e := range t.endpoints {
-		if e.own.SpeedCount != 0 || e.own.SpeedSum != 0 {
+		if !t.choosesBySpeed(e.service.Name) && e.own.SpeedCount != 0 {
 			e.own.SpeedSum, e.own.SpeedCount, t.ownLoadChanged = 0, 0, true
 		}
 	}
@@ -103,7 +115,7 @@
 // setCandidateSpeeds sets the expected times of endpoints in their candidates. It is called for the endpoints that are compared, not
 // for all, because it takes much longer than the rest of a candidate.
 func (t *Table) setCandidateSpeeds(now time.Time, endpoints []*endpoint) {
-	if !t.params.EndpointSpeed || len(endpoints) == 0 {
+	if len(endpoints) == 0 || !t.choosesBySpeed(endpoints[0].service.Name) {
 		return
 	}
 	s := t.speed.of(endpoints[0].service.Name)
@@ -128,7 +140,7 @@
 // policies returns the policies for a request, in the order in which they are tried.
 func (t *Table) policies(r *Request) []*placement.Policy {
 	plain, strict, lenient := t.plainPolicy, t.strictEnginePolicy, t.enginePolicy
-	if t.params.EndpointSpeed {
+	if t.choosesBySpeed(r.Service) {
 		plain, strict, lenient = t.speed.plain, t.speed.strictEngine, t.speed.engine
 	}
 	switch {
--- a/service/edge/upstream.go
+++ b/service/edge/upstream.go
@@ -34,11 +34,8 @@
 
 // measureAnswer reports what the endpoint stated about its speed, and how long a plain call took.
 func (u *upstream) measureAnswer(plain bool, took time.Duration) {
-	if !u.placement.BySpeed {
-		return
-	}
 	m := dispatch.Measurement{State: u.answer.Load.Slowdown}
-	if plain && u.answer.Successful() {
+	if u.placement.BySpeed && plain && u.answer.Successful() {
 		m.Answer = took
 	}
 	if m != (dispatch.Measurement{}) {
