Buffer streams for slow callers within a budget of the node

Cause: a write to a caller that pauses blocked the stream's task, so that its engine stayed unread beyond 32 KB and the run could not be migrated, and nothing bounded the sum over all callers. Change: decision/buffer divides a tenth of limits.memory_mb among the streams; the writing to a caller is a task of its own; the relay task goes on reading, migrating and watching the deadline. Only with features.caller_buffers.

--- a/common/exchange/caller.go
+++ b/common/exchange/caller.go
@@ -17,6 +17,8 @@
 	Begin(status int, header http.Header, length int64) error
 	// Write sends a part of the body without buffering it.
 	Write(part []byte) error
+	// Interrupt makes the present call of Write and all later ones fail soon. Any goroutine may call it.
+	Interrupt()
 	// Abort terminates the answer so that it does not look complete. It does not return.
 	Abort()
 }
--- a/service/edge/event_reader.go
+++ b/service/edge/event_reader.go
@@ -8,22 +8,17 @@
 	"azuredyke.dev/azuredyke/common/exchange"
 )
 
-const (
-	// readAheadEvents and readAheadBytes bound the events that are read ahead of a slow caller.
-	readAheadEvents = 64
-	readAheadBytes  = 32 << 10
-)
-
 // eventReader is the task that reads the events of one stream ahead of the caller.
 type eventReader struct {
 	items chan streamItem
+	bound readAhead
 	// ahead holds the bytes of the events that were read and not yet released.
 	ahead *semaphore.Weighted
 }
 
 // readStream starts the task, which ends with the stream or ctx.
-func readStream(ctx context.Context, stream exchange.Stream) *eventReader {
-	r := &eventReader{items: make(chan streamItem, readAheadEvents), ahead: semaphore.NewWeighted(readAheadBytes)}
+func readStream(ctx context.Context, stream exchange.Stream, bound readAhead) *eventReader {
+	r := &eventReader{items: make(chan streamItem, bound.events), bound: bound, ahead: semaphore.NewWeighted(bound.bytes)}
 	go r.run(ctx, stream)
 	return r
 }
@@ -32,7 +27,7 @@
 	for {
 		event, err := stream.Next()
 		item := streamItem{event: event, err: err}
-		if r.ahead.Acquire(ctx, item.weight()) != nil {
+		if r.ahead.Acquire(ctx, r.bound.weight(item)) != nil {
 			return
 		}
 		select {
@@ -47,4 +42,4 @@
 }
 
 // release makes room for further events after an item was received from items.
-func (r *eventReader) release(item streamItem) { r.ahead.Release(item.weight()) }
+func (r *eventReader) release(item streamItem) { r.ahead.Release(r.bound.weight(item)) }
--- a/service/edge/helper_test.go
+++ b/service/edge/helper_test.go
@@ -63,14 +63,26 @@
 	return nil
 }
 
+func (c *recordedCaller) Interrupt() {}
+
 func (c *recordedCaller) Abort() {
 	c.aborted = true
 	panic(http.ErrAbortHandler)
 }
 
-// serveRequest serves one request on a route of a service with three endpoints, for which no repeats are allowed. It must be
-// called in a synctest bubble, and returns once the request has ended.
+// serveRequest serves one request of a caller that reads at once, as serveCaller does.
 func serveRequest(t *testing.T, route catalog.Route, sender exchange.Sender, stream exchange.Stream, adjust ...func(*Server)) *recordedCaller {
+	t.Helper()
+	caller := &recordedCaller{}
+	caller.endedAt = serveCaller(t, route, sender, stream, caller, adjust...)
+	return caller
+}
+
+// serveCaller serves one request on a route of a service with three endpoints, for which no repeats are allowed. It must be
+// called in a synctest bubble, and returns the time at which the request ended.
+func serveCaller(
+	t *testing.T, route catalog.Route, sender exchange.Sender, stream exchange.Stream, caller exchange.Caller, adjust ...func(*Server),
+) time.Time {
 	t.Helper()
 	route.Name, route.Host, route.PathPrefix, route.Shares = "r", "h", "/", []catalog.Share{{Service: "s", Weight: 1}}
 	configuration := &catalog.Configuration{
@@ -96,7 +108,6 @@
 	for _, change := range adjust {
 		change(server)
 	}
-	caller := &recordedCaller{}
 	ended := make(chan time.Time, 1)
 	go func() {
 		defer func() { ended <- time.Now() }()
@@ -107,9 +118,9 @@
 		}()
 		server.Serve(ctx, &exchange.Request{ID: "x", Host: "h", URL: mustParse(t, "/a"), Received: time.Now()}, caller)
 	}()
-	caller.endedAt = <-ended
+	endedAt := <-ended
 	cancel()
 	// Readers end with the event for which they wait.
 	time.Sleep(time.Minute)
-	return caller
+	return endedAt
 }
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -30,6 +30,9 @@
 	runtimeShare = 0.7
 	// bodyShare is the share of the process's memory limit for request bodies.
 	bodyShare = 0.25
+	// callerBufferShare is the share of the process's memory limit for events that callers have not read. On the smallest nodes it
+	// is 11 MB, 32 KB for each of 340 streams.
+	callerBufferShare = 0.1
 	// headerTimeout and maxHeaderBytes are fixed at the values that the operators' configurations use. The limits of the
 	// configuration in force are not applied.
 	headerTimeout  = 3 * time.Second
@@ -82,6 +85,9 @@
 		quarantine: n.quarantine, graceEnd: newGraceEnd(),
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
+	if s.Features.CallerBuffers {
+		n.server.buffers = newBufferKeeper(int64(callerBufferShare*float64(s.Limits.MemoryMB)*1e6), d.Metrics.Scope.SubScope("gateway"))
+	}
 	return n
 }
 
@@ -128,7 +134,11 @@
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, cluster: n.view.current, dispatcher: n.dispatcher.messages}
 	resync := &resyncer{log: n.view.log, syncClient: client, seeds: n.settings.Peers.Seeds, cluster: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self, cluster: n.view.current}
-	return []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	tasks := []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	if n.server.buffers != nil {
+		tasks = append(tasks, n.server.buffers.run)
+	}
+	return tasks
 }
 
 // listen opens all listeners; the first is that for callers.
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -36,7 +36,9 @@
 	revokeAfter atomic.Int64
 	// graceEnd is the end of the time that a stopping node gives its requests.
 	graceEnd *graceEnd
-	active   atomic.Int64
+	// buffers shares the memory of the callers' buffers; nil if events are written without a buffer.
+	buffers *bufferKeeper
+	active  atomic.Int64
 }
 
 // Limits returns the limits on callers' requests in the configuration in force; all zero before the first configuration.
--- a/service/edge/server_metrics.go
+++ b/service/edge/server_metrics.go
@@ -21,7 +21,11 @@
 	crashes tally.Counter
 	// runsStopped counts the runs that endpoints went on with after the close of their connections.
 	runsStopped tally.Counter
-	firstByte   tally.Histogram
+	// streamsUnread counts the streams that ended because the caller did not read, and buffersReduced those that were told to
+	// buffer less.
+	streamsUnread  tally.Counter
+	buffersReduced tally.Counter
+	firstByte      tally.Histogram
 }
 
 func newServerMetrics(scope tally.Scope) *serverMetrics {
@@ -29,8 +33,9 @@
 		scope: scope, completed: scope.Counter("completed"), attempts: scope.Counter("attempts"),
 		repeats: scope.Counter("repeats"), moves: scope.Counter("moves"), movesFailed: scope.Counter("moves_failed"),
 		streamsCut: scope.Counter("streams_cut"), crashes: scope.Counter("endpoint_crashes"),
-		runsStopped: scope.Counter("runs_stopped"),
-		firstByte:   scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+		runsStopped: scope.Counter("runs_stopped"), streamsUnread: scope.Counter("streams_unread"),
+		buffersReduced: scope.Counter("buffers_reduced"),
+		firstByte:      scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
 
--- a/service/edge/stream_item.go
+++ b/service/edge/stream_item.go
@@ -8,7 +8,3 @@
 	// err is io.EOF after the last event of a complete stream.
 	err error
 }
-
-// weight returns the number of bytes that the item counts against readAheadBytes. An event that is larger than the bound
-// counts as large as the bound, so that it is read alone.
-func (i streamItem) weight() int64 { return int64(min(len(i.event.Raw), readAheadBytes)) }
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -27,6 +27,8 @@
 	ctx    context.Context
 	up     *upstream
 	reader *eventReader
+	// output buffers the events that the caller has not read; nil if the relay writes them itself.
+	output *callerOutput
 	// stopReading stops the reader of the current endpoint's stream.
 	stopReading context.CancelFunc
 	// lastEvent is the id of the last event that was forwarded; eventCount is the number of forwarded events.
@@ -42,13 +44,14 @@
 
 // relayStream forwards a stream. An error means that the caller has received none of it.
 func (s *session) relayStream(ctx context.Context, up *upstream) error {
-	r := &streamRelay{session: s, ctx: ctx}
+	r := &streamRelay{session: s, ctx: ctx, output: s.server.newOutput(s.caller)}
 	r.lastEvent = s.request.LastEvent
 	r.attach(up)
 	defer func() {
 		r.stopReading()
 		r.dropTarget()
 		r.up.end(dispatch.Cancelled)
+		r.output.stop(ctx)
 	}()
 	return r.run()
 }
@@ -60,7 +63,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.up, r.stopReading, r.migration = up, cancel, migration{}
-	r.reader = readStream(ctx, r.server.newStream(up.answer.Body))
+	r.reader = readStream(ctx, r.server.newStream(up.answer.Body), r.output.readAhead())
 	r.scheduleCopy()
 }
 
@@ -87,7 +90,13 @@
 			r.retryMigration()
 		case copied := <-r.migration.copyDone:
 			r.handleCopyDone(copied)
-		case item := <-r.reader.items:
+		case size := <-r.output.written():
+			r.output.remove(r.ctx, size)
+		case limit := <-r.output.limits():
+			r.applyLimit(limit)
+		case <-r.output.failed():
+			r.endUnread()
+		case item := <-r.readableItems():
 			r.reader.release(item)
 			if item.err == io.EOF && r.eventCount == 0 && r.request.LastEvent == "" {
 				item.err = errNoEvents
@@ -96,6 +105,7 @@
 			case item.err == io.EOF:
 				r.up.end(dispatch.Succeeded)
 				r.reportAnswer(r.ctx)
+				r.deliverRest()
 				r.finish(r.up, zap.Int("events", r.eventCount), zap.Duration("longest_pause", r.longestPause))
 				return r.sendHeader()
 			case item.err != nil:
@@ -127,7 +137,7 @@
 		r.longestPause = max(r.longestPause, now.Sub(r.lastForwardedAt))
 	}
 	r.lastForwardedAt = now
-	if err := r.caller.Write(item.event.Raw); err != nil {
+	if err := r.write(item.event.Raw); err != nil {
 		return err
 	}
 	if item.event.ID != "" {
@@ -143,7 +153,9 @@
 		return nil
 	}
 	r.headerSent = true
-	return r.caller.Begin(r.up.answer.Status, r.up.answer.Header, -1)
+	err := r.caller.Begin(r.up.answer.Status, r.up.answer.Header, -1)
+	r.output.start()
+	return err
 }
 
 // endInterrupted ends the stream because the caller disconnected or the deadline passed.
@@ -185,6 +197,7 @@
 	if !r.headerSent {
 		return err
 	}
+	r.deliverRest()
 	r.abort(old, cause)
 	return nil
 }
