--- a/common/sockopt/sockopt.go
+++ b/common/sockopt/sockopt.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"syscall"
 	"time"
 
@@ -16,6 +17,9 @@
 	// callerUnackedTimeout is the same for connections of callers. The kernel also applies it while the peer answers but does
 	// not read, and a caller may read slowly.
 	callerUnackedTimeout = 5 * time.Second
+	// callerSendBuffer is the size of the kernel's send buffer for a caller whose unread events the node buffers itself. The kernel
+	// doubles it. Without a bound it holds up to 4 MB for each caller that does not read, beside the node's own budget.
+	callerSendBuffer = 32 << 10
 	// probeIdle and probeInterval are in seconds and have the smallest values that the kernel accepts. With two probes,
 	// an unresponsive peer is detected within 3 s.
 	probeIdle     = 1
@@ -35,6 +39,16 @@
 // ControlCallers sets the same options as Control for a listener whose peers may read slowly.
 func ControlCallers(_, _ string, conn syscall.RawConn) error { return set(conn, callerUnackedTimeout) }
 
+// ControlBufferedCallers sets the same options as ControlCallers, and bounds the kernel's send buffers.
+func ControlBufferedCallers(network, address string, conn syscall.RawConn) error {
+	if err := ControlCallers(network, address, conn); err != nil {
+		return err
+	}
+	var failed error
+	err := conn.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, callerSendBuffer) })
+	return errors.Join(err, failed)
+}
+
 func set(conn syscall.RawConn, unacked time.Duration) error {
 	var failed error
 	err := conn.Control(func(fd uintptr) {
--- a/common/sockopt/sockopt_test.go
+++ b/common/sockopt/sockopt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -41,3 +42,25 @@
 	assert.Equal(t, received, int64(size))
 	assert.NilError(t, <-sent)
 }
+
+// Guards against a caller that reads nothing and for which the kernel holds MBs beside the node's own buffers.
+func TestSendBufferOfBufferedCallersIsBounded(t *testing.T) {
+	const most = 256 << 10
+	config := net.ListenConfig{Control: ControlBufferedCallers, KeepAlive: -1}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	dialer := net.Dialer{ControlContext: func(_ context.Context, _, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
+	}}
+	caller, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = caller.Close() }()
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetWriteDeadline(time.Now().Add(500*time.Millisecond)))
+	written, err := conn.Write(make([]byte, 4<<20))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	assert.Assert(t, written <= most, "%d", written)
+}
--- a/fake/workers/fleet.go
+++ b/fake/workers/fleet.go
@@ -26,6 +26,8 @@
 	behaviours  map[string]Behaviour
 	moves       int
 	leaving     map[string]bool
+	// held is the size of the request bodies that each worker with a limited memory holds, and mostHeld the largest that it was.
+	held, mostHeld map[string]int64
 }
 
 // NewFleet returns a fleet without requests. The caller must call Run.
@@ -33,7 +35,7 @@
 
 // Run runs the task that owns the state until ctx is cancelled.
 func (f *Fleet) Run(ctx context.Context) {
-	s := &state{copies: map[string]int{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}}
+	s := &state{copies: map[string]int{}, behaviours: map[string]Behaviour{}, leaving: map[string]bool{}, held: map[string]int64{}, mostHeld: map[string]int64{}}
 	for {
 		select {
 		case <-ctx.Done():
@@ -108,6 +110,11 @@
 	return ask(ctx, f, func(s *state) int { return s.moves })
 }
 
+// MostHeld returns the largest size of the request bodies that a worker with a limited memory has held.
+func (f *Fleet) MostHeld(ctx context.Context, worker string) int64 {
+	return ask(ctx, f, func(s *state) int64 { return s.mostHeld[worker] })
+}
+
 // HasCopy reports whether a copy of memory exists. Its name is "address/handle".
 func (f *Fleet) HasCopy(ctx context.Context, name string) bool {
 	return ask(ctx, f, func(s *state) bool {
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +26,12 @@
 	Interval time.Duration
 	// EventsOf returns the number of events for the path of a request, in place of Events; nil if all requests have the same number.
 	EventsOf func(path string) int
+	// Padding is the number of bytes by which each event is longer. UnreadTimeout is the time after which an answer that is not read
+	// is cut off; 0 means never.
+	Padding       int
+	UnreadTimeout time.Duration
+	// Memory is the number of bytes of request bodies above which the worker crashes; 0 means no limit.
+	Memory int64
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
@@ -99,6 +106,7 @@
 		// The context of the request has ended if the caller closed the connection.
 		ask(context.Background(), w.Fleet, func(*state) bool { run.end(); return true })
 	}()
+	defer w.holdBody(in)()
 	out.Header().Set(signatureHeader, "signed-by-"+w.ID)
 	if w.Crashes != nil && w.Crashes(in) {
 		w.crashUnder(out)
@@ -116,6 +124,25 @@
 	panic(http.ErrAbortHandler)
 }
 
+// holdBody reads the body of a request and counts it against the worker's memory until the returned function is called. It crashes the
+// worker if it holds too much.
+func (w *Worker) holdBody(in *http.Request) func() {
+	if w.Memory == 0 {
+		return func() {}
+	}
+	size, _ := io.Copy(io.Discard, in.Body)
+	held := ask(in.Context(), w.Fleet, func(s *state) int64 {
+		s.held[w.ID] += size
+		s.mostHeld[w.ID] = max(s.mostHeld[w.ID], s.held[w.ID])
+		return s.held[w.ID]
+	})
+	if held > w.Memory {
+		w.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	return func() { ask(context.Background(), w.Fleet, func(s *state) bool { s.held[w.ID] -= size; return true }) }
+}
+
 // service returns the service that the worker belongs to.
 func (w *Worker) service() string {
 	if w.Engine {
@@ -196,11 +223,17 @@
 	if w.EventsUntilCrash != nil {
 		untilCrash = w.EventsUntilCrash(in)
 	}
+	padding, controller := strings.Repeat("x", w.Padding), http.NewResponseController(out)
 	for n := run.From; n <= events; n++ {
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: %d of %s\n\n", n, run.Generation, request); err != nil && !ignoresClose {
+		if w.UnreadTimeout > 0 {
+			_ = controller.SetWriteDeadline(time.Now().Add(w.UnreadTimeout))
+		}
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %d of %s%s\n\n", n, run.Generation, request, padding); err != nil && !ignoresClose {
+			return
+		}
+		if controller.Flush() != nil && w.UnreadTimeout > 0 {
 			return
 		}
-		_ = http.NewResponseController(out).Flush()
 		if backup != "" {
 			ask(ctx, w.Fleet, func(s *state) bool { s.copies[backup+"/"+request] = run.Generation; return true })
 		}
--- a/service/edge/caller_output.go
+++ b/service/edge/caller_output.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"azuredyke.dev/azuredyke/common/exchange"
 )
@@ -18,6 +19,8 @@
 	unwritten int
 	// buffered is the size of all parts that were not written.
 	buffered int64
+	// progressAt is the time of the last written part, or of the first part that waits.
+	progressAt time.Time
 	// closed is set once the writer was handed the last part.
 	closed bool
 }
@@ -39,6 +42,9 @@
 
 // push adds a part.
 func (o *callerOutput) push(ctx context.Context, part []byte) {
+	if o.buffered == 0 {
+		o.progressAt = time.Now()
+	}
 	o.buffered += partSize(part)
 	o.queue = append(o.queue, part)
 	o.feed()
@@ -90,10 +96,19 @@
 func (o *callerOutput) remove(ctx context.Context, size int64) {
 	o.unwritten--
 	o.buffered -= size
+	o.progressAt = time.Now()
 	o.feed()
 	o.share.adjust(ctx, o.buffered)
 }
 
+// unreadFor returns how long the caller has not read, although there are events for it.
+func (o *callerOutput) unreadFor() time.Duration {
+	if o == nil || o.buffered == 0 {
+		return 0
+	}
+	return time.Since(o.progressAt)
+}
+
 // drain waits until all parts are written. It returns an error if a write failed or ctx ended first.
 func (o *callerOutput) drain(ctx context.Context) error {
 	if o == nil || o.writer == nil {
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -145,6 +145,10 @@
 func (n *Node) listen(ctx context.Context) ([]*httpserver.Server, error) {
 	pages := mux.NewRouter()
 	pages.Handle("/metrics", n.deps.Metrics.Handler)
+	controlCallers := sockopt.ControlCallers
+	if n.server.buffers != nil {
+		controlCallers = sockopt.ControlBufferedCallers
+	}
 	budget := int64(bodyShare * float64(n.settings.Limits.MemoryMB) * 1e6)
 	var servers []*httpserver.Server
 	for _, entry := range []struct {
@@ -152,7 +156,7 @@
 		handler http.Handler
 		control func(network, address string, conn syscall.RawConn) error
 	}{
-		{n.settings.Listen.Callers, n.deps.NewHandler(n.server, budget), sockopt.ControlCallers},
+		{n.settings.Listen.Callers, n.deps.NewHandler(n.server, budget), controlCallers},
 		{n.settings.Listen.Readiness, &readiness{server: n.server}, sockopt.Control},
 		{n.settings.Listen.Metrics, pages, sockopt.Control},
 		{n.settings.Listen.Peers, n.hub.Handler(), sockopt.Control},
--- a/service/edge/stream_output.go
+++ b/service/edge/stream_output.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +14,10 @@
 // does not read at all is given up after 5 s.
 const maxLateDelivery = 10 * time.Second
 
+// minUnreadTime is the time without a written event from which the caller counts as one that does not read. A write fails after 5 s;
+// at about the same time the kernel resets the connection, which ends the request.
+const minUnreadTime = 4 * time.Second
+
 // readableItems returns the reader's channel; nil while the caller's buffer is full.
 func (r *streamRelay) readableItems() <-chan streamItem {
 	if r.output.isFull() {
@@ -55,6 +57,7 @@
 	switch {
 	case err == nil:
 	case ctx.Err() != nil:
+		r.reportUnread(err)
 		r.abort(r.up, err)
 	default:
 		r.endUnread()
@@ -81,11 +84,17 @@
 
 // endUnread ends the stream because a write to the caller has failed. It does not return.
 func (r *streamRelay) endUnread() {
-	err := r.output.writer.err
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) {
-		r.server.metrics.streamsUnread.Inc(1)
-		r.log(zap.WarnLevel, "caller does not read its stream", zap.String("endpoint", r.up.placement.Endpoint.ID),
-			zap.Int64("buffered", r.output.buffered), zap.Int64("limit", r.output.share.limit), logging.Cause(err))
-	}
+	r.reportUnread(r.output.writer.err)
 	r.caller.Abort()
 }
+
+// reportUnread counts and logs a stream that ends because its caller does not read.
+func (r *streamRelay) reportUnread(cause error) {
+	unread := r.output.unreadFor()
+	if unread < minUnreadTime {
+		return
+	}
+	r.server.metrics.streamsUnread.Inc(1)
+	r.log(zap.WarnLevel, "caller does not read its stream", zap.String("endpoint", r.up.placement.Endpoint.ID), zap.Duration("unread", unread),
+		zap.Int64("buffered", r.output.buffered), zap.Int64("limit", r.output.share.limit), logging.Cause(cause))
+}
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -164,6 +164,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "request ended before the first event: %w", err)
 	}
 	r.up.end(dispatch.Cancelled)
+	r.reportUnread(err)
 	r.abort(r.up, err)
 	return nil
 }
