--- a/service/edge/buffer_keeper.go
+++ b/service/edge/buffer_keeper.go
@@ -65,9 +65,8 @@
 	k.overFloor.Update(float64(k.budget.OverFloor()))
 }
 
-// newOutput returns the output of one stream; nil if streams are not buffered.
-func (s *Server) newOutput(caller exchange.Caller) *callerOutput {
-	k := s.buffers
+// newOutput returns the output of one stream; nil if there is no keeper and so no buffer.
+func (k *bufferKeeper) newOutput(caller exchange.Caller) *callerOutput {
 	if k == nil {
 		return nil
 	}
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -44,7 +44,7 @@
 
 // relayStream forwards a stream. An error means that the caller has received none of it.
 func (s *session) relayStream(ctx context.Context, up *upstream) error {
-	r := &streamRelay{session: s, ctx: ctx, output: s.server.newOutput(s.caller)}
+	r := &streamRelay{session: s, ctx: ctx, output: s.server.buffers.newOutput(s.caller)}
 	r.lastEvent = s.request.LastEvent
 	r.attach(up)
 	defer func() {
