--- a/service/edge/stream_item.go
+++ b/service/edge/stream_item.go
@@ -15,7 +15,3 @@
 	readAt time.Time
 	late   bool
 }
-
-// weight returns the number of bytes that the item counts against readAheadBytes. An event that is larger than the bound
-// counts as large as the bound, so that it is read alone.
-func (i streamItem) weight() int64 { return int64(min(len(i.event.Raw), readAheadBytes)) }
