Hold requests at the nodes while engines lack memory or prefill

Requests that wait inside an engine take the memory that migrations need, and urgent prompts wait behind long ones on every engine.

With features.ordered_admission a request goes to an engine only if its memory fits and the prompts ahead of it leave time for its objective and for that of the service's most urgent class. New long runs leave the share of the largest recent wave of departures free. Other requests wait at the node in order of priority after ageing, objective, workspace and deadline, until their caller leaves or their deadline allows no longer wait. Runs that migrate choose the engine with the most free memory. Engines are told the priority of each attempt. Decisions are in decision/overload.

Load was not measured yet.

--- a/decision/dispatch/params.go
+++ b/decision/dispatch/params.go
@@ -13,4 +13,6 @@
 	// ColdOverage and ColdSlack limit the requests per second on a cold endpoint to rate times overage plus slack.
 	ColdOverage float64
 	ColdSlack   float64
+	// OrderedAdmission limits what requests may take of the engines, so that the others wait at the nodes.
+	OrderedAdmission bool
 }
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -44,7 +44,7 @@
 	placed := Placement{
 		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
 	}
-	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill()}
+	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), prefillAhead: chosen.candidate.Prefill, placedAt: now, resumed: r.Resumed}
 	chosen.own.InFlight++
 	chosen.own.Tokens += r.Tokens
 	chosen.own.Prefill += newRun.prefill
@@ -67,7 +67,7 @@
 		return nil, AllEndpointsFull
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
-	usable, paused, admitted := 0, 0, 0
+	usable, paused, admitted, limited := 0, 0, 0, 0
 	for _, e := range t.services[r.Service] {
 		if !r.mayUse(e) {
 			continue
@@ -87,6 +87,10 @@
 		if r.SpareMemoryOnly {
 			e.candidate.Capacity *= maxCopyMemoryShare
 		}
+		if t.params.OrderedAdmission && !t.limit(now, r, e) {
+			limited++
+			continue
+		}
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
@@ -95,6 +99,8 @@
 	}
 	policies := []*placement.Policy{t.plainPolicy}
 	switch {
+	case t.params.OrderedAdmission && r.Tokens > 0:
+		policies = t.orderedPolicies(r)
 	case r.SpareMemoryOnly, r.Tokens > 0 && r.RequireMemoryFit:
 		policies = []*placement.Policy{t.strictEnginePolicy}
 	case r.Tokens > 0:
@@ -109,7 +115,7 @@
 		return nil, NoEndpoint
 	case paused == usable:
 		return nil, AllEndpointsPaused
-	case admitted > 0 && len(t.eligible) == 0:
+	case admitted > 0 && len(t.eligible) == 0 && limited == 0:
 		return nil, AllEndpointsCold
 	default:
 		return nil, AllEndpointsFull
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/overload"
+)
 
 // Request holds the properties of a request that placement depends on.
 type Request struct {
@@ -25,6 +30,14 @@
 	Exclude []string
 	// RequiredEndpoint names the endpoint that must be chosen; empty means any.
 	RequiredEndpoint string
+	// Priority orders requests, 0 first. FirstEventBy is the time at which the objective for the first event ends; zero if there is
+	// none. Both count only for ordered admission.
+	Priority     int
+	FirstEventBy time.Time
+	// MoreUrgent is the demand of more urgent requests that wait for the service, to which this one leaves room.
+	MoreUrgent overload.Demand
+	// WithoutLimits is set when the request may no longer wait: it goes to an engine that queues it if it fits on none.
+	WithoutLimits bool
 	// Backup asks for a second endpoint that holds a copy of the run's memory.
 	Backup bool
 }
--- a/decision/dispatch/run.go
+++ b/decision/dispatch/run.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // run is the placement of a request that this node has sent or is about to send.
 type run struct {
 	// endpoint is the incarnation that runs the request. A later incarnation with the same id has counts of its own.
@@ -12,4 +14,8 @@
 	copyTokens         int
 	prefill            int
 	firstEventReceived bool
+	// prefillAhead is the number of prompt tokens that were to be computed before those of the run when it was placed.
+	prefillAhead int
+	placedAt     time.Time
+	resumed      bool
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -28,6 +28,8 @@
 	statements  statements
 	runs        map[uint64]*run
 	budgets     map[string]*retry.WindowBudget
+	// limits holds the limits of ordered admission by service.
+	limits map[string]*limits
 	// others is the others' load by endpoint. It also holds endpoints that no snapshot has listed yet.
 	others map[string]Load
 	// othersUpdatedAt is the time of the last report of the other nodes' load.
@@ -39,6 +41,7 @@
 
 	random                                        *rand.Rand
 	enginePolicy, strictEnginePolicy, plainPolicy *placement.Policy
+	migrationPolicy                               *placement.Policy
 	candidates                                    []*placement.Candidate
 	eligible                                      []*endpoint
 }
@@ -48,10 +51,12 @@
 	return &Table{
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
+		limits:             map[string]*limits{},
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
 		plainPolicy:        placement.NewSharedPlainPolicy(random),
+		migrationPolicy:    placement.NewMigrationPolicy(random),
 	}
 }
 
@@ -61,6 +66,9 @@
 	t.params = p
 }
 
+// OrdersAdmission reports whether requests to engines wait at the node for room.
+func (t *Table) OrdersAdmission() bool { return t.params.OrderedAdmission }
+
 // SetNodes sets the number of nodes that share the limits. The number never decreases, because a disconnected node keeps
 // using its share.
 func (t *Table) SetNodes(n int) { t.nodes = max(t.nodes, n) }
@@ -79,12 +87,14 @@
 		if service == nil {
 			continue
 		}
+		l := t.limitsOf(name, s.Configuration.Routes)
 		for _, listed := range list {
 			e := previous[listed.ID]
-			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
+			known := e != nil && e.SameIncarnation(&listed.Endpoint)
+			if !known {
 				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
 			}
-			wasOut := e.dataCentreOut
+			wasOut, wasLeaving := e.dataCentreOut, e.isLeaving()
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
 			if listed.ColdUntil.Add(coldMargin).After(e.coldUntil) && listed.ColdFor > 0 {
 				e.coldUntil = listed.ColdUntil.Add(coldMargin)
@@ -93,6 +103,9 @@
 				// The endpoint may have restarted cold while its data centre was out, and its entry may not show that yet.
 				e.coldUntil = now.Add(service.ColdStart + coldMargin)
 			}
+			if known && !wasLeaving && e.isLeaving() {
+				l.reserve.RecordDeparture(now, len(list))
+			}
 			t.endpoints[e.ID] = e
 			t.services[name] = append(t.services[name], e)
 		}
@@ -163,6 +176,9 @@
 func (t *Table) RecordLeaving(now time.Time, e *catalog.Endpoint) bool {
 	s := t.statementOf(now, e)
 	isNew := !s.leaving
+	if l := t.limits[e.Service]; isNew && l != nil && !t.listedAsLeaving(e) {
+		l.reserve.RecordDeparture(now, len(t.services[e.Service]))
+	}
 	s.leaving = true
 	return isNew
 }
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -38,6 +38,8 @@
 	snapshot *fleet.Snapshot
 	waiting  []placeMessage
 	leaving  map[uint64]*leavingRun
+	// stopping is set once the node stops, from when on requests are no longer held.
+	stopping bool
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
@@ -110,13 +112,18 @@
 	if refusal != "" && refusal != dispatch.RetryBudget && now.Add(retryAfter).Before(m.waitUntil) {
 		return false
 	}
+	d.answer(m, placement, refusal, retryAfter)
+	return true
+}
+
+// answer replies to a request and records a placed run, whose session is notified when its endpoint leaves.
+func (d *dispatcher) answer(m placeMessage, placement dispatch.Placement, refusal dispatch.Refusal, retryAfter time.Duration) {
 	if refusal == "" && m.leaving != nil {
 		d.leaving[placement.Run] = &leavingRun{
 			service: m.request.Service, endpoint: placement.Endpoint.ID, backup: placement.Backup.ID, copyPending: m.request.CopyPending, notify: m.leaving,
 		}
 	}
 	m.reply <- placeReply{placement: placement, refusal: refusal, retryAfter: retryAfter}
-	return true
 }
 
 // enqueue adds a request to the waiting ones, by priority. If there are too many, the request does not wait.
@@ -136,6 +143,10 @@
 		return
 	}
 	now := time.Now()
+	if d.table.OrdersAdmission() {
+		d.retryOrdered(now)
+		return
+	}
 	d.waiting = slices.DeleteFunc(d.waiting, func(m placeMessage) bool {
 		select {
 		case <-m.callerGone:
--- /dev/null
+++ b/service/edge/dispatcher_ordered_test.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/latest"
+	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/overload"
+)
+
+// newOrderedDispatcher returns a dispatcher with ordered admission and one engine with memory for 10,000 tokens.
+func newOrderedDispatcher() *dispatcher {
+	p := dispatch.Params{RetryWindow: time.Second, OrderedAdmission: true}
+	d := newDispatcher(zap.NewNop(), p, latest.New(&clusterState{}))
+	d.applyState(&clusterState{Fleet: engineSnapshot([]string{"a"})})
+	return d
+}
+
+// offer sends a request to the dispatcher that may wait for hold, and whose deadline is twice as far away.
+func offer(d *dispatcher, priority, tokens int, hold time.Duration) chan placeReply {
+	reply, now := make(chan placeReply, 1), time.Now()
+	m := placeMessage{
+		request:  dispatch.Request{Service: "s", PromptTokens: 70, Tokens: tokens, Priority: priority},
+		priority: priority, waitUntil: now, reply: reply, leaving: make(chan departure, 2),
+		hold: &overload.WaitingRequest{Priority: priority, Arrived: now, Deadline: now.Add(2 * hold), HoldUntil: now.Add(hold)},
+	}
+	m.apply(d)
+	return reply
+}
+
+// Guards against requests that wait inside an engine, and against a less urgent one that is placed before a more urgent one.
+func TestRequestsWaitAtTheNodeInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newOrderedDispatcher()
+		running := <-offer(d, 2, 9000, time.Second)
+		long, urgent, small := offer(d, 2, 6000, 4*time.Second), offer(d, 0, 6000, 4*time.Second), offer(d, 2, 500, 4*time.Second)
+		assert.Equal(t, len(long)+len(urgent)+len(small), 0)
+		releaseMessage{run: running.placement.Run, outcome: dispatch.Succeeded}.apply(d)
+		assert.Equal(t, len(urgent), 1)
+		assert.Equal(t, len(small), 1)
+		assert.Equal(t, len(long), 0)
+		// At the end of its time the request is sent although its memory does not fit.
+		time.Sleep(4 * time.Second)
+		d.retryWaiting()
+		assert.Equal(t, (<-long).refusal, dispatch.Refusal(""))
+	})
+}
+
+// Guards against a request that stays held while its node stops.
+func TestStoppingNodeHoldsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newOrderedDispatcher()
+		<-offer(d, 0, 9000, time.Second)
+		held := offer(d, 0, 6000, 4*time.Second)
+		assert.Equal(t, len(held), 0)
+		stoppingMessage{}.apply(d)
+		assert.Equal(t, len(held), 1)
+	})
+}
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -82,6 +82,7 @@
 		quarantine: n.quarantine, graceEnd: newGraceEnd(),
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
+	n.server.orderedAdmission.Store(s.Features.OrderedAdmission)
 	return n
 }
 
--- a/service/edge/others_load_message.go
+++ b/service/edge/others_load_message.go
@@ -16,7 +16,10 @@
 func (m othersLoadMessage) apply(d *dispatcher) {
 	if m.complete {
 		d.table.SetOthersLoad(time.Now(), m.loads)
-		return
+	} else {
+		d.table.UpdateOthersLoad(time.Now(), m.loads)
+	}
+	if d.table.OrdersAdmission() {
+		d.retryWaiting()
 	}
-	d.table.UpdateOthersLoad(time.Now(), m.loads)
 }
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -20,6 +20,10 @@
 func (p placer) place(ctx context.Context, m placeMessage) (placeReply, error) {
 	reply := make(chan placeReply, 1)
 	m.reply, m.callerGone = reply, ctx.Done()
+	until := m.waitUntil
+	if m.hold != nil && m.hold.HoldUntil.After(until) {
+		until = m.hold.HoldUntil
+	}
 	if err := p.messages.Send(ctx, m); err != nil {
 		return placeReply{}, err
 	}
@@ -27,7 +31,7 @@
 	case r := <-reply:
 		return r, nil
 	case <-ctx.Done():
-		go p.releaseAbandoned(reply, m.waitUntil)
+		go p.releaseAbandoned(reply, until)
 		return placeReply{}, ctx.Err()
 	}
 }
--- a/service/edge/reload.go
+++ b/service/edge/reload.go
@@ -18,6 +18,7 @@
 		return
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
+	n.server.orderedAdmission.Store(s.Features.OrderedAdmission)
 	if !n.dispatcher.messages.TrySend(paramsMessage{params: dispatchParams(s)}) {
 		n.log.Warn("bounds of the dispatcher not reloaded, its queue is full; send SIGHUP again")
 	}
@@ -29,6 +30,7 @@
 	return dispatch.Params{
 		DataCentre: s.Node.DataCentre, RetryRatio: s.Bounds.RetryRatio, RetryAllowance: s.Bounds.RetryAllowance,
 		RetryWindow: s.Bounds.RetryWindow, ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
+		OrderedAdmission: s.Features.OrderedAdmission,
 	}
 }
 
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -128,6 +128,9 @@
 	if m.waitUntil.After(s.deadline) {
 		m.waitUntil = s.deadline
 	}
+	if !o.continues() {
+		s.setHold(&m)
+	}
 	reply, err := s.server.placer.place(ctx, m)
 	switch {
 	case err != nil:
@@ -147,6 +150,9 @@
 		Endpoint: placement.Endpoint.ID, Address: placement.Endpoint.Address, Deadline: s.deadline, Backup: placement.Backup.Address,
 		LastEvent: o.lastEvent,
 	}
+	if s.server.orderedAdmission.Load() && s.request.PromptTokens > 0 {
+		a.Priority, a.HasPriority = min(maxEnginePriority, max(0, s.priority())), true
+	}
 	if s.workspace != nil {
 		a.Workspace = s.workspace.Name
 	}
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -34,6 +34,8 @@
 	quarantine *quarantine.Manager
 	// revokeAfter is the setting bounds.revoke in nanoseconds.
 	revokeAfter atomic.Int64
+	// orderedAdmission is the setting features.ordered_admission.
+	orderedAdmission atomic.Bool
 	// graceEnd is the end of the time that a stopping node gives its requests.
 	graceEnd *graceEnd
 	active   atomic.Int64
--- a/service/edge/stop.go
+++ b/service/edge/stop.go
@@ -33,6 +33,8 @@
 	deadline := start.Add(n.settings.Stop.Grace - stopReserve)
 	n.log.Info("stopping", zap.Int64("active", n.server.Active()), zap.Duration("grace", n.settings.Stop.Grace))
 	n.server.graceEnd.set(deadline)
+	// If the queue is full, the requests that are held end with their time or with the grace period.
+	n.dispatcher.messages.TrySend(stoppingMessage{})
 	callers.HTTP.SetKeepAlivesEnabled(false)
 	n.awaitIdle(start)
 	n.log.Info("closing the callers' listener", zap.Int64("active", n.server.Active()), zap.Duration("after", time.Since(start)))
--- /dev/null
+++ b/service/edge/stopping_message.go
@@ -0,0 +1,9 @@
+package edge
+
+// stoppingMessage says that the node is stopping: requests that are held go to an engine or are refused now.
+type stoppingMessage struct{}
+
+func (stoppingMessage) apply(d *dispatcher) {
+	d.stopping = true
+	d.retryWaiting()
+}
