Move the queue of held requests to decision/dispatch

The order and the end of the wait are decisions; the dispatcher task keeps only the messages of the requests. The queue can then be tested under load without channels.

Tests of decision/dispatch, decision/overload and service/edge pass.

--- /dev/null
+++ b/decision/dispatch/held_request.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/overload"
+)
+
+// HeldRequest is a request that may wait at the node until an engine has room.
+type HeldRequest struct {
+	overload.WaitingRequest
+	Request Request
+	// WaitUntil is the end of the wait for other reasons than lack of room.
+	WaitUntil time.Time
+	// RunTime is the expected time of the run.
+	RunTime time.Duration
+}
+
+// shape returns what the request needs of an engine.
+func (h *HeldRequest) shape(now time.Time) overload.Shape {
+	return overload.Shape{
+		Service: h.Request.Service, Level: h.Level(now), Late: h.IsLate(now), FirstEventBy: h.Request.FirstEventBy,
+		Tokens: h.Request.Tokens, PromptTokens: h.Request.PromptTokens,
+	}
+}
+
+// refusedUntil returns the end of the wait after a refusal.
+func (h *HeldRequest) refusedUntil(refusal Refusal) time.Time {
+	switch refusal {
+	case AllEndpointsFull, AllEndpointsCold:
+		return h.HoldUntil
+	default:
+		return h.WaitUntil
+	}
+}
--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// PrefillTime returns the time in which an engine of a service computes a prompt.
-func (t *Table) PrefillTime(service string, tokens int) time.Duration {
+// prefillTime returns the time in which an engine of a service computes a prompt.
+func (t *Table) prefillTime(service string, tokens int) time.Duration {
 	if l := t.limits[service]; l != nil {
 		return l.rate.Time(tokens)
 	}
--- /dev/null
+++ b/decision/dispatch/queue.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/overload"
+)
+
+// maxHeld bounds the requests that wait at a node.
+const maxHeld = 1024
+
+// Queue holds the requests of a node that wait for room, in order of urgency. It is not safe for concurrent use; the owner of the
+// table owns it.
+type Queue struct {
+	table *Table
+	held  []*HeldRequest
+	// stopping is set once the node stops, from when on requests no longer wait.
+	stopping bool
+}
+
+// NewQueue returns an empty queue of requests that are placed by table.
+func NewQueue(table *Table) *Queue { return &Queue{table: table} }
+
+// Len returns the number of requests that wait.
+func (q *Queue) Len() int { return len(q.held) }
+
+// Stop ends the wait of all requests, present and future, at the next Scan.
+func (q *Queue) Stop() { q.stopping = true }
+
+// Offer adds a request and returns the decisions that follow from it. If too many requests wait, the last one no longer does.
+func (q *Queue) Offer(now time.Time, h *HeldRequest) []Decision {
+	if h.Request.PromptTokens > 0 {
+		h.FirstEventTime = q.table.prefillTime(h.Request.Service, h.Request.PromptTokens)
+		h.HoldUntil = h.HoldUntil.Add(-h.FirstEventTime)
+	}
+	q.held = append(q.held, h)
+	decisions := q.Scan(now, nil)
+	if last := len(q.held) - 1; last >= maxHeld {
+		overflow := q.held[last]
+		q.held = q.held[:last]
+		overflow.HoldUntil, overflow.WaitUntil = now, now
+		d, _ := q.decide(now, overflow)
+		decisions = append(decisions, d)
+	}
+	return decisions
+}
+
+// Scan tries to place the requests in order of urgency and drops those for which gone, if it is not nil, returns true. A request that
+// fits nowhere doesn't block the others, but less urgent ones leave it the room that it waits for.
+func (q *Queue) Scan(now time.Time, gone func(*HeldRequest) bool) []Decision {
+	slices.SortStableFunc(q.held, func(a, b *HeldRequest) int { return a.Compare(now, &b.WaitingRequest, q.workspaceUsage) })
+	var decisions []Decision
+	scan := overload.NewScan()
+	q.held = slices.DeleteFunc(q.held, func(h *HeldRequest) bool {
+		if gone != nil && gone(h) {
+			return true
+		}
+		shape := h.shape(now)
+		if !q.mustDecide(now, h) && scan.IsHopeless(shape) {
+			scan.Block(shape, false)
+			return false
+		}
+		h.Request.Priority, h.Request.MoreUrgent = shape.Level, scan.MoreUrgent(shape)
+		d, waits := q.decide(now, h)
+		if waits {
+			scan.Block(shape, d.Refusal == AllEndpointsFull && len(h.Request.Exclude) == 0)
+			return false
+		}
+		decisions = append(decisions, d)
+		return true
+	})
+	return decisions
+}
+
+// mustDecide reports whether a request can't wait any longer.
+func (q *Queue) mustDecide(now time.Time, h *HeldRequest) bool {
+	return q.stopping || !now.Before(h.HoldUntil)
+}
+
+// decide tries to place a request and reports whether it has to wait. At the end of its wait it goes to an engine that queues it, if
+// its deadline still allows a run; otherwise it is refused.
+func (q *Queue) decide(now time.Time, h *HeldRequest) (d Decision, waits bool) {
+	last := q.mustDecide(now, h)
+	if last {
+		h.Request.MoreUrgent = overload.Demand{}
+		h.Request.WithoutLimits = !now.Add(h.RunTime).After(h.Deadline)
+	}
+	d.Held = h
+	d.Placement, d.Refusal = q.table.Place(now, h.Request)
+	if d.Refusal == AllEndpointsPaused {
+		d.RetryAfter = q.table.PauseLeft(now, &h.Request)
+	}
+	if d.Refusal == "" || d.Refusal == RetryBudget || last {
+		return d, false
+	}
+	return d, now.Add(d.RetryAfter).Before(h.refusedUntil(d.Refusal))
+}
+
+// workspaceUsage returns the usage of a workspace relative to its share.
+func (q *Queue) workspaceUsage(string) float64 { return 0 }
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -38,14 +38,16 @@
 	snapshot *fleet.Snapshot
 	waiting  []placeMessage
 	leaving  map[uint64]*leavingRun
-	// stopping is set once the node stops, from when on requests are no longer held.
-	stopping bool
+	// queue holds the requests that wait in order where ordered admission is on, held their messages.
+	queue *dispatch.Queue
+	held  map[*dispatch.HeldRequest]placeMessage
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	table := dispatch.NewTable(time.Now(), p, random)
 	return &dispatcher{
-		log: log, table: dispatch.NewTable(time.Now(), p, random), cluster: cluster,
+		log: log, table: table, cluster: cluster, queue: dispatch.NewQueue(table), held: map[*dispatch.HeldRequest]placeMessage{},
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
 		leaving: map[uint64]*leavingRun{},
 	}
@@ -59,7 +61,7 @@
 	d.applyState(state)
 	for {
 		var scan <-chan time.Time
-		if len(d.waiting) > 0 {
+		if len(d.waiting)+len(d.held) > 0 {
 			scan = time.After(scanInterval)
 		}
 		select {
@@ -139,12 +141,9 @@
 
 // retryWaiting tries to place the waiting requests in order and drops those whose callers are gone.
 func (d *dispatcher) retryWaiting() {
-	if len(d.waiting) == 0 {
-		return
-	}
 	now := time.Now()
-	if d.table.OrdersAdmission() {
-		d.retryOrdered(now)
+	d.scanHeld(now)
+	if len(d.waiting) == 0 {
 		return
 	}
 	d.waiting = slices.DeleteFunc(d.waiting, func(m placeMessage) bool {
--- a/service/edge/dispatcher_ordered_test.go
+++ b/service/edge/dispatcher_held_test.go
@@ -10,7 +10,6 @@
 
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/decision/dispatch"
-	"azuredyke.dev/azuredyke/decision/overload"
 )
 
 // newOrderedDispatcher returns a dispatcher with ordered admission and one engine with memory for 10,000 tokens.
@@ -24,17 +23,18 @@
 // offer sends a request to the dispatcher that may wait for hold, and whose deadline is twice as far away.
 func offer(d *dispatcher, priority, tokens int, hold time.Duration) chan placeReply {
 	reply, now := make(chan placeReply, 1), time.Now()
+	held := &dispatch.HeldRequest{WaitUntil: now}
+	held.Priority, held.Arrived, held.Deadline, held.HoldUntil = priority, now, now.Add(2*hold), now.Add(hold)
 	m := placeMessage{
 		request:  dispatch.Request{Service: "s", PromptTokens: 70, Tokens: tokens, Priority: priority},
-		priority: priority, waitUntil: now, reply: reply, leaving: make(chan departure, 2),
-		hold: &overload.WaitingRequest{Priority: priority, Arrived: now, Deadline: now.Add(2 * hold), HoldUntil: now.Add(hold)},
+		priority: priority, waitUntil: now, reply: reply, leaving: make(chan departure, 2), held: held,
 	}
 	m.apply(d)
 	return reply
 }
 
 // Guards against requests that wait inside an engine, and against a less urgent one that is placed before a more urgent one.
-func TestRequestsWaitAtTheNodeInOrder(t *testing.T) {
+func TestRequestsWaitAtTheNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newOrderedDispatcher()
 		running := <-offer(d, 2, 9000, time.Second)
--- a/service/edge/place_message.go
+++ b/service/edge/place_message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/dispatch"
-	"azuredyke.dev/azuredyke/decision/overload"
 )
 
 // placeMessage asks for an endpoint.
@@ -16,10 +15,8 @@
 	priority int
 	// waitUntil is the time until which the request may wait for an endpoint.
 	waitUntil time.Time
-	// hold orders and bounds the wait where ordered admission is on; nil for a run that continues, which does not wait. runTime is
-	// the expected time from the first event to the end of the run.
-	hold    *overload.WaitingRequest
-	runTime time.Duration
+	// held is the request as it waits where ordered admission is on; nil for a run that continues, which does not wait.
+	held *dispatch.HeldRequest
 	// leaving receives a departure when the run's endpoint or its backup starts to leave while the run is open.
 	leaving chan<- departure
 	reply   chan<- placeReply
@@ -32,8 +29,8 @@
 	if m.first {
 		d.table.RecordRequest(now, m.request.Service)
 	}
-	if m.hold != nil && d.table.OrdersAdmission() {
-		d.admitOrdered(now, m)
+	if m.held != nil && d.table.OrdersAdmission() {
+		d.hold(now, m)
 		return
 	}
 	if !d.tryPlace(now, m) {
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -21,8 +21,8 @@
 	reply := make(chan placeReply, 1)
 	m.reply, m.callerGone = reply, ctx.Done()
 	until := m.waitUntil
-	if m.hold != nil && m.hold.HoldUntil.After(until) {
-		until = m.hold.HoldUntil
+	if m.held != nil && m.held.HoldUntil.After(until) {
+		until = m.held.HoldUntil
 	}
 	if err := p.messages.Send(ctx, m); err != nil {
 		return placeReply{}, err
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -129,7 +129,7 @@
 		m.waitUntil = s.deadline
 	}
 	if !o.continues() {
-		s.setHold(&m)
+		m.held = s.heldRequest(m.request, m.waitUntil)
 	}
 	reply, err := s.server.placer.place(ctx, m)
 	switch {
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -213,6 +213,10 @@
 func (s *session) placement() dispatch.Request {
 	// The retry budget bounds the arrivals at endpoints. An attempt whose connection was refused is none.
 	r := dispatch.Request{Service: s.service, Repeat: s.arrivals > 0, Exclude: s.triedEndpoints}
+	r.Priority = s.priority()
+	if s.route.FirstByteObjective > 0 {
+		r.FirstEventBy = s.request.Received.Add(s.route.FirstByteObjective)
+	}
 	if s.request.PromptTokens > 0 {
 		r.PromptTokens = s.request.PromptTokens
 		r.Tokens = s.request.PromptTokens + s.expectedOutput()
--- a/service/edge/session_hold_test.go
+++ b/service/edge/session_held_test.go
@@ -34,12 +34,11 @@
 		request: &exchange.Request{Received: received, PromptTokens: 3079, MaxTokens: 1000, LengthHint: 752},
 		route:   &catalog.Route{Priority: 2, FirstByteObjective: 4 * time.Second},
 	}
-	m := placeMessage{priority: 2, waitUntil: received.Add(500 * time.Millisecond)}
-	s.setHold(&m)
-	assert.Equal(t, m.hold.HoldUntil, received.Add(16*time.Second))
-	assert.Equal(t, m.request.FirstEventBy, received.Add(4*time.Second))
-	assert.Equal(t, m.runTime, 752*tokenTime)
+	waitUntil := received.Add(500 * time.Millisecond)
+	h := s.heldRequest(s.placement(), waitUntil)
+	assert.Equal(t, h.HoldUntil, received.Add(16*time.Second))
+	assert.Equal(t, h.FirstEventBy, received.Add(4*time.Second))
+	assert.Equal(t, h.RunTime, 752*tokenTime)
 	s.request.PromptTokens = 0
-	s.setHold(&m)
-	assert.Equal(t, m.hold.HoldUntil, m.waitUntil)
+	assert.Equal(t, s.heldRequest(s.placement(), waitUntil).HoldUntil, waitUntil)
 }
--- a/service/edge/stopping_message.go
+++ b/service/edge/stopping_message.go
@@ -4,6 +4,6 @@
 type stoppingMessage struct{}
 
 func (stoppingMessage) apply(d *dispatcher) {
-	d.stopping = true
+	d.queue.Stop()
 	d.retryWaiting()
 }
