Rank held requests across nodes, classes and workspaces

A request that is raised with time although its objective is missed makes those of its own class late. Ageing now counts the time in which the objective can be reached, and late requests are not raised. The time to the first event is learnt by priority, since engines compute urgent prompts first. The rank of a request includes lateness and whether its workspace exceeds its max-min fair share, so that less urgent requests leave room to those that wait at other nodes once pressure is exchanged; short runs may use the reserve of engines that have no room for a long one. Of the waiting requests that see the same free engines, only as many try as there are engines with room.

--- a/decision/dispatch/held_request.go
+++ b/decision/dispatch/held_request.go
@@ -17,9 +17,9 @@
 }
 
 // shape returns what the request needs of an engine.
-func (h *HeldRequest) shape(now time.Time) overload.Shape {
+func (h *HeldRequest) shape(now time.Time, share overload.FairShare) overload.Shape {
 	return overload.Shape{
-		Service: h.Request.Service, Level: h.Level(now), Late: h.IsLate(now), FirstEventBy: h.Request.FirstEventBy,
+		Service: h.Request.Service, Rank: h.Rank(now, share), Level: h.Level(now), Long: h.Request.isLong(), Late: h.IsLate(now), FirstEventBy: h.Request.FirstEventBy,
 		Tokens: h.Request.Tokens, PromptTokens: h.Request.PromptTokens,
 	}
 }
@@ -27,7 +27,7 @@
 // refusedUntil returns the end of the wait after a refusal.
 func (h *HeldRequest) refusedUntil(refusal Refusal) time.Time {
 	switch refusal {
-	case AllEndpointsFull, AllEndpointsCold:
+	case AllEndpointsFull, AllEndpointsCold, LeftToOthers:
 		return h.HoldUntil
 	default:
 		return h.WaitUntil
--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -15,7 +15,7 @@
 // limits holds what ordered admission knows about the engines of a service.
 type limits struct {
 	urgent  overload.Class
-	rate    overload.PrefillRate
+	rates   overload.PrefillRates
 	reserve overload.Reserve
 }
 
@@ -23,7 +23,7 @@
 func (t *Table) limitsOf(service string, routes []catalog.Route) *limits {
 	l := t.limits[service]
 	if l == nil {
-		l = &limits{rate: overload.NewPrefillRate()}
+		l = &limits{rates: overload.PrefillRates{}}
 		t.limits[service] = l
 	}
 	l.urgent = overload.MostUrgent(service, routes)
@@ -39,19 +39,24 @@
 // limit applies ordered admission to an endpoint whose candidate is up to date, and reports whether the request may go there. Only
 // new runs on engines are limited.
 func (t *Table) limit(now time.Time, r *Request, e *endpoint) bool {
-	if e.service.Engine == nil || r.Tokens == 0 || r.Resumed || r.SpareMemoryOnly || r.WithoutLimits {
+	if e.service.Engine == nil || r.Tokens == 0 || r.SpareMemoryOnly || r.WithoutLimits {
 		return true
 	}
+	query := placement.Request{Memory: placement.FlatForecast(float64(r.Tokens))}
+	if r.Resumed {
+		return !r.CopyPending || placement.ExpectedMemoryFilter{}.Permits(&query, &e.candidate)
+	}
 	l, c, engines := t.limits[r.Service], &e.candidate, len(t.services[r.Service])
-	prefill := overload.PrefillLimit{Urgent: l.urgent, Rate: &l.rate}
+	prefill := overload.PrefillLimit{Urgent: l.urgent, Rates: l.rates}
 	if !prefill.Admits(now, r.Priority, c.Prefill+r.MoreUrgent.HeadroomPrompt(engines), r.prefill(), r.FirstEventBy) {
 		return false
 	}
-	if r.Tokens-r.PromptTokens > longOutputTokens {
-		c.Capacity *= 1 - l.reserve.Share(now)
+	reserve := l.reserve.Share(now)
+	headroom := r.MoreUrgent.HeadroomTokens(engines, r.isLong(), c.UntrackedMemory, c.Capacity, reserve)
+	if r.isLong() {
+		c.Capacity *= 1 - reserve
 	}
-	c.Capacity = max(1, c.Capacity-float64(r.MoreUrgent.HeadroomTokens(engines)))
-	query := placement.Request{Memory: placement.FlatForecast(float64(r.Tokens))}
+	c.Capacity = max(1, c.Capacity-headroom)
 	return placement.ExpectedMemoryFilter{}.Permits(&query, c)
 }
 
@@ -69,6 +74,27 @@
 	}
 }
 
+// yields reports whether a request that waits leaves the engines with room to others this time. All nodes see free memory at about the
+// same moment, so that on average only as many waiting requests try it as there are engines with room.
+func (t *Table) yields(r *Request) bool {
+	return r.Contenders > len(t.eligible) && t.random.IntN(r.Contenders) >= len(t.eligible) && len(t.eligible) > 0
+}
+
+// addUsage counts the tokens of a run for its workspace.
+func (t *Table) addUsage(r *run, workspace string) {
+	r.workspace = workspace
+	if t.params.OrderedAdmission {
+		t.usage[workspace] += r.tokens
+	}
+}
+
+// removeUsage removes the tokens of a run from those of its workspace.
+func (t *Table) removeUsage(r *run) {
+	if t.usage[r.workspace] -= r.tokens; t.usage[r.workspace] <= 0 {
+		delete(t.usage, r.workspace)
+	}
+}
+
 // ObservePrefill learns the rate of the service's engines from the first event of a run. It must be called before RecordFirstEvent.
 func (t *Table) ObservePrefill(now time.Time, number uint64) {
 	r := t.runs[number]
@@ -76,14 +102,14 @@
 		return
 	}
 	if l := t.limits[r.endpoint.service.Name]; l != nil {
-		l.rate.Observe(r.prefillAhead+r.prefill, now.Sub(r.placedAt))
+		l.rates.Of(r.priority).Observe(r.prefillAhead+r.prefill, now.Sub(r.placedAt))
 	}
 }
 
-// prefillTime returns the time in which an engine of a service computes a prompt.
-func (t *Table) prefillTime(service string, tokens int) time.Duration {
+// prefillTime returns the time in which an engine of a service computes a prompt of a request with the given priority.
+func (t *Table) prefillTime(service string, priority, tokens int) time.Duration {
 	if l := t.limits[service]; l != nil {
-		return l.rate.Time(tokens)
+		return overload.PrefillLimit{Urgent: l.urgent, Rates: l.rates}.FirstEventTime(priority, tokens)
 	}
 	return 0
 }
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -44,7 +44,7 @@
 	placed := Placement{
 		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
 	}
-	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), prefillAhead: chosen.candidate.Prefill, placedAt: now, resumed: r.Resumed}
+	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), prefillAhead: chosen.candidate.Prefill, placedAt: now, resumed: r.Resumed, priority: r.Priority}
 	chosen.own.InFlight++
 	chosen.own.Tokens += r.Tokens
 	chosen.own.Prefill += newRun.prefill
@@ -58,6 +58,7 @@
 	t.ownLoadChanged = true
 	placed.Run = t.lastRun
 	t.runs[t.lastRun] = newRun
+	t.addUsage(newRun, r.Workspace)
 	return placed, ""
 }
 
@@ -107,6 +108,9 @@
 		// If the memory fits on no engine, the request goes to an engine that queues it.
 		policies = []*placement.Policy{t.strictEnginePolicy, t.enginePolicy}
 	}
+	if t.yields(r) {
+		return nil, LeftToOthers
+	}
 	if e := t.pickEligible(r, query, policies); e != nil {
 		return e, ""
 	}
--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -17,6 +17,9 @@
 	held  []*HeldRequest
 	// stopping is set once the node stops, from when on requests no longer wait.
 	stopping bool
+	// others is the pressure of the other nodes, which share is derived from together with that of this node.
+	others overload.Pressure
+	share  overload.FairShare
 }
 
 // NewQueue returns an empty queue of requests that are placed by table.
@@ -28,10 +31,13 @@
 // Stop ends the wait of all requests, present and future, at the next Scan.
 func (q *Queue) Stop() { q.stopping = true }
 
+// SetOthers replaces the pressure of the other nodes.
+func (q *Queue) SetOthers(p overload.Pressure) { q.others = p }
+
 // Offer adds a request and returns the decisions that follow from it. If too many requests wait, the last one no longer does.
 func (q *Queue) Offer(now time.Time, h *HeldRequest) []Decision {
 	if h.Request.PromptTokens > 0 {
-		h.FirstEventTime = q.table.prefillTime(h.Request.Service, h.Request.PromptTokens)
+		h.FirstEventTime = q.table.prefillTime(h.Request.Service, h.Priority, h.Request.PromptTokens)
 		h.HoldUntil = h.HoldUntil.Add(-h.FirstEventTime)
 	}
 	q.held = append(q.held, h)
@@ -49,19 +55,21 @@
 // Scan tries to place the requests in order of urgency and drops those for which gone, if it is not nil, returns true. A request that
 // fits nowhere doesn't block the others, but less urgent ones leave it the room that it waits for.
 func (q *Queue) Scan(now time.Time, gone func(*HeldRequest) bool) []Decision {
-	slices.SortStableFunc(q.held, func(a, b *HeldRequest) int { return a.Compare(now, &b.WaitingRequest, q.workspaceUsage) })
+	q.share = overload.NewFairShare(q.usage().Add(q.others).Usage)
+	slices.SortStableFunc(q.held, func(a, b *HeldRequest) int { return a.Compare(now, &b.WaitingRequest, q.share) })
 	var decisions []Decision
 	scan := overload.NewScan()
 	q.held = slices.DeleteFunc(q.held, func(h *HeldRequest) bool {
 		if gone != nil && gone(h) {
 			return true
 		}
-		shape := h.shape(now)
+		shape := h.shape(now, q.share)
 		if !q.mustDecide(now, h) && scan.IsHopeless(shape) {
 			scan.Block(shape, false)
 			return false
 		}
-		h.Request.Priority, h.Request.MoreUrgent = shape.Level, scan.MoreUrgent(shape)
+		h.Request.MoreUrgent = scan.MoreUrgent(shape, q.others)
+		h.Request.Contenders = 1 + q.others.Requests(shape.Service, shape.Rank)
 		d, waits := q.decide(now, h)
 		if waits {
 			scan.Block(shape, d.Refusal == AllEndpointsFull && len(h.Request.Exclude) == 0)
@@ -83,7 +91,7 @@
 func (q *Queue) decide(now time.Time, h *HeldRequest) (d Decision, waits bool) {
 	last := q.mustDecide(now, h)
 	if last {
-		h.Request.MoreUrgent = overload.Demand{}
+		h.Request.MoreUrgent, h.Request.Contenders = overload.MoreUrgent{}, 0
 		h.Request.WithoutLimits = !now.Add(h.RunTime).After(h.Deadline)
 	}
 	d.Held = h
@@ -97,5 +105,31 @@
 	return d, now.Add(d.RetryAfter).Before(h.refusedUntil(d.Refusal))
 }
 
-// workspaceUsage returns the usage of a workspace relative to its share.
-func (q *Queue) workspaceUsage(string) float64 { return 0 }
+// Pressure returns what waits at this node, and what the workspaces use and wait for.
+func (q *Queue) Pressure(now time.Time) overload.Pressure {
+	p := q.usage()
+	for _, h := range q.held {
+		if h.Request.Tokens == 0 {
+			continue
+		}
+		p.AddWaiting(h.shape(now, q.share))
+	}
+	return p
+}
+
+// usage returns the usage of the workspaces by this node, sorted by workspace.
+func (q *Queue) usage() overload.Pressure {
+	waiting := map[string]int{}
+	for _, h := range q.held {
+		waiting[h.Workspace] += h.Request.Tokens
+	}
+	var usage []overload.WorkspaceUsage
+	for workspace, used := range q.table.usage {
+		usage = append(usage, overload.WorkspaceUsage{Workspace: workspace, Used: used, Waiting: waiting[workspace]})
+		delete(waiting, workspace)
+	}
+	for workspace, tokens := range waiting {
+		usage = append(usage, overload.WorkspaceUsage{Workspace: workspace, Waiting: tokens})
+	}
+	return overload.Pressure{Usage: overload.SortUsage(usage)}
+}
--- a/decision/dispatch/refusal.go
+++ b/decision/dispatch/refusal.go
@@ -10,5 +10,7 @@
 	AllEndpointsFull Refusal = "all_endpoints_full"
 	// AllEndpointsPaused means that all endpoints have asked for no requests for some time.
 	AllEndpointsPaused Refusal = "all_endpoints_paused"
-	RetryBudget        Refusal = "retry_budget_spent"
+	// LeftToOthers means that more requests wait than engines have room, and that others try them this time.
+	LeftToOthers Refusal = "left_to_others"
+	RetryBudget  Refusal = "retry_budget_spent"
 )
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -10,6 +10,8 @@
 // Request holds the properties of a request that placement depends on.
 type Request struct {
 	Service string
+	// Workspace is the workspace of the caller; empty if there is none.
+	Workspace string
 	// PromptTokens is the size of the prompt, Tokens the expected size of prompt and answer together; both are 0 for plain
 	// calls.
 	PromptTokens int
@@ -35,7 +37,9 @@
 	Priority     int
 	FirstEventBy time.Time
 	// MoreUrgent is the demand of more urgent requests that wait for the service, to which this one leaves room.
-	MoreUrgent overload.Demand
+	MoreUrgent overload.MoreUrgent
+	// Contenders is the number of waiting requests, this one included, that may see the same free memory and are not less urgent.
+	Contenders int
 	// WithoutLimits is set when the request may no longer wait: it goes to an engine that queues it if it fits on none.
 	WithoutLimits bool
 	// Backup asks for a second endpoint that holds a copy of the run's memory.
@@ -47,6 +51,9 @@
 	return (r.RequiredEndpoint == "" || e.ID == r.RequiredEndpoint) && !e.isLeaving() && !e.dataCentreOut && !slices.Contains(r.Exclude, e.ID)
 }
 
+// isLong reports whether the run holds its memory for long.
+func (r *Request) isLong() bool { return r.Tokens-r.PromptTokens > longOutputTokens }
+
 // prefill returns the number of prompt tokens that the endpoint computes or copies.
 func (r *Request) prefill() int {
 	if r.Resumed && !r.CopyPending {
--- a/decision/dispatch/run.go
+++ b/decision/dispatch/run.go
@@ -18,4 +18,6 @@
 	prefillAhead int
 	placedAt     time.Time
 	resumed      bool
+	workspace    string
+	priority     int
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -30,6 +30,8 @@
 	budgets     map[string]*retry.WindowBudget
 	// limits holds the limits of ordered admission by service.
 	limits map[string]*limits
+	// usage holds the tokens in flight of the node's own runs by workspace.
+	usage map[string]int
 	// others is the others' load by endpoint. It also holds endpoints that no snapshot has listed yet.
 	others map[string]Load
 	// othersUpdatedAt is the time of the last report of the other nodes' load.
@@ -52,6 +54,7 @@
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
 		limits:             map[string]*limits{},
+		usage:              map[string]int{},
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
@@ -244,6 +247,7 @@
 		return
 	}
 	delete(t.runs, number)
+	t.removeUsage(r)
 	t.ownLoadChanged = true
 	e := r.endpoint
 	e.own.InFlight--
--- a/decision/overload/prefill_limit.go
+++ b/decision/overload/prefill_limit.go
@@ -6,12 +6,29 @@
 // added. The prompt that is added takes up to half of the objective, and the urgent one that follows needs the rest.
 const backlogShare = 0.4
 
+// lessUrgentMargin extends the time to the first event of less urgent requests. With the mean time alone, half of those that were sent
+// late in their time missed their objectives in simulation.
+const lessUrgentMargin = 1.5
+
 // PrefillLimit bounds the prompts that wait on one engine.
 type PrefillLimit struct {
 	Urgent Class
-	Rate   *PrefillRate
+	Rates  PrefillRates
 }
 
+// time returns the time in which an engine computes prompt tokens for a request. More urgent prompts that arrive later delay those of
+// less urgent requests, for which the time is extended by lessUrgentMargin.
+func (l PrefillLimit) time(priority, tokens int) time.Duration {
+	t := l.Rates.Of(priority).Time(tokens)
+	if priority > l.Urgent.Priority {
+		t = time.Duration(lessUrgentMargin * float64(t))
+	}
+	return t
+}
+
+// FirstEventTime returns the time to the first event of a request on an idle engine.
+func (l PrefillLimit) FirstEventTime(priority, own int) time.Duration { return l.time(priority, own) }
+
 // Admits reports whether a request with the given priority and size may be added at now to an engine on which ahead prompt tokens
 // are computed before its own. firstEventBy is the time at which its objective ends; zero if it has none.
 func (l PrefillLimit) Admits(now time.Time, priority, ahead, own int, firstEventBy time.Time) bool {
@@ -21,13 +38,13 @@
 	late := false
 	if !firstEventBy.IsZero() {
 		// An idle engine gives the earliest first event. A request that is late even there is limited as a less urgent one.
-		late = now.Add(l.Rate.Time(own)).After(firstEventBy)
-		if !late && now.Add(l.Rate.Time(ahead+own)).After(firstEventBy) {
+		late = now.Add(l.time(priority, own)).After(firstEventBy)
+		if !late && now.Add(l.time(priority, ahead+own)).After(firstEventBy) {
 			return false
 		}
 	}
 	if l.Urgent.Objective == 0 || priority <= l.Urgent.Priority && !late {
 		return true
 	}
-	return l.Rate.Time(ahead) <= time.Duration(backlogShare*float64(l.Urgent.Objective))
+	return l.Rates.Of(l.Urgent.Priority).Time(ahead) <= time.Duration(backlogShare*float64(l.Urgent.Objective))
 }
--- a/decision/overload/scan.go
+++ b/decision/overload/scan.go
@@ -4,32 +4,21 @@
 type Scan struct {
 	// blocked holds the requests for which no endpoint of the service had room, by service.
 	blocked map[string][]Shape
-	// demand is that of all requests that did not fit, by service and priority.
-	demand map[string]map[int]*Demand
+	// demand is that of all requests that did not fit.
+	demand Pressure
 }
 
 // NewScan returns a scan at its start.
-func NewScan() *Scan {
-	return &Scan{blocked: map[string][]Shape{}, demand: map[string]map[int]*Demand{}}
-}
+func NewScan() *Scan { return &Scan{blocked: map[string][]Shape{}} }
 
 // Block records a request that has to wait. everywhere is set if no endpoint of the service has room for it.
 func (s *Scan) Block(shape Shape, everywhere bool) {
 	if everywhere && !s.IsHopeless(shape) {
 		s.blocked[shape.Service] = append(s.blocked[shape.Service], shape)
 	}
-	if shape.Tokens == 0 {
-		return
-	}
-	levels := s.demand[shape.Service]
-	if levels == nil {
-		levels = map[int]*Demand{}
-		s.demand[shape.Service] = levels
-	}
-	if levels[shape.Level] == nil {
-		levels[shape.Level] = &Demand{}
+	if shape.Tokens > 0 {
+		s.demand.AddWaiting(shape)
 	}
-	levels[shape.Level].Add(shape.Tokens, shape.PromptTokens)
 }
 
 // IsHopeless reports whether a request that needs no more than this one has already found no room.
@@ -42,13 +31,10 @@
 	return false
 }
 
-// MoreUrgent returns the demand of the waiting requests that are more urgent.
-func (s *Scan) MoreUrgent(shape Shape) Demand {
-	var sum Demand
-	for level, d := range s.demand[shape.Service] {
-		if level < shape.Level {
-			sum.Merge(*d)
-		}
-	}
-	return sum
+// MoreUrgent returns the demand of the waiting requests that are more urgent, those of the other nodes included.
+func (s *Scan) MoreUrgent(shape Shape, others Pressure) MoreUrgent {
+	var m MoreUrgent
+	s.demand.MoreUrgent(&m, shape.Service, shape.Rank)
+	others.MoreUrgent(&m, shape.Service, shape.Rank)
+	return m
 }
--- a/decision/overload/shape.go
+++ b/decision/overload/shape.go
@@ -5,8 +5,10 @@
 // Shape is what a waiting request needs of an engine.
 type Shape struct {
 	Service string
-	// Level is the priority after ageing.
-	Level int
+	// Rank is that of the request, Level its priority after ageing.
+	Rank, Level int
+	// Long is set for a run that holds its memory for long.
+	Long bool
 	// Late is set if the objective can't be reached.
 	Late         bool
 	FirstEventBy time.Time
@@ -16,7 +18,7 @@
 
 // NeedsNoMoreThan reports whether an engine that has room for o, which is not more urgent, has room for s as well.
 func (s *Shape) NeedsNoMoreThan(o *Shape) bool {
-	return s.Level <= o.Level && s.Late == o.Late && s.Tokens <= o.Tokens && s.PromptTokens <= o.PromptTokens &&
-		s.Tokens-s.PromptTokens <= o.Tokens-o.PromptTokens &&
+	return s.Rank <= o.Rank && s.Late == o.Late && s.Tokens <= o.Tokens && s.PromptTokens <= o.PromptTokens &&
+		(o.Long || !s.Long) &&
 		(o.Late || s.FirstEventBy.IsZero() || !o.FirstEventBy.IsZero() && !o.FirstEventBy.After(s.FirstEventBy))
 }
--- a/decision/overload/waiting_request.go
+++ b/decision/overload/waiting_request.go
@@ -23,11 +23,18 @@
 	HoldUntil time.Time
 }
 
-// Level returns the priority after ageing. A request is raised by one level when half of its time has passed, and by a further one
-// each time that half of the rest has passed, so that no priority keeps another waiting to the end.
+// Level returns the priority after ageing. A request that can still reach its objective is raised by one level when half of the time
+// that it may wait for that has passed, and by a further one each time that half of the rest has passed, so that no class starves. A
+// late request is not raised: it would make those of its own class late that still can be in time.
 func (w *WaitingRequest) Level(now time.Time) int {
-	level, left := w.Priority, w.HoldUntil.Sub(w.Arrived)
-	remaining := w.HoldUntil.Sub(now)
+	if w.IsLate(now) {
+		return w.Priority
+	}
+	until := w.HoldUntil
+	if last := w.FirstEventBy.Add(-w.FirstEventTime); !w.FirstEventBy.IsZero() && last.Before(until) {
+		until = last
+	}
+	level, left, remaining := w.Priority, until.Sub(w.Arrived), until.Sub(now)
 	for range maxAgeing {
 		left /= 2
 		if left <= 0 || remaining > left {
@@ -43,20 +50,26 @@
 	return !w.FirstEventBy.IsZero() && now.Add(w.FirstEventTime).After(w.FirstEventBy)
 }
 
-// Compare orders two waiting requests: first by priority after ageing, then those that can reach their objective, then the
-// workspace with the smaller usage, then the deadline. usage returns the usage of a workspace relative to its share.
-func (w *WaitingRequest) Compare(now time.Time, o *WaitingRequest, usage func(workspace string) float64) int {
-	if c := cmp.Compare(w.Level(now), o.Level(now)); c != 0 {
-		return c
+// Rank returns the rank to which others leave room, on all nodes: by priority after ageing, then those that can reach their objective,
+// then the workspaces that use no more than their fair share.
+func (w *WaitingRequest) Rank(now time.Time, share FairShare) int {
+	rank := 4 * w.Level(now)
+	if w.IsLate(now) {
+		rank += 2
 	}
-	if late, otherLate := w.IsLate(now), o.IsLate(now); late != otherLate {
-		if late {
-			return 1
-		}
-		return -1
+	if share.Exceeds(w.Workspace) {
+		rank++
+	}
+	return rank
+}
+
+// Compare orders two waiting requests: by rank, then the workspace with the smaller usage, then the deadline.
+func (w *WaitingRequest) Compare(now time.Time, o *WaitingRequest, share FairShare) int {
+	if c := cmp.Compare(w.Rank(now, share), o.Rank(now, share)); c != 0 {
+		return c
 	}
 	if w.Workspace != o.Workspace {
-		if c := cmp.Compare(usage(w.Workspace), usage(o.Workspace)); c != 0 {
+		if c := cmp.Compare(share.Of(w.Workspace), share.Of(o.Workspace)); c != 0 {
 			return c
 		}
 	}
