Exchange what waits and what workspaces use between nodes

A node could not know that more urgent requests wait at other nodes, nor which workspace uses more than its share over all nodes.

--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -17,13 +17,13 @@
 	held  []*HeldRequest
 	// stopping is set once the node stops, from when on requests no longer wait.
 	stopping bool
-	// others is the pressure of the other nodes, which share is derived from together with that of this node.
-	others overload.Pressure
+	// others is the pressure of the other nodes, its only source. share is derived from it and the usage of this node.
+	others *overload.PressureSums
 	share  overload.FairShare
 }
 
 // NewQueue returns an empty queue of requests that are placed by table.
-func NewQueue(table *Table) *Queue { return &Queue{table: table} }
+func NewQueue(table *Table) *Queue { return &Queue{table: table, others: overload.NewPressureSums()} }
 
 // Len returns the number of requests that wait.
 func (q *Queue) Len() int { return len(q.held) }
@@ -32,7 +32,13 @@
 func (q *Queue) Stop() { q.stopping = true }
 
 // SetOthers replaces the pressure of the other nodes.
-func (q *Queue) SetOthers(p overload.Pressure) { q.others = p }
+func (q *Queue) SetOthers(now time.Time, p overload.Pressure) { q.others.Record(now, "", p) }
+
+// Others returns the pressure of the other nodes; it is zero if they are silent.
+func (q *Queue) Others(now time.Time) overload.Pressure { return q.others.Of(now, "") }
+
+// OthersWait reports whether requests wait at other nodes.
+func (q *Queue) OthersWait(now time.Time) bool { return !q.Others(now).IsZero() }
 
 // Offer adds a request and returns the decisions that follow from it. If too many requests wait, the last one no longer does.
 func (q *Queue) Offer(now time.Time, h *HeldRequest) []Decision {
@@ -55,7 +61,8 @@
 // Scan tries to place the requests in order of urgency and drops those for which gone, if it is not nil, returns true. A request that
 // fits nowhere doesn't block the others, but less urgent ones leave it the room that it waits for.
 func (q *Queue) Scan(now time.Time, gone func(*HeldRequest) bool) []Decision {
-	q.share = overload.NewFairShare(q.usage().Add(q.others).Usage)
+	others := q.Others(now)
+	q.share = overload.NewFairShare(q.usage().Add(others).Usage)
 	slices.SortStableFunc(q.held, func(a, b *HeldRequest) int { return a.Compare(now, &b.WaitingRequest, q.share) })
 	var decisions []Decision
 	scan := overload.NewScan()
@@ -68,8 +75,8 @@
 			scan.Block(shape, false)
 			return false
 		}
-		h.Request.MoreUrgent = scan.MoreUrgent(shape, q.others)
-		h.Request.Contenders = 1 + q.others.Requests(shape.Service, shape.Rank)
+		h.Request.MoreUrgent = scan.MoreUrgent(shape, others)
+		h.Request.Contenders = 1 + others.Requests(shape.Service, shape.Rank)
 		d, waits := q.decide(now, h)
 		if waits {
 			scan.Block(shape, d.Refusal == AllEndpointsFull && len(h.Request.Exclude) == 0)
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -13,6 +13,7 @@
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/decision/overload"
 )
 
 const (
@@ -41,6 +42,11 @@
 	// queue holds the requests that wait in order where ordered admission is on, held their messages.
 	queue *dispatch.Queue
 	held  map[*dispatch.HeldRequest]placeMessage
+	// ownPressure publishes what waits at this node. pressureAt is the time of the last publication, pressurePublished is set if
+	// something waited then.
+	ownPressure       *latest.Value[overload.Pressure]
+	pressureAt        time.Time
+	pressurePublished bool
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
@@ -49,7 +55,7 @@
 	return &dispatcher{
 		log: log, table: table, cluster: cluster, queue: dispatch.NewQueue(table), held: map[*dispatch.HeldRequest]placeMessage{},
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
-		leaving: map[uint64]*leavingRun{},
+		leaving: map[uint64]*leavingRun{}, ownPressure: latest.New(overload.Pressure{}),
 	}
 }
 
@@ -61,7 +67,7 @@
 	d.applyState(state)
 	for {
 		var scan <-chan time.Time
-		if len(d.waiting)+len(d.held) > 0 {
+		if len(d.waiting)+len(d.held) > 0 || d.pressurePublished {
 			scan = time.After(scanInterval)
 		}
 		select {
@@ -80,6 +86,7 @@
 		if d.table.OwnLoadsChanged() {
 			d.ownLoads.Publish(d.table.OwnLoads())
 		}
+		d.publishPressure(time.Now())
 	}
 }
 
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -70,7 +70,7 @@
 		messages: mailbox.New[peersMessage](peersCapacity), others: newOthersLoadReceiver(n.dispatcher.messages),
 		ownLoads: n.dispatcher.ownLoads, duty: gather.NewRelayDuty(),
 		reporter: gather.NewReporter(rand.Uint64()), sums: gather.NewLoadSums(rand.Uint64()), topology: n.view.topology,
-		hints: mailbox.New[revisionHint](hintCapacity),
+		hints: mailbox.New[revisionHint](hintCapacity), pressure: newPressureExchange(n.dispatcher),
 	}
 	n.peers.register()
 	handleSync(n.hub, n.view.current, n.view.messages)
--- a/service/edge/peers.go
+++ b/service/edge/peers.go
@@ -38,6 +38,7 @@
 	sums     *gather.LoadSums
 	duty     *gather.RelayDuty
 	others   *othersLoadReceiver
+	pressure *pressureExchange
 	topology topology
 	// unserved and servesAll are the results of the duty at the last check.
 	unserved, servesAll bool
@@ -50,6 +51,7 @@
 	peer.HandleNotice(p.hub, kindLoadReport, func(_ context.Context, from string, m loadReport) { p.receive(from, m.Revision, m) })
 	peer.HandleNotice(p.hub, kindLoadSum, func(_ context.Context, from string, m loadSum) { p.receive(from, m.Revision, m) })
 	peer.HandleNotice(p.hub, kindOthersLoad, func(_ context.Context, from string, m othersLoad) { p.receive(from, m.Revision, m) })
+	p.pressure.register(p)
 }
 
 // receive queues a notice for the task. If the sender has a newer revision, it also queues a hint for the resyncer.
@@ -68,6 +70,7 @@
 	defer timer.Stop()
 	own, ownChanged := p.ownLoads.Watch()
 	p.reporter.SetLoad(time.Now(), own)
+	_, pressureChanged := p.pressure.own.Watch()
 	state, stateChanged := p.cluster.Watch()
 	p.applyState(state)
 	for {
@@ -79,6 +82,9 @@
 		case <-ownChanged:
 			own, ownChanged = p.ownLoads.Watch()
 			p.reporter.SetLoad(time.Now(), own)
+		case <-pressureChanged:
+			_, pressureChanged = p.pressure.own.Watch()
+			p.pressure.schedule.Request()
 		case <-stateChanged:
 			state, stateChanged = p.cluster.Watch()
 			p.applyState(state)
@@ -138,7 +144,7 @@
 	if silentAt := p.duty.PrimarySilentAt(); silentAt.After(now) && silentAt.Before(due) {
 		due = silentAt
 	}
-	return due
+	return p.pressure.nextDue(p, now, due)
 }
 
 // sendDue sends the notices that are due.
@@ -155,6 +161,7 @@
 	if !p.duty.IsIdle(now) && !now.Before(p.sums.Due()) {
 		p.relayLoads(now)
 	}
+	p.pressure.sendDue(p, now)
 }
 
 // relayLoads sends the load of this data centre to the relays of the other ones, and to each node of this data
