Refuse late requests at the end of their wait instead of queueing them

A late run of a less urgent class that is sent without limits takes the memory of one of its class that can still be in time. At the end of its wait such a request is refused as not run; others are still sent without limits. The backlog before a less urgent prompt is at most a quarter of the urgent objective, and the time to the first event of less urgent requests has a margin.

--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// isMostUrgent reports whether a priority is that of the most urgent class of a service, or more urgent.
+func (t *Table) isMostUrgent(service string, priority int) bool {
+	l := t.limits[service]
+	return l == nil || priority <= l.urgent.Priority
+}
+
 // prefillTime returns the time in which an engine of a service computes a prompt of a request with the given priority.
 func (t *Table) prefillTime(service string, priority, tokens int) time.Duration {
 	if l := t.limits[service]; l != nil {
--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -93,13 +93,20 @@
 	return q.stopping || !now.Before(h.HoldUntil)
 }
 
-// decide tries to place a request and reports whether it has to wait. At the end of its wait it goes to an engine that queues it, if
-// its deadline still allows a run; otherwise it is refused.
+// maySendWithoutLimits reports whether a request goes to an engine that queues it at the end of its wait: if its deadline still allows a
+// run, and if it is not late or of the most urgent class. A late run of another class would take the memory of one of its class that
+// can still be in time.
+func (q *Queue) maySendWithoutLimits(now time.Time, h *HeldRequest) bool {
+	return !now.Add(h.RunTime).After(h.Deadline) && (!h.IsLate(now) || q.table.isMostUrgent(h.Request.Service, h.Priority))
+}
+
+// decide tries to place a request and reports whether it has to wait. At the end of its wait it may go to an engine that queues it;
+// otherwise it is refused.
 func (q *Queue) decide(now time.Time, h *HeldRequest) (d Decision, waits bool) {
 	last := q.mustDecide(now, h)
 	if last {
 		h.Request.MoreUrgent, h.Request.Contenders = overload.MoreUrgent{}, 0
-		h.Request.WithoutLimits = !now.Add(h.RunTime).After(h.Deadline)
+		h.Request.WithoutLimits = q.maySendWithoutLimits(now, h)
 	}
 	d.Held = h
 	d.Placement, d.Refusal = q.table.Place(now, h.Request)
--- a/decision/overload/prefill_limit.go
+++ b/decision/overload/prefill_limit.go
@@ -3,12 +3,13 @@
 import "time"
 
 // backlogShare is the share of the most urgent class's objective that the prompts on an engine may take before a less urgent one is
-// added. The prompt that is added takes up to half of the objective, and the urgent one that follows needs the rest.
-const backlogShare = 0.4
+// added. With 0.4, 3.5 in 100 urgent requests were not in time in simulation, with 0.25 1.7, since several nodes add prompts on the
+// same figures.
+const backlogShare = 0.25
 
-// lessUrgentMargin extends the time to the first event of less urgent requests. With the mean time alone, half of those that were sent
-// late in their time missed their objectives in simulation.
-const lessUrgentMargin = 1.5
+// lessUrgentMargin extends the time to the first event of less urgent requests. With the mean time alone, many of those that were sent
+// near the end of their objective missed it in simulation.
+const lessUrgentMargin = 2
 
 // PrefillLimit bounds the prompts that wait on one engine.
 type PrefillLimit struct {
