--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -47,7 +47,7 @@
 		return !r.CopyPending || placement.ExpectedMemoryFilter{}.Permits(&query, &e.candidate)
 	}
 	l, c, engines := t.limits[r.Service], &e.candidate, len(t.services[r.Service])
-	prefill := overload.PrefillLimit{Urgent: l.urgent, Rates: l.rates}
+	prefill := overload.PrefillLimit{Urgent: l.urgent, Rates: l.rates, Yields: r.MoreUrgent.Short.Requests > 0}
 	if !prefill.Admits(now, r.Priority, c.Prefill+r.MoreUrgent.HeadroomPrompt(engines), r.prefill(), r.FirstEventBy) {
 		return false
 	}
--- a/decision/overload/prefill_limit.go
+++ b/decision/overload/prefill_limit.go
@@ -7,24 +7,30 @@
 // same figures.
 const backlogShare = 0.25
 
-// lessUrgentMargin extends the time to the first event of less urgent requests. With the mean time alone, many of those that were sent
-// near the end of their objective missed it in simulation.
-const lessUrgentMargin = 2
+// urgentMargin and lessUrgentMargin extend the mean time to the first event. Steps of other runs and, for less urgent requests, urgent
+// prompts that arrive later make it vary. With the mean alone, many of those that were sent near the end of their objective missed it
+// in simulation.
+const (
+	urgentMargin     = 1.1
+	lessUrgentMargin = 2.0
+)
 
 // PrefillLimit bounds the prompts that wait on one engine.
 type PrefillLimit struct {
 	Urgent Class
 	Rates  PrefillRates
+	// Yields is set while a more urgent request waits. New requests have more time left than it and would otherwise keep the backlog
+	// above what it can use.
+	Yields bool
 }
 
-// time returns the time in which an engine computes prompt tokens for a request. More urgent prompts that arrive later delay those of
-// less urgent requests, for which the time is extended by lessUrgentMargin.
+// time returns the time in which an engine computes prompt tokens for a request, with the margin.
 func (l PrefillLimit) time(priority, tokens int) time.Duration {
-	t := l.Rates.Of(priority).Time(tokens)
+	margin := urgentMargin
 	if priority > l.Urgent.Priority {
-		t = time.Duration(lessUrgentMargin * float64(t))
+		margin = lessUrgentMargin
 	}
-	return t
+	return time.Duration(margin * float64(l.Rates.Of(priority).Time(tokens)))
 }
 
 // FirstEventTime returns the time to the first event of a request on an idle engine.
@@ -44,7 +50,7 @@
 			return false
 		}
 	}
-	if l.Urgent.Objective == 0 || priority <= l.Urgent.Priority && !late {
+	if l.Urgent.Objective == 0 || priority <= l.Urgent.Priority && !late && !l.Yields {
 		return true
 	}
 	return l.Rates.Of(l.Urgent.Priority).Time(ahead) <= time.Duration(backlogShare*float64(l.Urgent.Objective))
--- a/decision/overload/waiting_request.go
+++ b/decision/overload/waiting_request.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// maxAgeing bounds the levels by which a request is raised. The time that is left halves with each level.
-const maxAgeing = 8
-
 // WaitingRequest holds the properties that order a request among those that wait at a node.
 type WaitingRequest struct {
 	Workspace string
@@ -24,8 +21,9 @@
 }
 
 // Level returns the priority after ageing. A request that can still reach its objective is raised by one level when half of the time
-// that it may wait for that has passed, and by a further one each time that half of the rest has passed, so that no class starves. A
-// late request is not raised: it would make those of its own class late that still can be in time.
+// that it may wait for that has passed, and by a further one each time that half of the rest has passed, up to the most urgent priority,
+// so that no class starves. It is not raised above it: in simulation, others then left room to requests that could hardly be in time
+// any more. A late request is not raised, because it would make those of its own class late that still can be in time.
 func (w *WaitingRequest) Level(now time.Time) int {
 	if w.IsLate(now) {
 		return w.Priority
@@ -35,7 +33,7 @@
 		until = last
 	}
 	level, left, remaining := w.Priority, until.Sub(w.Arrived), until.Sub(now)
-	for range maxAgeing {
+	for level > 0 {
 		left /= 2
 		if left <= 0 || remaining > left {
 			break
