--- a/decision/dispatch/held_request.go
+++ b/decision/dispatch/held_request.go
@@ -14,6 +14,8 @@
 	WaitUntil time.Time
 	// RunTime is the expected time of the run.
 	RunTime time.Duration
+	// HeldSince is the time at which the request was offered.
+	HeldSince time.Time
 }
 
 // shape returns what the request needs of an engine.
--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -30,6 +30,17 @@
 	return l
 }
 
+// Reserves returns the share of the memory that new long runs leave free, by service.
+func (t *Table) Reserves(now time.Time) map[string]float64 {
+	reserves := make(map[string]float64, len(t.limits))
+	for service, l := range t.limits {
+		if s := t.services[service]; len(s) > 0 && s[0].service.Engine != nil {
+			reserves[service] = l.reserve.Share(now)
+		}
+	}
+	return reserves
+}
+
 // listedAsLeaving reports whether the entry of an endpoint says that it is leaving.
 func (t *Table) listedAsLeaving(e *catalog.Endpoint) bool {
 	listed := t.endpoints[e.ID]
--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -28,6 +28,15 @@
 // Len returns the number of requests that wait.
 func (q *Queue) Len() int { return len(q.held) }
 
+// WaitingByPriority returns the number of requests that wait by their stated priority.
+func (q *Queue) WaitingByPriority() map[int]int {
+	waiting := map[int]int{}
+	for _, h := range q.held {
+		waiting[h.Priority]++
+	}
+	return waiting
+}
+
 // Stop ends the wait of all requests, present and future, at the next Scan.
 func (q *Queue) Stop() { q.stopping = true }
 
@@ -46,6 +55,7 @@
 		h.FirstEventTime = q.table.prefillTime(h.Request.Service, h.Priority, h.Request.PromptTokens)
 		h.HoldUntil = h.HoldUntil.Add(-h.FirstEventTime)
 	}
+	h.HeldSince = now
 	q.held = append(q.held, h)
 	decisions := q.Scan(now, nil)
 	if last := len(q.held) - 1; last >= maxHeld {
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/common/latest"
@@ -47,6 +48,7 @@
 	ownPressure       *latest.Value[overload.Pressure]
 	pressureAt        time.Time
 	pressurePublished bool
+	metrics           *overloadMetrics
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
@@ -56,6 +58,7 @@
 		log: log, table: table, cluster: cluster, queue: dispatch.NewQueue(table), held: map[*dispatch.HeldRequest]placeMessage{},
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
 		leaving: map[uint64]*leavingRun{}, ownPressure: latest.New(overload.Pressure{}),
+		metrics: newOverloadMetrics(tally.NoopScope),
 	}
 }
 
@@ -82,6 +85,9 @@
 			d.retryWaiting()
 		case now := <-expire.C:
 			d.table.ExpireOthersLoad(now)
+			if d.table.OrdersAdmission() {
+				d.metrics.setState(d.queue.WaitingByPriority(), d.table.Reserves(now))
+			}
 		}
 		if d.table.OwnLoadsChanged() {
 			d.ownLoads.Publish(d.table.OwnLoads())
--- a/service/edge/place_message.go
+++ b/service/edge/place_message.go
@@ -9,6 +9,8 @@
 // placeMessage asks for an endpoint.
 type placeMessage struct {
 	request dispatch.Request
+	// id is the id of the request, for the log.
+	id string
 	// first is set for the first attempt of a request, which adds to the retry budget.
 	first bool
 	// priority orders the waiting requests; 0 is the most urgent.
