Refuse requests at once that can't start in time under overload

A request was held to the end of its wait also if the demand before it, over all nodes, can't be served by then. It is now refused as not run when the time that the engines need for that demand, by memory and by prompts, is more than twice the time that it may wait. The Retry-After time is that time, from 200 ms to 10 s, with jitter.

--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -41,6 +41,18 @@
 	return reserves
 }
 
+// capacity returns what the engines of a service that are not leaving can do for requests of a priority.
+func (t *Table) capacity(service string, priority int) overload.Capacity {
+	var c overload.Capacity
+	for _, e := range t.services[service] {
+		if e.service.Engine != nil && !e.isLeaving() && !e.dataCentreOut {
+			c.Memory += float64(e.service.Engine.Capacity)
+			c.Prefill += t.limits[service].rates.Of(priority).PerMillisecond()
+		}
+	}
+	return c
+}
+
 // listedAsLeaving reports whether the entry of an endpoint says that it is leaving.
 func (t *Table) listedAsLeaving(e *catalog.Endpoint) bool {
 	listed := t.endpoints[e.ID]
--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -57,7 +57,7 @@
 	}
 	h.HeldSince = now
 	q.held = append(q.held, h)
-	decisions := q.Scan(now, nil)
+	decisions := q.shed(now, h, q.Scan(now, nil))
 	if last := len(q.held) - 1; last >= maxHeld {
 		overflow := q.held[last]
 		q.held = q.held[:last]
@@ -68,6 +68,35 @@
 	return decisions
 }
 
+// shed refuses the request h if it still waits but can't start in time, because so much waits before it on all nodes.
+func (q *Queue) shed(now time.Time, h *HeldRequest, decisions []Decision) []Decision {
+	i := slices.Index(q.held, h)
+	if i < 0 || h.Request.Tokens == 0 {
+		return decisions
+	}
+	expected := q.expectedWait(now, h)
+	if !overload.IsHopelessWait(expected, h.HoldUntil.Sub(now)) {
+		return decisions
+	}
+	q.held = slices.Delete(q.held, i, i+1)
+	return append(decisions, Decision{Held: h, Refusal: Overloaded, RetryAfter: overload.RetryAfter(expected)})
+}
+
+// expectedWait returns the time until those requests have started that are not less urgent than h.
+func (q *Queue) expectedWait(now time.Time, h *HeldRequest) time.Duration {
+	var demand overload.MoreUrgent
+	p, shape := q.Others(now), h.shape(now, q.share)
+	p.MoreUrgent(&demand, shape.Service, shape.Rank+1)
+	var own overload.Pressure
+	for _, o := range q.held {
+		if o != h && o.Request.Tokens > 0 {
+			own.AddWaiting(o.shape(now, q.share))
+		}
+	}
+	own.MoreUrgent(&demand, shape.Service, shape.Rank+1)
+	return q.table.capacity(shape.Service, h.Priority).ExpectedWait(demand, h.RunTime)
+}
+
 // Scan tries to place the requests in order of urgency and drops those for which gone, if it is not nil, returns true. A request that
 // fits nowhere doesn't block the others, but less urgent ones leave it the room that it waits for.
 func (q *Queue) Scan(now time.Time, gone func(*HeldRequest) bool) []Decision {
@@ -123,6 +152,9 @@
 	if d.Refusal == AllEndpointsPaused {
 		d.RetryAfter = q.table.PauseLeft(now, &h.Request)
 	}
+	if last && (d.Refusal == AllEndpointsFull || d.Refusal == LeftToOthers) {
+		d.RetryAfter = overload.RetryAfter(q.expectedWait(now, h))
+	}
 	if d.Refusal == "" || d.Refusal == RetryBudget || last {
 		return d, false
 	}
--- /dev/null
+++ b/decision/dispatch/queue_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/decision/overload"
+)
+
+// newHeld returns a request that arrives at start and may wait for 4 s.
+func newHeld(workspace string, priority, tokens int) *HeldRequest {
+	h := &HeldRequest{Request: Request{Service: "s", PromptTokens: 70, Tokens: tokens, Priority: priority, Workspace: workspace}, RunTime: time.Second}
+	h.Workspace, h.Priority, h.Arrived, h.WaitUntil = workspace, priority, start, start
+	h.Deadline, h.HoldUntil = start.Add(8*time.Second), start.Add(4*time.Second)
+	return h
+}
+
+// Guards against a request that is held although so many wait at other nodes that it can't start in time, and against one that is
+// refused although it can.
+func TestQueueShedsWhatCannotStartInTime(t *testing.T) {
+	table, _ := newOrderedTable("a")
+	q := NewQueue(table)
+	assert.Equal(t, q.Offer(start, newHeld("w", 0, 9000))[0].Refusal, Refusal(""))
+	assert.Equal(t, len(q.Offer(start, newHeld("w", 0, 6000))), 0)
+	var others overload.Pressure
+	for range 20 {
+		others.AddWaiting(overload.Shape{Service: "s", Tokens: 6000, PromptTokens: 70, Long: true})
+	}
+	q.SetOthers(start, others)
+	decisions := q.Offer(start, newHeld("w", 0, 6000))
+	assert.Equal(t, len(decisions), 1)
+	assert.Equal(t, decisions[0].Refusal, Overloaded)
+	assert.Equal(t, decisions[0].RetryAfter, maxTestRetryAfter)
+	assert.Equal(t, q.Len(), 1)
+}
+
+// maxTestRetryAfter is the longest time after which a refused caller is told to come back.
+const maxTestRetryAfter = 10 * time.Second
+
+// Guards against a workspace that takes the memory of an engine before the workspace that uses least, also if it asked first.
+func TestQueuePrefersWorkspaceWithSmallestUsage(t *testing.T) {
+	table, _ := newOrderedTable("a")
+	q := NewQueue(table)
+	running := q.Offer(start, newHeld("large", 0, 9000))[0].Placement.Run
+	large, small := newHeld("large", 0, 6000), newHeld("small", 0, 6000)
+	assert.Equal(t, len(q.Offer(start, large))+len(q.Offer(start, small)), 0)
+	others := overload.Pressure{Usage: []overload.WorkspaceUsage{{Workspace: "large", Used: 5000}}}
+	others.AddWaiting(overload.Shape{Service: "other"})
+	q.SetOthers(start, others)
+	table.Release(start, running, Succeeded)
+	decisions := q.Scan(start, nil)
+	assert.Equal(t, len(decisions), 1)
+	assert.Assert(t, decisions[0].Held == small)
+}
+
+// Guards against a late request of a less urgent class that is queued inside an engine at the end of its wait, and against one of the
+// most urgent class that is refused although it can still be answered.
+func TestEndOfWait(t *testing.T) {
+	for priority, want := range map[int]Refusal{0: "", 2: AllEndpointsFull} {
+		table, _ := newOrderedTable("a")
+		q := NewQueue(table)
+		q.Offer(start, newHeld("w", 0, 9000))
+		h := newHeld("w", priority, 6000)
+		h.FirstEventBy = start.Add(time.Second)
+		assert.Equal(t, len(q.Offer(start, h)), 0)
+		decisions := q.Scan(start.Add(4*time.Second), nil)
+		assert.Equal(t, len(decisions), 1)
+		assert.Equal(t, decisions[0].Refusal, want)
+	}
+}
--- a/decision/dispatch/refusal.go
+++ b/decision/dispatch/refusal.go
@@ -12,5 +12,7 @@
 	AllEndpointsPaused Refusal = "all_endpoints_paused"
 	// LeftToOthers means that more requests wait than engines have room, and that others try them this time.
 	LeftToOthers Refusal = "left_to_others"
-	RetryBudget  Refusal = "retry_budget_spent"
+	// Overloaded means that so many requests wait that this one can't start in time.
+	Overloaded  Refusal = "overloaded"
+	RetryBudget Refusal = "retry_budget_spent"
 )
