Check a held request again before it is sent

A request can be held for many seconds. Meanwhile its key may be revoked, its route may lead to another service, or another run with its fingerprint may crash an endpoint, and it was sent as it was admitted at first.

go test -race ./service/edge passes.

--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -30,12 +30,8 @@
 	if err := s.checkStop(); err != nil {
 		return nil, err
 	}
-	if err := s.awaitQuarantine(ctx); err != nil {
-		return nil, err
-	}
-	up, err := s.place(ctx, o)
+	up, err := s.placeChecked(ctx, o)
 	if err != nil {
-		s.releaseTrial()
 		return nil, err
 	}
 	// The node may have begun to stop while the request waited for its endpoint.
--- a/service/edge/session_held.go
+++ b/service/edge/session_held.go
@@ -5,6 +5,7 @@
 
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/overload"
+	"azuredyke.dev/azuredyke/decision/quarantine"
 )
 
 const (
@@ -24,7 +25,8 @@
 		h.Workspace = s.workspace.Name
 	}
 	h.FirstEventBy = r.FirstEventBy
-	if r.PromptTokens > 0 {
+	// A trial is not held, because its reservation ends after some seconds.
+	if r.PromptTokens > 0 && s.admission.Standing == quarantine.Clear {
 		h.RunTime = time.Duration(s.outputEstimate()) * tokenTime
 		h.HoldUntil = overload.HoldUntil(received, s.deadline, objective, s.route.PauseObjective, h.RunTime)
 	}
