Send no pressure for plain calls that wait

While only plain calls waited, and after the end of an overload, nodes sent empty notices every 50 ms. A notice is now sent only if something waits for an engine, if the last one said so, or if the usage of workspaces is due.

--- a/decision/overload/pressure_schedule.go
+++ b/decision/overload/pressure_schedule.go
@@ -35,12 +35,12 @@
 
 // Next returns what the notice that is due says about the pressure p. The second result is false if there is nothing to say.
 func (s *PressureSchedule) Next(now time.Time, p Pressure) (Pressure, bool) {
-	needed := s.reported || !p.IsZero() || len(p.Usage) > 0
+	wasReported := s.reported
 	s.requested, s.reported, s.sentAt, s.classes = false, !p.IsZero(), now, len(p.Waiting)
 	if now.Sub(s.usageAt) < usageInterval {
 		p.Usage = nil
 	} else {
 		s.usageAt = now
 	}
-	return p.Limited(), needed
+	return p.Limited(), wasReported || !p.IsZero() || len(p.Usage) > 0
 }
--- a/decision/overload/pressure_schedule_test.go
+++ b/decision/overload/pressure_schedule_test.go
@@ -34,6 +34,15 @@
 	}
 	assert.Equal(t, sent, 11)
 	assert.Equal(t, usage, 2)
+	// A node on which nothing waits reports only its usage.
+	p.Usage = []WorkspaceUsage{{Workspace: "w", Used: 5}}
+	s.Request()
+	_, needed := s.Next(after(1100), p)
+	assert.Assert(t, needed)
+	s.Request()
+	_, needed = s.Next(after(1150), p)
+	assert.Assert(t, !needed)
+	s = PressureSchedule{sentAt: after(500)}
 	s.SetReceivers(500)
 	s.Request()
 	due, _ := s.Due()
--- a/service/edge/dispatcher_pressure.go
+++ b/service/edge/dispatcher_pressure.go
@@ -12,13 +12,17 @@
 	if now.Sub(d.pressureAt) < scanInterval {
 		return
 	}
-	waits := d.queue.Len() > 0 || d.queue.OthersWait(now)
-	if !waits && !d.pressurePublished {
+	othersWait := d.queue.OthersWait(now)
+	if d.queue.Len() == 0 && !othersWait && !d.pressurePublished {
 		return
 	}
-	var p overload.Pressure
-	if waits {
-		p = d.queue.Pressure(now)
+	p := d.queue.Pressure(now)
+	waits := othersWait || !p.IsZero()
+	if !waits {
+		// Plain calls may wait, but not for engines.
+		if p = (overload.Pressure{}); !d.pressurePublished {
+			return
+		}
 	}
 	d.pressureAt, d.pressurePublished = now, waits
 	d.ownPressure.Publish(p)
