--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -19,6 +19,9 @@
 	reserve overload.Reserve
 }
 
+// OrdersAdmission reports whether requests to engines wait at the node for room.
+func (t *Table) OrdersAdmission() bool { return t.params.OrderedAdmission }
+
 // limitsOf returns the limits of a service with its most urgent class updated.
 func (t *Table) limitsOf(service string, routes []catalog.Route) *limits {
 	l := t.limits[service]
--- a/decision/dispatch/queue_test.go
+++ b/decision/dispatch/queue_test.go
@@ -32,13 +32,10 @@
 	decisions := q.Offer(start, newHeld("w", 0, 6000))
 	assert.Equal(t, len(decisions), 1)
 	assert.Equal(t, decisions[0].Refusal, Overloaded)
-	assert.Equal(t, decisions[0].RetryAfter, maxTestRetryAfter)
+	assert.Equal(t, decisions[0].RetryAfter, 10*time.Second)
 	assert.Equal(t, q.Len(), 1)
 }
 
-// maxTestRetryAfter is the longest time after which a refused caller is told to come back.
-const maxTestRetryAfter = 10 * time.Second
-
 // Guards against a workspace that takes the memory of an engine before the workspace that uses least, also if it asked first.
 func TestQueuePrefersWorkspaceWithSmallestUsage(t *testing.T) {
 	table, _ := newOrderedTable("a")
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -69,9 +69,6 @@
 	t.params = p
 }
 
-// OrdersAdmission reports whether requests to engines wait at the node for room.
-func (t *Table) OrdersAdmission() bool { return t.params.OrderedAdmission }
-
 // SetNodes sets the number of nodes that share the limits. The number never decreases, because a disconnected node keeps
 // using its share.
 func (t *Table) SetNodes(n int) { t.nodes = max(t.nodes, n) }
@@ -216,20 +213,6 @@
 	return left
 }
 
-// RecordRequest counts a new request of a service, on which its retry budget depends.
-func (t *Table) RecordRequest(now time.Time, service string) {
-	t.retryBudget(service).RecordRequest(now)
-}
-
-func (t *Table) retryBudget(service string) *retry.WindowBudget {
-	b := t.budgets[service]
-	if b == nil {
-		b = retry.NewWindowBudget(t.params.RetryWindow)
-		t.budgets[service] = b
-	}
-	return b
-}
-
 // RecordFirstEvent records the first event of a run, after which its prompt no longer counts as prefill load.
 func (t *Table) RecordFirstEvent(number uint64) {
 	r := t.runs[number]
