--- a/decision/dispatch/params.go
+++ b/decision/dispatch/params.go
@@ -15,4 +15,6 @@
 	ColdSlack   float64
 	// EndpointSpeed places requests by the measured speed of the endpoints, also on services whose endpoints don't state it.
 	EndpointSpeed bool
+	// OrderedAdmission limits what requests may take of the engines, so that the others wait at the nodes.
+	OrderedAdmission bool
 }
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -44,7 +44,10 @@
 	placed := Placement{
 		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
 	}
-	newRun := &run{endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), promptTokens: chosen.candidate.Prefill + r.prefill()}
+	newRun := &run{
+		endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), prefillAhead: chosen.candidate.Prefill, placedAt: now, resumed: r.Resumed,
+		priority: r.Priority,
+	}
 	placed.BySpeed, placed.Slowdown = t.choosesBySpeed(r.Service), chosen.candidate.Slowdown
 	chosen.advanceUsage(now)
 	newRun.usage = chosen.usage
@@ -61,6 +64,7 @@
 	t.ownLoadChanged = true
 	placed.Run = t.lastRun
 	t.runs[t.lastRun] = newRun
+	t.addUsage(newRun, r.Workspace)
 	return placed, ""
 }
 
@@ -70,7 +74,7 @@
 		return nil, AllEndpointsFull
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
-	usable, paused, admitted := 0, 0, 0
+	usable, paused, admitted, limited := 0, 0, 0, 0
 	for _, e := range t.services[r.Service] {
 		if !r.mayUse(e) {
 			continue
@@ -90,12 +94,19 @@
 		if r.SpareMemoryOnly {
 			e.candidate.Capacity *= maxCopyMemoryShare
 		}
+		if t.params.OrderedAdmission && !t.limit(now, r, e) {
+			limited++
+			continue
+		}
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
 	query := &placement.Request{
 		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Copy: r.CopyPending, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
+	if t.yields(r) {
+		return nil, LeftToOthers
+	}
 	if e := t.pickEligible(now, r, query, t.policies(r)); e != nil {
 		return e, ""
 	}
@@ -104,7 +115,7 @@
 		return nil, NoEndpoint
 	case paused == usable:
 		return nil, AllEndpointsPaused
-	case admitted > 0 && len(t.eligible) == 0:
+	case admitted > 0 && len(t.eligible) == 0 && limited == 0:
 		return nil, AllEndpointsCold
 	default:
 		return nil, AllEndpointsFull
--- a/decision/dispatch/refusal.go
+++ b/decision/dispatch/refusal.go
@@ -10,5 +10,9 @@
 	AllEndpointsFull Refusal = "all_endpoints_full"
 	// AllEndpointsPaused means that all endpoints have asked for no requests for some time.
 	AllEndpointsPaused Refusal = "all_endpoints_paused"
-	RetryBudget        Refusal = "retry_budget_spent"
+	// LeftToOthers means that more requests wait than engines have room, and that others try them this time.
+	LeftToOthers Refusal = "left_to_others"
+	// Overloaded means that so many requests wait that this one can't start in time.
+	Overloaded  Refusal = "overloaded"
+	RetryBudget Refusal = "retry_budget_spent"
 )
--- a/decision/dispatch/run.go
+++ b/decision/dispatch/run.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // run is the placement of a request that this node has sent or is about to send.
 type run struct {
 	// endpoint is the incarnation that runs the request. A later incarnation with the same id has counts of its own.
@@ -12,8 +14,12 @@
 	copyTokens         int
 	prefill            int
 	firstEventReceived bool
-	// promptTokens is the number of prompt tokens that are computed until the first event, those queued before included.
-	promptTokens int
 	// usage is that of the endpoint at the last measurement of the run.
 	usage usage
+	// prefillAhead is the number of prompt tokens that were to be computed before those of the run when it was placed.
+	prefillAhead int
+	placedAt     time.Time
+	resumed      bool
+	workspace    string
+	priority     int
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -28,6 +28,10 @@
 	statements  statements
 	runs        map[uint64]*run
 	budgets     map[string]*retry.WindowBudget
+	// limits holds the limits of ordered admission by service.
+	limits map[string]*limits
+	// usage holds the tokens in flight of the node's own runs by workspace.
+	usage map[string]int
 	// others is the others' load by endpoint. It also holds endpoints that no snapshot has listed yet.
 	others map[string]Load
 	// othersUpdatedAt is the time of the last report of the other nodes' load.
@@ -42,6 +46,7 @@
 
 	random                                        *rand.Rand
 	enginePolicy, strictEnginePolicy, plainPolicy *placement.Policy
+	migrationPolicy                               *placement.Policy
 	candidates                                    []*placement.Candidate
 	eligible                                      []*endpoint
 }
@@ -52,10 +57,13 @@
 		nodeStarted: nodeStarted, params: params, nodes: 1, endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
 		statements: statements{}, runs: map[uint64]*run{}, budgets: map[string]*retry.WindowBudget{}, others: map[string]Load{},
 		speed:              newSpeedState(random),
+		limits:             map[string]*limits{},
+		usage:              map[string]int{},
 		random:             random,
 		enginePolicy:       placement.NewSharedEnginePolicy(random, false),
 		strictEnginePolicy: placement.NewSharedEnginePolicy(random, true),
 		plainPolicy:        placement.NewSharedPlainPolicy(random),
+		migrationPolicy:    placement.NewMigrationPolicy(random),
 	}
 }
 
@@ -83,13 +91,15 @@
 		if service == nil {
 			continue
 		}
+		l := t.limitsOf(name, s.Configuration.Routes)
 		for _, listed := range list {
 			e := previous[listed.ID]
-			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
+			known := e != nil && e.SameIncarnation(&listed.Endpoint)
+			if !known {
 				e = &endpoint{service: service, statement: t.statements.of(&listed.Endpoint)}
 				t.setOthers(now, e, t.others[listed.ID])
 			}
-			wasOut := e.dataCentreOut
+			wasOut, wasLeaving := e.dataCentreOut, e.isLeaving()
 			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
 			if listed.ColdUntil.Add(coldMargin).After(e.coldUntil) && listed.ColdFor > 0 {
 				e.coldUntil = listed.ColdUntil.Add(coldMargin)
@@ -98,6 +108,9 @@
 				// The endpoint may have restarted cold while its data centre was out, and its entry may not show that yet.
 				e.coldUntil = now.Add(service.ColdStart + coldMargin)
 			}
+			if known && !wasLeaving && e.isLeaving() {
+				l.reserve.RecordDeparture(now, len(list))
+			}
 			t.endpoints[e.ID] = e
 			t.services[name] = append(t.services[name], e)
 		}
@@ -168,6 +181,9 @@
 func (t *Table) RecordLeaving(now time.Time, e *catalog.Endpoint) bool {
 	s := t.statementOf(now, e)
 	isNew := !s.leaving
+	if l := t.limits[e.Service]; isNew && l != nil && !t.listedAsLeaving(e) {
+		l.reserve.RecordDeparture(now, len(t.services[e.Service]))
+	}
 	s.leaving = true
 	return isNew
 }
@@ -202,20 +218,6 @@
 	return left
 }
 
-// RecordRequest counts a new request of a service, on which its retry budget depends.
-func (t *Table) RecordRequest(now time.Time, service string) {
-	t.retryBudget(service).RecordRequest(now)
-}
-
-func (t *Table) retryBudget(service string) *retry.WindowBudget {
-	b := t.budgets[service]
-	if b == nil {
-		b = retry.NewWindowBudget(t.params.RetryWindow)
-		t.budgets[service] = b
-	}
-	return b
-}
-
 // RecordFirstEvent records the first event of a run, after which its prompt no longer counts as prefill load.
 func (t *Table) RecordFirstEvent(number uint64) {
 	r := t.runs[number]
@@ -233,6 +235,7 @@
 		return
 	}
 	delete(t.runs, number)
+	t.removeUsage(r)
 	t.ownLoadChanged = true
 	e := r.endpoint
 	e.advanceUsage(now)
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -39,7 +39,7 @@
 	r.usage = e.usage
 	switch {
 	case m.FirstEvent > 0 && r.prefill > 0:
-		s.ObserveFirstEvent(now, &e.speed, m.FirstEvent.Seconds(), float64(r.promptTokens))
+		s.ObserveFirstEvent(now, &e.speed, m.FirstEvent.Seconds(), float64(r.prefillAhead+r.prefill))
 	case m.Answer > 0 && e.service.Engine == nil:
 		s.ObserveAnswer(now, &e.speed, m.Answer.Seconds(), inFlight)
 	case known && m.Events >= minMeasuredEvents && m.Elapsed > 0:
@@ -144,6 +144,8 @@
 		plain, strict, lenient = t.speed.plain, t.speed.strictEngine, t.speed.engine
 	}
 	switch {
+	case t.params.OrderedAdmission && r.Tokens > 0:
+		return t.orderedPolicies(r, strict, lenient)
 	case r.SpareMemoryOnly, r.Tokens > 0 && r.RequireMemoryFit:
 		return []*placement.Policy{strict}
 	case r.Tokens > 0:
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -14,6 +14,7 @@
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/decision/overload"
 )
 
 const (
@@ -41,14 +42,25 @@
 	leaving  map[uint64]*leavingRun
 
 	speedMetrics speedMetrics
+	// queue holds the requests that wait in order where ordered admission is on, held their messages.
+	queue *dispatch.Queue
+	held  map[*dispatch.HeldRequest]placeMessage
+	// ownPressure publishes what waits at this node. pressureAt is the time of the last publication, pressurePublished is set if
+	// something waited then.
+	ownPressure       *latest.Value[overload.Pressure]
+	pressureAt        time.Time
+	pressurePublished bool
+	metrics           *overloadMetrics
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	table := dispatch.NewTable(time.Now(), p, random)
 	return &dispatcher{
-		log: log, table: dispatch.NewTable(time.Now(), p, random), cluster: cluster,
+		log: log, table: table, cluster: cluster, queue: dispatch.NewQueue(table), held: map[*dispatch.HeldRequest]placeMessage{},
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
-		leaving: map[uint64]*leavingRun{}, speedMetrics: speedMetrics{scope: tally.NoopScope},
+		leaving: map[uint64]*leavingRun{}, speedMetrics: speedMetrics{scope: tally.NoopScope}, ownPressure: latest.New(overload.Pressure{}),
+		metrics: newOverloadMetrics(tally.NoopScope),
 	}
 }
 
@@ -60,7 +72,7 @@
 	d.applyState(state)
 	for {
 		var scan <-chan time.Time
-		if len(d.waiting) > 0 {
+		if len(d.waiting)+len(d.held) > 0 || d.pressurePublished {
 			scan = time.After(scanInterval)
 		}
 		select {
@@ -77,10 +89,14 @@
 			d.table.ExpireOthersLoad(now)
 			d.table.ShareSpeeds(now)
 			d.speedMetrics.record(d.table.SpeedSummaries(now))
+			if d.table.OrdersAdmission() {
+				d.metrics.setState(d.queue.WaitingByPriority(), d.table.Reserves(now))
+			}
 		}
 		if d.table.OwnLoadsChanged() {
 			d.ownLoads.Publish(d.table.OwnLoads())
 		}
+		d.publishPressure(time.Now())
 	}
 }
 
@@ -115,13 +131,18 @@
 	if refusal != "" && refusal != dispatch.RetryBudget && now.Add(retryAfter).Before(m.waitUntil) {
 		return false
 	}
+	d.answer(m, placement, refusal, retryAfter)
+	return true
+}
+
+// answer replies to a request and records a placed run, whose session is notified when its endpoint leaves.
+func (d *dispatcher) answer(m placeMessage, placement dispatch.Placement, refusal dispatch.Refusal, retryAfter time.Duration) {
 	if refusal == "" && m.leaving != nil {
 		d.leaving[placement.Run] = &leavingRun{
 			service: m.request.Service, endpoint: placement.Endpoint.ID, backup: placement.Backup.ID, copyPending: m.request.CopyPending, notify: m.leaving,
 		}
 	}
 	m.reply <- placeReply{placement: placement, refusal: refusal, retryAfter: retryAfter}
-	return true
 }
 
 // enqueue adds a request to the waiting ones, by priority. If there are too many, the request does not wait.
@@ -137,10 +158,11 @@
 
 // retryWaiting tries to place the waiting requests in order and drops those whose callers are gone.
 func (d *dispatcher) retryWaiting() {
+	now := time.Now()
+	d.scanHeld(now)
 	if len(d.waiting) == 0 {
 		return
 	}
-	now := time.Now()
 	d.waiting = slices.DeleteFunc(d.waiting, func(m placeMessage) bool {
 		select {
 		case <-m.callerGone:
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -66,6 +66,7 @@
 	n.view = newView(logging.For(log, logging.Configuration), n.self, d.Translate)
 	n.dispatcher = newDispatcher(logging.For(log, logging.Dispatcher), dispatchParams(s), n.view.current)
 	n.dispatcher.speedMetrics.scope = d.Metrics.Scope.SubScope("dispatcher")
+	n.dispatcher.metrics = newOverloadMetrics(d.Metrics.Scope.SubScope("admission"))
 	n.hub = peer.NewHub(logging.For(log, logging.Peer), peer.Options{
 		NodeID: s.Node.ID, TrustedNetwork: s.Peers.TrustedNetwork, Scope: d.Metrics.Scope.SubScope("peer"),
 	})
@@ -74,7 +75,7 @@
 		messages: mailbox.New[peersMessage](peersCapacity), others: newOthersLoadReceiver(n.dispatcher.messages),
 		ownLoads: n.dispatcher.ownLoads, duty: gather.NewRelayDuty(),
 		reporter: gather.NewReporter(rand.Uint64()), sums: gather.NewLoadSums(rand.Uint64()), topology: n.view.topology,
-		hints: mailbox.New[revisionHint](hintCapacity),
+		hints: mailbox.New[revisionHint](hintCapacity), pressure: newPressureExchange(n.dispatcher),
 	}
 	n.peers.register()
 	handleSync(n.hub, n.view.current, n.view.messages)
@@ -89,6 +90,7 @@
 	if s.Features.CallerBuffers {
 		n.server.buffers = newBufferKeeper(int64(callerBufferShare*float64(s.Limits.MemoryMB)*1e6), d.Metrics.Scope.SubScope("gateway"))
 	}
+	n.server.orderedAdmission.Store(s.Features.OrderedAdmission)
 	return n
 }
 
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -30,12 +30,8 @@
 	if err := s.checkStop(); err != nil {
 		return nil, err
 	}
-	if err := s.awaitQuarantine(ctx); err != nil {
-		return nil, err
-	}
-	up, err := s.place(ctx, o)
+	up, err := s.placeChecked(ctx, o)
 	if err != nil {
-		s.releaseTrial()
 		return nil, err
 	}
 	// The node may have begun to stop while the request waited for its endpoint.
@@ -121,7 +117,7 @@
 // place requests an endpoint from the dispatcher.
 func (s *session) place(ctx context.Context, o sendOptions) (*upstream, error) {
 	leaving := make(chan departure, 2)
-	m := placeMessage{request: s.placement(), first: s.sends == 0, priority: s.priority(), leaving: leaving}
+	m := placeMessage{request: s.placement(), id: s.request.ID, first: s.sends == 0, priority: s.priority(), leaving: leaving}
 	m.waitUntil = s.request.Received.Add(s.route.FirstByteObjective / waitDivisor)
 	if o.continues() {
 		m.request.ForceRepeat, m.request.Resumed, m.request.SpareMemoryOnly, m.request.CopyPending = true, true, o.spareMemoryOnly, o.copyPending
@@ -131,6 +127,9 @@
 	if m.waitUntil.After(s.deadline) {
 		m.waitUntil = s.deadline
 	}
+	if !o.continues() {
+		m.held = s.heldRequest(m.request, m.waitUntil)
+	}
 	reply, err := s.server.placer.place(ctx, m)
 	switch {
 	case err != nil:
@@ -150,6 +149,9 @@
 		Endpoint: placement.Endpoint.ID, Address: placement.Endpoint.Address, Deadline: s.deadline, Backup: placement.Backup.Address,
 		LastEvent: o.lastEvent,
 	}
+	if s.server.orderedAdmission.Load() && s.request.PromptTokens > 0 {
+		a.Priority, a.HasPriority = min(maxEnginePriority, max(0, s.priority())), true
+	}
 	if s.workspace != nil {
 		a.Workspace = s.workspace.Name
 	}
