Leave room for more urgent requests only where they need it

Urgent requests were held for 0.5 to 1 s and long ones until just before they were late, while engines had free memory and no prompts. Change: room is left only for requests that can be in time, of a more urgent priority, or of the same one if the request is late or its workspace above its share, and only on as many engines as they need; requests are no longer raised by level, and after half of their time they leave no room. Long runs leave free what short ones use, and late ones take at most 0.6 of the rest. A request that has not waited does not take part in the draw.

--- a/decision/dispatch/held_request.go
+++ b/decision/dispatch/held_request.go
@@ -16,13 +16,16 @@
 	RunTime time.Duration
 	// HeldSince is the time at which the request was offered.
 	HeldSince time.Time
+	// hasWaited is set once the request was considered and had to wait.
+	hasWaited bool
 }
 
 // shape returns what the request needs of an engine.
 func (h *HeldRequest) shape(now time.Time, share overload.FairShare) overload.Shape {
 	return overload.Shape{
-		Service: h.Request.Service, Rank: h.Rank(now, share), Level: h.Level(now), Long: h.Request.isLong(), Late: h.IsLate(now), FirstEventBy: h.Request.FirstEventBy,
-		Tokens: h.Request.Tokens, PromptTokens: h.Request.PromptTokens,
+		Service: h.Request.Service, Rank: h.Rank(now, share), Long: h.Request.isLong(), Late: h.IsLate(now),
+		FirstEventBy: h.Request.FirstEventBy,
+		Tokens:       h.Request.Tokens, PromptTokens: h.Request.PromptTokens,
 	}
 }
 
--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -12,11 +12,16 @@
 // engine can't use it: 64 tokens take about as long as the notice of a departure.
 const longOutputTokens = 64
 
+// lateShare is the share of their memory that long requests may take once they have missed their objective. The rest is for requests
+// that can still be in time, which are worth more to their callers.
+const lateShare = 0.6
+
 // limits holds what ordered admission knows about the engines of a service.
 type limits struct {
 	urgent  overload.Class
 	rates   overload.PrefillRates
 	reserve overload.Reserve
+	use     overload.MemoryUse
 }
 
 // OrdersAdmission reports whether requests to engines wait at the node for room.
@@ -73,6 +78,12 @@
 		return !r.CopyPending || placement.ExpectedMemoryFilter{}.Permits(&query, &e.candidate)
 	}
 	l, c, engines := t.limits[r.Service], &e.candidate, len(t.services[r.Service])
+	// Only as many engines keep room for more urgent requests as those need.
+	if !r.LeavesAllRoom && t.random.IntN(engines) >= r.MoreUrgent.Requests() {
+		all := r.MoreUrgent
+		r.MoreUrgent = overload.MoreUrgent{}
+		defer func() { r.MoreUrgent = all }()
+	}
 	prefill := overload.PrefillLimit{Urgent: l.urgent, Rates: l.rates, Yields: r.MoreUrgent.Short.Requests > 0}
 	if !prefill.Admits(now, r.Priority, c.Prefill+r.MoreUrgent.HeadroomPrompt(engines), r.prefill(), r.FirstEventBy) {
 		return false
@@ -80,7 +91,10 @@
 	reserve := l.reserve.Share(now)
 	headroom := r.MoreUrgent.HeadroomTokens(engines, r.isLong(), c.UntrackedMemory, c.Capacity, reserve)
 	if r.isLong() {
-		c.Capacity *= 1 - reserve
+		c.Capacity *= 1 - reserve - l.use.ShortShare()
+		if !r.FirstEventBy.IsZero() && now.After(r.FirstEventBy) {
+			c.Capacity *= lateShare
+		}
 	}
 	c.Capacity = max(1, c.Capacity-headroom)
 	return placement.ExpectedMemoryFilter{}.Permits(&query, c)
@@ -122,6 +136,13 @@
 	}
 }
 
+// recordUse records the memory that a run has used.
+func (t *Table) recordUse(now time.Time, r *run) {
+	if l := t.limits[r.endpoint.service.Name]; l != nil && r.tokens > 0 {
+		l.use.Record(now, r.tokens, now.Sub(r.placedAt), r.long)
+	}
+}
+
 // ObservePrefill learns the rate of the service's engines from the first event of a run. It must be called before RecordFirstEvent.
 func (t *Table) ObservePrefill(now time.Time, number uint64) {
 	r := t.runs[number]
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -46,7 +46,7 @@
 	}
 	newRun := &run{
 		endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), prefillAhead: chosen.candidate.Prefill, placedAt: now, resumed: r.Resumed,
-		priority: r.Priority,
+		priority: r.Priority, long: r.isLong(),
 	}
 	placed.BySpeed, placed.Slowdown = t.choosesBySpeed(r.Service), chosen.candidate.Slowdown
 	chosen.advanceUsage(now)
--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -86,14 +86,14 @@
 func (q *Queue) expectedWait(now time.Time, h *HeldRequest) time.Duration {
 	var demand overload.MoreUrgent
 	p, shape := q.Others(now), h.shape(now, q.share)
-	p.MoreUrgent(&demand, shape.Service, shape.Rank+1)
+	p.NotLessUrgent(&demand, shape.Service, shape.Rank)
 	var own overload.Pressure
 	for _, o := range q.held {
 		if o != h && o.Request.Tokens > 0 {
 			own.AddWaiting(o.shape(now, q.share))
 		}
 	}
-	own.MoreUrgent(&demand, shape.Service, shape.Rank+1)
+	own.NotLessUrgent(&demand, shape.Service, shape.Rank)
 	return q.table.capacity(shape.Service, h.Priority).ExpectedWait(demand, h.RunTime)
 }
 
@@ -114,8 +114,16 @@
 			scan.Block(shape, false)
 			return false
 		}
-		h.Request.MoreUrgent = scan.MoreUrgent(shape, others)
-		h.Request.Contenders = 1 + others.Requests(shape.Service, shape.Rank)
+		h.Request.MoreUrgent, h.Request.Contenders = overload.MoreUrgent{}, 0
+		if !h.IsAged(now) {
+			h.Request.MoreUrgent = scan.MoreUrgent(shape, others)
+		}
+		h.Request.LeavesAllRoom = q.share.Exceeds(h.Workspace)
+		if h.hasWaited || h.Request.LeavesAllRoom {
+			// All nodes see free memory at about the same moment. A request that arrives later doesn't meet that rush.
+			h.Request.Contenders = 1 + others.Requests(shape.Service, shape.Rank)
+		}
+		h.hasWaited = true
 		d, waits := q.decide(now, h)
 		if waits {
 			scan.Block(shape, d.Refusal == AllEndpointsFull && len(h.Request.Exclude) == 0)
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -40,6 +40,8 @@
 	FirstEventBy time.Time
 	// MoreUrgent is the demand of more urgent requests that wait for the service, to which this one leaves room.
 	MoreUrgent overload.MoreUrgent
+	// LeavesAllRoom is set if the request leaves room for those on every engine, not only on as many as they need.
+	LeavesAllRoom bool
 	// Contenders is the number of waiting requests, this one included, that may see the same free memory and are not less urgent.
 	Contenders int
 	// WithoutLimits is set when the request may no longer wait: it goes to an engine that queues it if it fits on none.
--- a/decision/dispatch/run.go
+++ b/decision/dispatch/run.go
@@ -20,6 +20,8 @@
 	prefillAhead int
 	placedAt     time.Time
 	resumed      bool
-	workspace    string
-	priority     int
+	// long is set if the run holds its memory for long.
+	long      bool
+	workspace string
+	priority  int
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -236,6 +236,7 @@
 	}
 	delete(t.runs, number)
 	t.removeUsage(r)
+	t.recordUse(now, r)
 	t.ownLoadChanged = true
 	e := r.endpoint
 	e.advanceUsage(now)
--- a/decision/overload/more_urgent.go
+++ b/decision/overload/more_urgent.go
@@ -15,6 +15,9 @@
 	m.Short.Merge(c.Demand)
 }
 
+// Requests returns the number of requests.
+func (m MoreUrgent) Requests() int { return m.Long.Requests + m.Short.Requests }
+
 // HeadroomPrompt returns the prompt tokens to leave uncomputed on each of a number of engines.
 func (m MoreUrgent) HeadroomPrompt(engines int) int {
 	return max(m.Long.HeadroomPrompt(engines), m.Short.HeadroomPrompt(engines))
--- a/decision/overload/pressure.go
+++ b/decision/overload/pressure.go
@@ -73,17 +73,26 @@
 	return Pressure{Waiting: p.Waiting, Usage: largest}
 }
 
-// MoreUrgent adds the demand for a service of the requests of a lower rank to m.
-func (p Pressure) MoreUrgent(m *MoreUrgent, service string, rank int) {
+// MoreUrgent adds the demand for a service for which a request of the given rank leaves room to m.
+func (p Pressure) MoreUrgent(m *MoreUrgent, service string, rank Rank) {
+	p.addDemand(m, service, rank.LeavesRoomFor)
+}
+
+// NotLessUrgent adds the demand for a service of the requests that don't have a higher rank to m.
+func (p Pressure) NotLessUrgent(m *MoreUrgent, service string, rank Rank) {
+	p.addDemand(m, service, func(o Rank) bool { return o <= rank })
+}
+
+func (p Pressure) addDemand(m *MoreUrgent, service string, counts func(Rank) bool) {
 	for _, c := range p.Waiting {
-		if c.Service == service && c.Rank < rank {
+		if c.Service == service && counts(c.Rank) {
 			m.Add(c)
 		}
 	}
 }
 
 // Requests returns the number of requests that wait for a service and don't have a higher rank.
-func (p Pressure) Requests(service string, rank int) int {
+func (p Pressure) Requests(service string, rank Rank) int {
 	n := 0
 	for _, c := range p.Waiting {
 		if c.Service == service && c.Rank <= rank {
--- a/decision/overload/shape.go
+++ b/decision/overload/shape.go
@@ -5,8 +5,7 @@
 // Shape is what a waiting request needs of an engine.
 type Shape struct {
 	Service string
-	// Rank is that of the request, Level its priority after ageing.
-	Rank, Level int
+	Rank    Rank
 	// Long is set for a run that holds its memory for long.
 	Long bool
 	// Late is set if the objective can't be reached.
--- a/decision/overload/waiting_request.go
+++ b/decision/overload/waiting_request.go
@@ -20,27 +20,10 @@
 	HoldUntil time.Time
 }
 
-// Level returns the priority after ageing. A request that can still reach its objective is raised by one level when half of the time
-// that it may wait for that has passed, and by a further one each time that half of the rest has passed, up to the most urgent priority,
-// so that no class starves. It is not raised above it: in simulation, others then left room to requests that could hardly be in time
-// any more. A late request is not raised, because it would make those of its own class late that still can be in time.
-func (w *WaitingRequest) Level(now time.Time) int {
-	if w.IsLate(now) {
-		return w.Priority
-	}
-	until := w.HoldUntil
-	if last := w.FirstEventBy.Add(-w.FirstEventTime); !w.FirstEventBy.IsZero() && last.Before(until) {
-		until = last
-	}
-	level, left, remaining := w.Priority, until.Sub(w.Arrived), until.Sub(now)
-	for level > 0 {
-		left /= 2
-		if left <= 0 || remaining > left {
-			break
-		}
-		level--
-	}
-	return level
+// IsAged reports whether the request has waited for half of the time that it may wait. It then no longer leaves room for more urgent
+// requests, so that no class starves behind another one.
+func (w *WaitingRequest) IsAged(now time.Time) bool {
+	return now.Sub(w.Arrived) > w.HoldUntil.Sub(w.Arrived)/2
 }
 
 // IsLate reports whether the request can no longer reach its objective.
@@ -48,17 +31,9 @@
 	return !w.FirstEventBy.IsZero() && now.Add(w.FirstEventTime).After(w.FirstEventBy)
 }
 
-// Rank returns the rank to which others leave room, on all nodes: by priority after ageing, then those that can reach their objective,
-// then the workspaces that use no more than their fair share.
-func (w *WaitingRequest) Rank(now time.Time, share FairShare) int {
-	rank := 4 * w.Level(now)
-	if w.IsLate(now) {
-		rank += 2
-	}
-	if share.Exceeds(w.Workspace) {
-		rank++
-	}
-	return rank
+// Rank returns the rank of the request among those that wait at all nodes.
+func (w *WaitingRequest) Rank(now time.Time, share FairShare) Rank {
+	return NewRank(w.Priority, w.IsLate(now), share.Exceeds(w.Workspace))
 }
 
 // Compare orders two waiting requests: by rank, then the workspace with the smaller usage, then the deadline.
--- a/service/edge/dispatcher_held.go
+++ b/service/edge/dispatcher_held.go
@@ -51,7 +51,7 @@
 func (d *dispatcher) logDecision(now time.Time, m placeMessage, decision dispatch.Decision, held time.Duration) {
 	h := decision.Held
 	d.log.Info("wait for room ended", zap.String("request", m.id), zap.String("service", h.Request.Service),
-		zap.String("workspace", h.Workspace), zap.Int("priority", h.Priority), zap.Int("level", h.Level(now)), zap.Bool("late", h.IsLate(now)),
+		zap.String("workspace", h.Workspace), zap.Int("priority", h.Priority), zap.Bool("late", h.IsLate(now)),
 		zap.Duration("held", held), zap.Duration("left", h.HoldUntil.Sub(now)), zap.String("endpoint", decision.Placement.Endpoint.ID),
 		zap.String("refusal", string(decision.Refusal)), zap.Bool("without_limits", h.Request.WithoutLimits),
 		zap.Int("prompt_tokens", h.Request.PromptTokens), zap.Int("tokens", h.Request.Tokens), zap.Int("prefill", decision.Placement.Prefill),
