--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -165,17 +164,6 @@
 	return loads
 }
 
-// BusyEngines returns the model engines that run requests of this node and are not known to be leaving.
-func (t *Table) BusyEngines() []fleet.Endpoint {
-	var busy []fleet.Endpoint
-	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
-		if e := t.endpoints[id]; e.service.Engine != nil && e.own.InFlight > 0 && !e.isLeaving() {
-			busy = append(busy, e.Endpoint)
-		}
-	}
-	return busy
-}
-
 // RecordLeaving records that an endpoint itself has said that it is leaving, which its entry may not show yet. It reports whether
 // that is new.
 func (t *Table) RecordLeaving(now time.Time, e *catalog.Endpoint) bool {
--- a/service/edge/busy_engines_message.go
+++ b/service/edge/busy_engines_message.go
@@ -4,9 +4,15 @@
 
 // busyEnginesMessage asks for the engines that are running requests sent by this node.
 type busyEnginesMessage struct {
-	reply chan<- []fleet.Endpoint
+	// backedUp includes the engines whose runs all have a backup.
+	backedUp bool
+	reply    chan<- []fleet.Endpoint
 }
 
 func (m busyEnginesMessage) apply(d *dispatcher) {
-	m.reply <- d.table.BusyEngines()
+	if m.backedUp {
+		m.reply <- d.table.BusyEngines()
+		return
+	}
+	m.reply <- d.table.EnginesWithoutBackup()
 }
--- a/service/edge/prober.go
+++ b/service/edge/prober.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// probeStateAge is the age of the cluster state from which the engines are probed. Engines announce their departure at least
-	// 1.5 s ahead, and moving a run takes up to half a second. The state is seldom that old while the store answers.
+	// probeStateAge is the age of the cluster state from which the engines of runs without a backup are probed. Engines announce their
+	// departure at least 1.5 s ahead, and moving a run takes up to half a second. The state may be that old while the store answers, so
+	// the other engines are probed from maxStateAge on: their runs can continue at the backup.
 	probeStateAge = 900 * time.Millisecond
 	// probeInterval is the interval of the probes while the store does not answer. Each probe is charged.
 	probeInterval = 400 * time.Millisecond
@@ -41,17 +42,18 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if state := p.cluster.Load(); state.Revision > 0 && bootclock.Now().Sub(state.ConfirmedAt) > probeStateAge {
-				p.probeAll(ctx)
+			state := p.cluster.Load()
+			if age := bootclock.Now().Sub(state.ConfirmedAt); state.Revision > 0 && age > probeStateAge {
+				p.probeAll(ctx, age > maxStateAge)
 			}
 		}
 	}
 }
 
-// probeAll probes all busy engines concurrently and waits for the results.
-func (p *prober) probeAll(ctx context.Context) {
+// probeAll probes the busy engines concurrently, with those whose runs all have a backup or without them, and waits for the results.
+func (p *prober) probeAll(ctx context.Context, backedUp bool) {
 	engines, err := mailbox.Call(ctx, p.dispatcher, func(reply chan<- []fleet.Endpoint) dispatcherMessage {
-		return busyEnginesMessage{reply: reply}
+		return busyEnginesMessage{backedUp: backedUp, reply: reply}
 	})
 	if err != nil {
 		return
--- a/service/edge/prober_test.go
+++ b/service/edge/prober_test.go
@@ -23,7 +23,7 @@
 	return exchange.Report{Leaving: true}, nil
 }
 
-// Guards against runs that are lost because their engine announces its departure just after the store has fallen silent: with a notice
+// Guards against engines that are probed, which is charged, although their runs can continue at a backup, and against runs that are lost because their engine announces its departure just after the store has fallen silent: with a notice
 // of 1.5 s and half a second for moving the run, the node must hear of it within a second.
 func TestDepartureIsFoundSoonAfterTheStoreFellSilent(t *testing.T) {
 	for age, wantProbe := range map[time.Duration]bool{500 * time.Millisecond: false, 950 * time.Millisecond: true} {
@@ -39,6 +39,7 @@
 				case m := <-messages.Receive():
 					switch m := m.(type) {
 					case busyEnginesMessage:
+						assert.Assert(t, !m.backedUp)
 						m.reply <- []fleet.Endpoint{{}}
 					case endpointStatementMessage:
 						leaving++
