Scan held requests also while messages arrive often

Cause: the task of the dispatcher started the timer of the next scan again after each message. While messages came more often than every 25 ms, as measurements and first events of 40 streams do, only some kinds of messages led to a scan, and requests were held beyond their time. Change: a timer that was started runs until it fires or nothing waits. Result: TestMessagesDoNotPostponeScans failed before (no reply 100 ms after the end of the wait) and passes now.

--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -70,9 +70,12 @@
 	defer expire.Stop()
 	state, changed := d.cluster.Watch()
 	d.applyState(state)
+	var scan <-chan time.Time
 	for {
-		var scan <-chan time.Time
-		if len(d.waiting)+len(d.held) > 0 || d.pressurePublished {
+		// Messages leave the timer as it is. If each started it again, frequent ones would postpone every scan.
+		if len(d.waiting)+len(d.held) == 0 && !d.pressurePublished {
+			scan = nil
+		} else if scan == nil {
 			scan = time.After(scanInterval)
 		}
 		select {
@@ -84,6 +87,7 @@
 			state, changed = d.cluster.Watch()
 			d.applyState(state)
 		case <-scan:
+			scan = nil
 			d.retryWaiting()
 		case now := <-expire.C:
 			d.table.ExpireOthersLoad(now)
--- a/service/edge/dispatcher_held_test.go
+++ b/service/edge/dispatcher_held_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,9 @@
 // newOrderedDispatcher returns a dispatcher with ordered admission and one engine with memory for 10,000 tokens.
 func newOrderedDispatcher() *dispatcher {
 	p := dispatch.Params{RetryWindow: time.Second, OrderedAdmission: true}
-	d := newDispatcher(zap.NewNop(), p, latest.New(&clusterState{}))
-	d.applyState(&clusterState{Fleet: engineSnapshot([]string{"a"})})
+	state := &clusterState{Fleet: engineSnapshot([]string{"a"})}
+	d := newDispatcher(zap.NewNop(), p, latest.New(state))
+	d.applyState(state)
 	return d
 }
 
@@ -62,3 +64,21 @@
 		assert.Equal(t, len(held), 1)
 	})
 }
+
+// Guards against requests that are held beyond their time because frequent messages postpone every scan.
+func TestMessagesDoNotPostponeScans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		d := newOrderedDispatcher()
+		running := <-offer(d, 0, 9000, time.Second)
+		held := offer(d, 0, 6000, time.Second)
+		assert.Equal(t, len(held), 0)
+		go d.run(ctx)
+		for range 110 {
+			time.Sleep(10 * time.Millisecond)
+			d.messages.TrySend(measurementMessage{run: running.placement.Run})
+		}
+		assert.Equal(t, len(held), 1)
+	})
+}
