Never send a held request that its second check refused

Cause: the refusal of the check after a long wait is a NotRun verdict, after which mayRetry allowed another attempt. If an endpoint had room by then, that attempt waited for less than 100 ms, was not checked, and the request was sent although its key was revoked. If its route was gone, the attempt used a nil route. Change: refusals of the check are final, and a request keeps its route until there is another one.

--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -102,13 +102,15 @@
 	}
 	age := s.server.stateAge()
 	stale := age > s.server.revokeBound()-revokeMargin
-	s.route = c.Route(s.request.Host, s.request.URL.Path)
-	if s.route == nil {
+	route := c.Route(s.request.Host, s.request.URL.Path)
+	if route == nil {
 		if stale {
 			return s.staleError(age)
 		}
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownPath, "no route for %s %s in configuration version %d", s.request.Host, s.request.URL.Path, c.Version)
 	}
+	// A request that is checked again keeps its route until there is another one.
+	s.route = route
 	s.setDeadline()
 	if !c.NeedsNoKeys && !s.route.Public {
 		if stale {
@@ -147,8 +149,14 @@
 // mayRetry reports whether the request may be sent to another endpoint after an error.
 func (s *session) mayRetry(ctx context.Context, err error) bool {
 	v := verdict.Of(err)
-	if ctx.Err() != nil || s.sends >= maxSends || v.Reason == verdict.ReasonNoEndpoint || v.Reason == verdict.ReasonCancelled ||
-		v.Reason == verdict.ReasonQuarantined || v.Reason == verdict.ReasonStopping {
+	if ctx.Err() != nil || s.sends >= maxSends {
+		return false
+	}
+	switch v.Reason {
+	case verdict.ReasonNoEndpoint, verdict.ReasonCancelled, verdict.ReasonQuarantined, verdict.ReasonStopping:
+		return false
+	case verdict.ReasonUnauthorized, verdict.ReasonUnknownPath, verdict.ReasonStale, verdict.ReasonNoConfiguration:
+		// The request was checked again after a wait and may not run any more.
 		return false
 	}
 	switch v.Verdict {
--- a/service/edge/session_recheck_test.go
+++ b/service/edge/session_recheck_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -13,6 +15,7 @@
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/verdict"
+	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	decision "azuredyke.dev/azuredyke/decision/quarantine"
 	"azuredyke.dev/azuredyke/service/quarantine"
@@ -65,3 +68,43 @@
 	cluster.Publish(keyedState("other", false))
 	check(false, verdict.ReasonUnauthorized)
 }
+
+// Guards against a request that is sent after all, or whose task fails, because its refusal by the second check counts as one that
+// another attempt may repair.
+func TestHeldRequestIsRefusedByTheSecondCheck(t *testing.T) {
+	for reason, changed := range map[verdict.Reason]*clusterState{
+		verdict.ReasonUnauthorized: keyedState("s", false), verdict.ReasonUnknownPath: {Fleet: &fleet.Snapshot{Configuration: &catalog.Configuration{}}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			d := newOrderedDispatcher()
+			running := <-offer(d, 0, 9000, time.Second)
+			go d.run(ctx)
+			manager := quarantine.NewManager(zap.NewNop(), quarantine.NoPeers{})
+			go manager.Run(ctx)
+			now := bootclock.Now()
+			state := keyedState("s", true)
+			state.ConfirmedAt, changed.ConfirmedAt = now, now
+			cluster, sender, caller := latest.New(state), &failingSender{}, &recordedCaller{}
+			server := &Server{
+				log: zap.NewNop(), cluster: cluster, quarantine: manager, graceEnd: newGraceEnd(), placer: placer{messages: d.messages},
+				sender: sender, metrics: newServerMetrics(tally.NoopScope), liveness: alive{},
+			}
+			server.revokeAfter.Store(int64(time.Minute))
+			server.orderedAdmission.Store(true)
+			time.AfterFunc(200*time.Millisecond, func() {
+				cluster.Publish(changed)
+				d.messages.TrySend(releaseMessage{run: running.placement.Run, outcome: dispatch.Succeeded})
+			})
+			request := &exchange.Request{
+				ID: "x", Host: "h", URL: mustParse(t, "/a"), APIKey: "k", Received: time.Now(), PromptTokens: 70, MaxTokens: 2500, LengthHint: 2500,
+			}
+			server.Serve(ctx, request, caller)
+			assert.Equal(t, time.Since(request.Received), 200*time.Millisecond)
+			assert.Equal(t, sender.sent, 0)
+			assert.Equal(t, caller.refusal.Reason, reason)
+			assert.Equal(t, caller.refusal.Verdict, verdict.NotRun)
+		})
+	}
+}
