Try aged requests although newer ones found no room

Cause: within a scan, a request that found no endpoint stands for those of its class that need as much or more. The newer one of two requests leaves room for more urgent ones, an aged one does not, so that an aged request behind a newer one was not tried. Change: a request stands for an aged one only if it is aged itself.

--- a/decision/dispatch/held_request.go
+++ b/decision/dispatch/held_request.go
@@ -23,7 +23,7 @@
 // shape returns what the request needs of an engine.
 func (h *HeldRequest) shape(now time.Time, share overload.FairShare) overload.Shape {
 	return overload.Shape{
-		Service: h.Request.Service, Rank: h.Rank(now, share), Long: h.Request.isLong(), Late: h.IsLate(now),
+		Service: h.Request.Service, Rank: h.Rank(now, share), Long: h.Request.isLong(), Late: h.IsLate(now), Aged: h.IsAged(now),
 		FirstEventBy: h.Request.FirstEventBy,
 		Tokens:       h.Request.Tokens, PromptTokens: h.Request.PromptTokens,
 	}
--- a/decision/dispatch/queue_test.go
+++ b/decision/dispatch/queue_test.go
@@ -67,3 +67,21 @@
 		assert.Equal(t, decisions[0].Refusal, want)
 	}
 }
+
+// Guards against an aged request that is not tried because a newer one, which leaves room for more urgent ones, found none.
+func TestQueueTriesAgedRequestsBehindNewerOnes(t *testing.T) {
+	table, _ := newOrderedTable("a")
+	q := NewQueue(table)
+	q.Offer(start, newHeld("w", 2, 5000))
+	running := q.Offer(start, newHeld("w", 2, 4000))[0].Placement.Run
+	aged, urgent, newer := newHeld("w", 2, 3000), newHeld("w", 0, 6000), newHeld("w", 2, 3000)
+	assert.Equal(t, len(q.Offer(start, aged)), 0)
+	now := start.Add(3 * time.Second)
+	urgent.Arrived, urgent.HoldUntil = now, now.Add(4*time.Second)
+	newer.Arrived, newer.HoldUntil, newer.Deadline = now, now.Add(3*time.Second), now.Add(4*time.Second)
+	assert.Equal(t, len(q.Offer(now, urgent))+len(q.Offer(now, newer)), 0)
+	table.Release(now, running, Succeeded)
+	decisions := q.Scan(now, nil)
+	assert.Equal(t, len(decisions), 1)
+	assert.Assert(t, decisions[0].Held == aged)
+}
--- a/decision/overload/scan_test.go
+++ b/decision/overload/scan_test.go
@@ -16,6 +16,9 @@
 	other, urgent, late, patient := large, large, large, large
 	other.Service, urgent.Rank, late.Late, patient.FirstEventBy = "o", 0, true, after(2000)
 	assert.Assert(t, !s.IsHopeless(other) && !s.IsHopeless(urgent) && !s.IsHopeless(late) && !s.IsHopeless(patient))
+	aged := large
+	aged.Aged = true
+	assert.Assert(t, !s.IsHopeless(aged))
 	assert.Equal(t, s.MoreUrgent(small, Pressure{}), MoreUrgent{})
 	less := small
 	less.Rank = 2
