Don't interrupt a writer that has nothing to write

Cause: a stream that ends without an event, as when a caller resumes after the last one, sends its header last and then stops its writer. The writer had not run yet, so that the caller's connection was interrupted and the complete answer was cut. Change: only a writer with unwritten parts is interrupted.

--- a/service/edge/caller_output.go
+++ b/service/edge/caller_output.go
@@ -151,7 +151,10 @@
 		select {
 		case <-o.writer.done:
 		default:
-			o.caller.Interrupt()
+			// A writer without parts ends at once. Interrupting it would cut the end of a complete answer.
+			if o.buffered > 0 {
+				o.caller.Interrupt()
+			}
 			<-o.writer.done
 		}
 	}
