Count the load of other nodes until it is replaced

Cause: a complete report first cleared the others' load of every endpoint, without adding the time until then to its usage. The mean requests in flight, by which measured times between events are explained, left out the other nodes. Change: the usage is advanced before the load is cleared. Result: TestUsageCountsOthersLoadUntilItIsReplaced failed before (0 instead of 4) and passes now.

--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -119,7 +119,7 @@
 
 // SetOthersLoad replaces the others' load, which is the total load of all other nodes.
 func (t *Table) SetOthersLoad(now time.Time, loads []Load) {
-	t.clearOthersLoad()
+	t.clearOthersLoad(now)
 	t.UpdateOthersLoad(now, loads)
 }
 
@@ -134,9 +134,10 @@
 	}
 }
 
-func (t *Table) clearOthersLoad() {
+func (t *Table) clearOthersLoad(now time.Time) {
 	clear(t.others)
 	for _, e := range t.endpoints {
+		e.advanceUsage(now)
 		e.others = Load{}
 	}
 }
@@ -144,7 +145,7 @@
 // ExpireOthersLoad clears the others' load if it was not reported within othersLoadExpiry.
 func (t *Table) ExpireOthersLoad(now time.Time) {
 	if now.Sub(t.othersUpdatedAt) >= othersLoadExpiry {
-		t.clearOthersLoad()
+		t.clearOthersLoad(now)
 	}
 }
 
--- a/decision/dispatch/usage_test.go
+++ b/decision/dispatch/usage_test.go
@@ -20,3 +20,14 @@
 	inFlight, busy, ok := u.meanSince(first)
 	assert.Assert(t, ok && inFlight > 6.99 && inFlight < 7.01 && busy > 0.24 && busy < 0.26, "%v %v", inFlight, busy)
 }
+
+// Guards against a mean load without the requests of the other nodes, because their load is cleared before it is replaced.
+func TestUsageCountsOthersLoadUntilItIsReplaced(t *testing.T) {
+	table, _ := newTable(0, "a")
+	loads := []Load{{Endpoint: "a", InFlight: 4, Tokens: 100}}
+	table.SetOthersLoad(start, loads)
+	table.SetOthersLoad(start.Add(time.Second), loads)
+	assert.Equal(t, table.endpoints["a"].usage.inFlight, 4.0)
+	table.ExpireOthersLoad(start.Add(time.Second + othersLoadExpiry))
+	assert.Equal(t, table.endpoints["a"].usage.inFlight, 4*(1+othersLoadExpiry.Seconds()))
+}
