Count a request once for the retry budget

Cause: a request counted as a new one with each placement before its first attempt. One that was placed again after its second check counted twice, which raised the number of repeats that the budget allows. Change: the session keeps whether it was counted. Result: TestRequestAddsToTheRetryBudgetOnce failed before and passes now.

--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -117,7 +117,8 @@
 // place requests an endpoint from the dispatcher.
 func (s *session) place(ctx context.Context, o sendOptions) (*upstream, error) {
 	leaving := make(chan departure, 2)
-	m := placeMessage{request: s.placement(), id: s.request.ID, first: s.sends == 0, priority: s.priority(), leaving: leaving}
+	m := placeMessage{request: s.placement(), id: s.request.ID, first: !s.counted, priority: s.priority(), leaving: leaving}
+	s.counted = true
 	m.waitUntil = s.request.Received.Add(s.route.FirstByteObjective / waitDivisor)
 	if o.continues() {
 		m.request.ForceRepeat, m.request.Resumed, m.request.SpareMemoryOnly, m.request.CopyPending = true, true, o.spareMemoryOnly, o.copyPending
--- a/service/edge/send_test.go
+++ b/service/edge/send_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"azuredyke.dev/azuredyke/common/catalog"
+	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/common/verdict"
 )
 
@@ -33,3 +35,18 @@
 		assert.Equal(t, caller.refusal.Verdict, verdict.NotRun)
 	})
 }
+
+// Guards against a retry budget above its bound, because a request that is placed again after a wait counts as two.
+func TestRequestAddsToTheRetryBudgetOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		messages := mailbox.New[dispatcherMessage](2)
+		s := &session{server: &Server{placer: placer{messages: messages}}, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
+		for _, first := range []bool{true, false} {
+			go func() { _, _ = s.place(t.Context(), sendOptions{}) }()
+			m := (<-messages.Receive()).(placeMessage)
+			assert.Equal(t, m.first, first)
+			m.reply <- placeReply{}
+			synctest.Wait()
+		}
+	})
+}
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -48,7 +48,9 @@
 	// sends counts the attempts, arrivals those for which a connection was opened, and runs those that ran or may have run the
 	// request.
 	sends, arrivals, runs int
-	triedEndpoints        []string
+	// counted is set once the request was added to the retry budget.
+	counted        bool
+	triedEndpoints []string
 	// copyEndpoint is the endpoint that holds a copy of the memory of a run that ended without an answer. Its ID is empty if
 	// there is none.
 	copyEndpoint fleet.Endpoint
