Derive Retry-After from the requests that still wait

Cause: the expected wait of a refused request was computed while the scan removed others from the list, so that it counted some that still wait twice and could count some that had just been sent. It was also computed anew for each request that a stopping node refused. Change: the times are set after the scan.

--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -63,7 +63,9 @@
 		q.held = q.held[:last]
 		overflow.HoldUntil, overflow.WaitUntil = now, now
 		d, _ := q.decide(now, overflow)
-		decisions = append(decisions, d)
+		refused := []Decision{d}
+		q.setRetryAfter(now, refused)
+		decisions = append(decisions, refused...)
 	}
 	return decisions
 }
@@ -132,9 +134,19 @@
 		decisions = append(decisions, d)
 		return true
 	})
+	q.setRetryAfter(now, decisions)
 	return decisions
 }
 
+// setRetryAfter sets the times after which requests for which there was no room are told to come back. They depend on what still waits.
+func (q *Queue) setRetryAfter(now time.Time, decisions []Decision) {
+	for i := range decisions {
+		if d := &decisions[i]; d.Refusal == AllEndpointsFull || d.Refusal == LeftToOthers {
+			d.RetryAfter = overload.RetryAfter(q.expectedWait(now, d.Held))
+		}
+	}
+}
+
 // mustDecide reports whether a request can't wait any longer.
 func (q *Queue) mustDecide(now time.Time, h *HeldRequest) bool {
 	return q.stopping || !now.Before(h.HoldUntil)
@@ -160,9 +172,6 @@
 	if d.Refusal == AllEndpointsPaused {
 		d.RetryAfter = q.table.PauseLeft(now, &h.Request)
 	}
-	if last && (d.Refusal == AllEndpointsFull || d.Refusal == LeftToOthers) {
-		d.RetryAfter = overload.RetryAfter(q.expectedWait(now, h))
-	}
 	if d.Refusal == "" || d.Refusal == RetryBudget || last {
 		return d, false
 	}
--- a/decision/dispatch/queue_test.go
+++ b/decision/dispatch/queue_test.go
@@ -85,3 +85,21 @@
 	assert.Equal(t, len(decisions), 1)
 	assert.Assert(t, decisions[0].Held == aged)
 }
+
+// Guards against a Retry-After time by requests that have just been sent or that count twice.
+func TestRetryAfterCountsWhatStillWaits(t *testing.T) {
+	table, _ := newOrderedTable("a")
+	q := NewQueue(table)
+	first := q.Offer(start, newHeld("w", 0, 9000))[0].Placement.Run
+	sent, waiting, last := newHeld("w", 0, 6000), newHeld("w", 0, 9000), newHeld("w", 2, 5000)
+	for _, h := range []*HeldRequest{sent, waiting, last} {
+		assert.Equal(t, len(q.Offer(start, h)), 0)
+	}
+	last.HoldUntil, last.FirstEventBy, last.Deadline = start, start, start.Add(time.Minute)
+	table.Release(start, first, Succeeded)
+	decisions := q.Scan(start, nil)
+	assert.Equal(t, len(decisions), 2)
+	assert.Assert(t, decisions[0].Held == sent && decisions[1].Held == last)
+	// Only the request of 9,000 tokens waits before it on an engine of 10,000.
+	assert.Equal(t, decisions[1].RetryAfter, 900*time.Millisecond)
+}
