Count the tokens of workspaces also without ordered admission

Cause: runs that were placed before ordered admission was enabled by a reload were not counted for their workspace, but were subtracted when they ended, so that its share was too small. Workspaces with plain calls only were reported with zeros. Change: runs on engines are always counted, plain calls never.

--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -120,10 +120,11 @@
 	return r.Contenders > len(t.eligible) && t.random.IntN(r.Contenders) >= len(t.eligible) && len(t.eligible) > 0
 }
 
-// addUsage counts the tokens of a run for its workspace.
+// addUsage counts the tokens of a run for its workspace. It also does so without ordered admission, which can be enabled while runs are
+// open.
 func (t *Table) addUsage(r *run, workspace string) {
 	r.workspace = workspace
-	if t.params.OrderedAdmission {
+	if r.tokens > 0 {
 		t.usage[workspace] += r.tokens
 	}
 }
--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -194,7 +194,9 @@
 func (q *Queue) usage() overload.Pressure {
 	waiting := map[string]int{}
 	for _, h := range q.held {
-		waiting[h.Workspace] += h.Request.Tokens
+		if h.Request.Tokens > 0 {
+			waiting[h.Workspace] += h.Request.Tokens
+		}
 	}
 	var usage []overload.WorkspaceUsage
 	for workspace, used := range q.table.usage {
--- a/decision/dispatch/usage_test.go
+++ b/decision/dispatch/usage_test.go
@@ -31,3 +31,24 @@
 	table.ExpireOthersLoad(start.Add(time.Second + othersLoadExpiry))
 	assert.Equal(t, table.endpoints["a"].usage.inFlight, 4*(1+othersLoadExpiry.Seconds()))
 }
+
+// Guards against shares of workspaces that are too small after ordered admission was enabled while runs were open, and against reports
+// of workspaces that have only plain calls.
+func TestUsageOfWorkspacesSurvivesReload(t *testing.T) {
+	table, s := newOrderedTable("a")
+	p := table.params
+	p.OrderedAdmission = false
+	table.SetParams(p)
+	r := Request{Service: "s", Workspace: "w", PromptTokens: 70, Tokens: 100}
+	early, _ := table.Place(start, r)
+	p.OrderedAdmission = true
+	table.SetParams(p)
+	table.SetSnapshot(start, s)
+	_, refusal := table.Place(start, r)
+	assert.Equal(t, refusal, Refusal(""))
+	table.Release(start, early.Run, Succeeded)
+	assert.Equal(t, table.usage["w"], 100)
+	_, refusal = table.Place(start, Request{Service: "s", Workspace: "plain"})
+	assert.Equal(t, refusal, Refusal(""))
+	assert.Equal(t, len(NewQueue(table).Pressure(start).Usage), 1)
+}
