--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -118,7 +118,7 @@
 
 // SetOthersLoad replaces the others' load, which is the total load of all other nodes.
 func (t *Table) SetOthersLoad(now time.Time, loads []Load) {
-	t.clearOthersLoad()
+	t.clearOthersLoad(now)
 	t.UpdateOthersLoad(now, loads)
 }
 
@@ -133,9 +133,10 @@
 	}
 }
 
-func (t *Table) clearOthersLoad() {
+func (t *Table) clearOthersLoad(now time.Time) {
 	clear(t.others)
 	for _, e := range t.endpoints {
+		e.advanceUsage(now)
 		e.others = Load{}
 	}
 }
@@ -143,7 +144,7 @@
 // ExpireOthersLoad clears the others' load if it was not reported within othersLoadExpiry.
 func (t *Table) ExpireOthersLoad(now time.Time) {
 	if now.Sub(t.othersUpdatedAt) >= othersLoadExpiry {
-		t.clearOthersLoad()
+		t.clearOthersLoad(now)
 	}
 }
 
@@ -205,36 +206,3 @@
 	}
 	return left
 }
-
-// RecordFirstEvent records the first event of a run, after which its prompt no longer counts as prefill load.
-func (t *Table) RecordFirstEvent(number uint64) {
-	r := t.runs[number]
-	if r == nil || r.firstEventReceived {
-		return
-	}
-	r.firstEventReceived, t.ownLoadChanged = true, true
-	r.endpoint.own.Prefill -= r.prefill
-}
-
-// Release ends a run, removes its load and records its outcome for the endpoint.
-func (t *Table) Release(now time.Time, number uint64, o Outcome) {
-	r := t.runs[number]
-	if r == nil {
-		return
-	}
-	delete(t.runs, number)
-	t.removeUsage(r)
-	t.recordUse(now, r)
-	t.ownLoadChanged = true
-	e := r.endpoint
-	e.advanceUsage(now)
-	e.own.InFlight--
-	e.own.Tokens -= r.tokens
-	if !r.firstEventReceived {
-		e.own.Prefill -= r.prefill
-	}
-	e.recordOutcome(now, o)
-	if r.backup != nil {
-		r.backup.own.Tokens -= r.copyTokens
-	}
-}
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -117,7 +117,8 @@
 // place requests an endpoint from the dispatcher.
 func (s *session) place(ctx context.Context, o sendOptions) (*upstream, error) {
 	leaving := make(chan departure, 2)
-	m := placeMessage{request: s.placement(), id: s.request.ID, first: s.sends == 0, priority: s.priority(), leaving: leaving}
+	m := placeMessage{request: s.placement(), id: s.request.ID, first: !s.counted, priority: s.priority(), leaving: leaving}
+	s.counted = true
 	m.waitUntil = s.request.Received.Add(s.route.FirstByteObjective / waitDivisor)
 	if o.continues() {
 		m.request.ForceRepeat, m.request.Resumed, m.request.SpareMemoryOnly, m.request.CopyPending = true, true, o.spareMemoryOnly, o.copyPending
@@ -134,6 +135,8 @@
 	switch {
 	case err != nil:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "waiting for an endpoint: %w", err)
+	case reply.refusal == dispatch.CallerGone:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the request ended while it waited for an endpoint")
 	case reply.refusal == dispatch.NoEndpoint:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "service %s has no endpoint", s.service)
 	case reply.refusal != "":
