--- a/decision/dispatch/prompt_affinity_test.go
+++ b/decision/dispatch/prompt_affinity_test.go
@@ -67,7 +67,7 @@
 			}
 		}
 		t.Logf("speed %v: at most %d of 63 nodes on one engine", speed, worst)
-		assert.Assert(t, worst <= 16, "%d of 63 nodes chose one engine", worst)
+		assert.Assert(t, worst <= 14, "%d of 63 nodes chose one engine", worst)
 	}
 }
 
@@ -81,9 +81,9 @@
 			after.run(30*time.Second, nil)
 			t.Logf("speed %v, seed %d, before: %s", speed, seed, before.affinity())
 			t.Logf("speed %v, seed %d, after: %s", speed, seed, after.affinity())
-			assert.Assert(t, after.saved()*100 > before.saved()*120 && after.meanFirst() < before.meanFirst(), "before: %v, after: %v", before, after)
+			assert.Check(t, after.saved()*100 > before.saved()*120 && after.meanFirst() < before.meanFirst(), "before: %v, after: %v", before, after)
 			ratio := after.expectedSaved / float64(after.saved())
-			assert.Assert(t, ratio > 0.7 && ratio < 1.4, "%v of the saved tokens were expected", ratio)
+			assert.Check(t, ratio > 0.7 && ratio < 1.4, "%v of the saved tokens were expected", ratio)
 		}
 	}
 }
