--- a/decision/dispatch/prompt_affinity_test.go
+++ b/decision/dispatch/prompt_affinity_test.go
@@ -43,7 +43,8 @@
 }
 
 func (s *speedSimulation) affinity() string {
-	return fmt.Sprintf("%v; %d of %d prompt tokens saved (%.1f%%), %.0f expected", s, s.saved(), s.prompted, 100*float64(s.saved())/float64(s.prompted), s.expectedSaved)
+	share := 100 * float64(s.saved()) / float64(s.prompted)
+	return fmt.Sprintf("%v; %d of %d prompt tokens saved (%.1f%%), %.0f expected", s, s.saved(), s.prompted, share, s.expectedSaved)
 }
 
 // Guards against 63 nodes that place the same beginning on the engines that all of them prefer, at the same moment.
@@ -117,7 +118,8 @@
 }
 
 // Guards against a session that computes its prompt on another engine although its engine is idle, and against one that goes there when
-// a longer queue waits there, when the engine is excluded, has restarted, or the setting was switched off.
+// a longer queue waits there, when the engine is excluded, has restarted, or the setting was switched off,
+// and against more saved tokens than the prompt has.
 func TestSessionReturnsToItsEngine(t *testing.T) {
 	place := func(table *Table, r Request) Placement {
 		placed, refusal := table.Place(start, r)
@@ -133,6 +135,11 @@
 	table.SetOthersLoad(start, []Load{{Endpoint: first, InFlight: 2, Tokens: 1000, Prefill: 4000}})
 	assert.Assert(t, place(table, r).Endpoint.ID != first)
 
+	// The parts are larger than the prompt that the caller states.
+	table, _, r, _ = newAffinityTable(t)
+	r.PromptTokens = 500
+	assert.Equal(t, place(table, r).CachedTokens, 500.0)
+
 	table, _, r, first = newAffinityTable(t)
 	r.Exclude = []string{first}
 	assert.Assert(t, place(table, r).Endpoint.ID != first)
--- a/decision/dispatch/prompt_cache.go
+++ b/decision/dispatch/prompt_cache.go
@@ -14,6 +14,8 @@
 	lastEngine uint64
 	// match is that of the request that is being placed.
 	match prefix.Match
+	// promptTokens is the size of its prompt. A caller may state larger parts; no more can be saved.
+	promptTokens float64
 	// prefer is set if the random samples for it include an engine that is preferred for its prompt.
 	prefer bool
 }
@@ -44,6 +46,7 @@
 	}
 	m := t.prompts.index(r.Service).Match(r.Prompt)
 	nodes := nodesWithoutSampling * prefix.PreferredShare * float64(len(t.eligible))
+	t.prompts.promptTokens = float64(r.PromptTokens)
 	t.prompts.match, t.prompts.prefer = m, m.Whole() || t.random.Float64()*float64(t.nodes) < nodes
 }
 
@@ -80,7 +83,7 @@
 		e.candidate.CachedTokens = 0
 		if estimate {
 			engine := e.cache()
-			e.candidate.CachedTokens = t.prompts.match.Saved(&engine)
+			e.candidate.CachedTokens = min(t.prompts.promptTokens, t.prompts.match.Saved(&engine))
 		}
 	}
 }
--- a/decision/dispatch/table_speed.go
+++ b/decision/dispatch/table_speed.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// setCandidateSpeeds sets the expected times and cached tokens of endpoints in their candidates. It is called for the endpoints that are compared, not
-// for all, because it takes much longer than the rest of a candidate.
+// setCandidateSpeeds sets the expected times and cached tokens of endpoints in their candidates. It is called for the endpoints that are
+// compared, not for all, because it takes much longer than the rest of a candidate.
 func (t *Table) setCandidateSpeeds(now time.Time, endpoints []*endpoint) {
 	t.setCachedTokens(endpoints)
 	if len(endpoints) == 0 || !t.choosesBySpeed(endpoints[0].service.Name) {
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -60,7 +60,8 @@
 	return &dispatcher{
 		log: log, table: table, cluster: cluster, queue: dispatch.NewQueue(table), held: map[*dispatch.HeldRequest]placeMessage{},
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
-		leaving: map[uint64]*leavingRun{}, speedMetrics: speedMetrics{scope: tally.NoopScope}, promptMetrics: promptMetrics{scope: tally.NoopScope}, ownPressure: latest.New(overload.Pressure{}),
+		leaving: map[uint64]*leavingRun{}, speedMetrics: speedMetrics{scope: tally.NoopScope},
+		promptMetrics: promptMetrics{scope: tally.NoopScope}, ownPressure: latest.New(overload.Pressure{}),
 		metrics: newOverloadMetrics(tally.NoopScope),
 	}
 }
