Add tallies, exposure, canary and judge of roll-outs

Cause: the skeleton of decision/rollout counts sends only and never decides. Change: tallies with bins of durations and shards of endpoints, the newest tally of each process and data centre, the exposure of a node with a random first credit, the canary order of the target's endpoints, and a judge by likelihood ratios of failures and slow answers, by route and on all routes, over all onsets. Sample has Endpoint and Started; Tally.RecordFirstEvent and RecordInterval count before an answer ends. Result: go test ./decision/rollout passes; error rates of the judge are not measured yet.

--- /dev/null
+++ b/decision/rollout/comparison.go
@@ -0,0 +1,107 @@
+package rollout
+
+import "time"
+
+const (
+	// slowFactor is the time of a slow answer relative to the median of the old versions. Bad versions are at least 3 times slower.
+	slowFactor = 2.5
+	// reportDelay is added before a request without a first event counts as slow, for the time that counts are under way.
+	reportDelay = 750 * time.Millisecond
+	// priorWeight is the number of answers that the usual share of the whole roll-out counts for within one period.
+	priorWeight = 10
+)
+
+// comparison holds the outcomes of one measure on one route by period.
+type comparison struct {
+	measure measure
+	route   string
+	// limit is the bin at which an answer is slow.
+	limit int
+	// old holds the outcomes of the old versions, target those of the target by shard, for each period.
+	old    []outcomeCounts
+	target [][]outcomeCounts
+	// oldSum and targetSum are the sums over all periods.
+	oldSum, targetSum outcomeCounts
+}
+
+// newComparison returns the comparison by one measure on one route, and false if the old versions have no outcomes to compare with.
+func newComparison(h *history, m measure, route string) (*comparison, bool) {
+	c := &comparison{measure: m, route: route}
+	newest := h.newest().entry(OldGroup, route)
+	switch m {
+	case failureMeasure:
+		if newest.responded() == 0 {
+			return nil, false
+		}
+	default:
+		median, known := medianBin(c.bins(newest))
+		if !known {
+			return nil, false
+		}
+		c.limit = durationBin(time.Duration(slowFactor * float64(binStart(median+1))))
+	}
+	for i := range h.snapshots {
+		if i == 0 {
+			continue
+		}
+		c.addPeriod(h, &h.snapshots[i-1], &h.snapshots[i])
+	}
+	return c, true
+}
+
+// addPeriod adds the outcomes between two snapshots.
+func (c *comparison) addPeriod(h *history, from, to *snapshot) {
+	old := c.counts(h, to, OldGroup).minus(c.counts(h, from, OldGroup))
+	c.old, c.oldSum = append(c.old, old), c.oldSum.plus(old)
+	cells := make([]outcomeCounts, 0, endpointShards)
+	if c.measure == failureMeasure {
+		before, now := from.entry(TargetGroup, c.route), to.entry(TargetGroup, c.route)
+		for i := range endpointShards {
+			cells = append(cells, now.shard(i).minus(before.shard(i)))
+		}
+	} else {
+		cells = append(cells, c.counts(h, to, TargetGroup).minus(c.counts(h, from, TargetGroup)))
+	}
+	for _, cell := range cells {
+		c.targetSum = c.targetSum.plus(cell)
+	}
+	c.target = append(c.target, cells)
+}
+
+// counts returns the outcomes of a group until a snapshot.
+func (c *comparison) counts(h *history, s *snapshot, g Group) outcomeCounts {
+	e := s.entry(g, c.route)
+	if c.measure == failureMeasure {
+		return outcomeCounts{all: float64(e.responded()), bad: float64(e.Failures)}
+	}
+	n := outcomeCounts{}
+	for bin, count := range c.bins(e) {
+		n.all += float64(count)
+		if bin >= c.limit {
+			n.bad += float64(count)
+		}
+	}
+	if c.measure == firstEventMeasure {
+		// Requests that were sent long ago and have not responded are slow, whatever their time will be.
+		sent := h.before(s.at-binStart(c.limit)-reportDelay).entry(g, c.route).Sends
+		overdue := float64(max(0, sent-e.responded()))
+		n = n.plus(outcomeCounts{all: overdue, bad: overdue})
+	}
+	return n
+}
+
+// bins returns the durations that the measure compares.
+func (c *comparison) bins(e *TallyEntry) []int64 {
+	if c.measure == firstEventMeasure {
+		return e.FirstEvents
+	}
+	return e.Intervals
+}
+
+// usualShare returns the share of bad outcomes that is usual in a period, by the old versions in this period and before.
+func (c *comparison) usualShare(period int) float64 {
+	overall := (c.oldSum.bad + 0.2) / (c.oldSum.all + 2)
+	now := c.old[period]
+	share := (now.bad + priorWeight*overall) / (now.all + priorWeight)
+	return min(maxUsualShare, max(minUsualShare, share))
+}
--- /dev/null
+++ b/decision/rollout/history.go
@@ -0,0 +1,72 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// periodTime is the time over which the target and the old versions are compared with each other. It is short enough to separate a
+	// fault that strikes both from the time before it, and long enough for some tens of answers of the old versions.
+	periodTime = 500 * time.Millisecond
+	// maxSnapshots bounds the memory of a long roll-out. The periods of the first part are then joined.
+	maxSnapshots = 64
+)
+
+// history holds the counts of a roll-out at the ends of its periods. The first snapshot is empty, the last one ends the period that
+// is still open.
+type history struct {
+	snapshots []snapshot
+}
+
+// record adds the counts of this moment. A new phase begins a new period.
+func (h *history) record(e Evidence, p Phase) {
+	if len(h.snapshots) == 0 {
+		h.snapshots = append(h.snapshots, snapshot{phase: p})
+	}
+	next := snapshot{at: e.Elapsed, phase: p, tally: e.Tally.Clone()}
+	last := len(h.snapshots) - 1
+	if last > 0 && h.snapshots[last].phase == p && next.at-h.snapshots[last-1].at < periodTime {
+		h.snapshots[last] = next
+		return
+	}
+	h.snapshots = append(h.snapshots, next)
+	if len(h.snapshots) > maxSnapshots {
+		h.snapshots = slices.Delete(h.snapshots, 1, 2)
+	}
+}
+
+// newest returns the last snapshot.
+func (h *history) newest() *snapshot { return &h.snapshots[len(h.snapshots)-1] }
+
+// before returns the newest snapshot that is not later than a time.
+func (h *history) before(at time.Duration) *snapshot {
+	for i := len(h.snapshots) - 1; i > 0; i-- {
+		if h.snapshots[i].at <= at {
+			return &h.snapshots[i]
+		}
+	}
+	return &h.snapshots[0]
+}
+
+// firstResponse returns the time at which the target had responded for the first time, and whether it has.
+func (h *history) firstResponse() (time.Duration, bool) {
+	for i := range h.snapshots {
+		for k := range h.snapshots[i].tally.Entries {
+			if e := &h.snapshots[i].tally.Entries[k]; e.Group == TargetGroup && e.responded() > 0 {
+				return h.snapshots[i].at, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// promotedAt returns the time at which promoting began, and whether it has.
+func (h *history) promotedAt() (time.Duration, bool) {
+	for i := range h.snapshots {
+		if h.snapshots[i].phase == Promoting {
+			return h.snapshots[max(0, i-1)].at, true
+		}
+	}
+	return 0, false
+}
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -1,14 +1,105 @@
 package rollout
 
-// Judge decides about one roll-out. One task owns it.
+import (
+	"fmt"
+	"time"
+)
+
+// minWatchTime is the time for which a Judge has received counts before it promotes. The counts of a new decider may be incomplete.
+const minWatchTime = time.Second
+
+// maxFinalDoubt is the weight of a fault, relative to none, above which promoting ends with a revert at the deadline.
+const maxFinalDoubt = 3
+
+// Judge decides about one roll-out. One task owns it, and each order gets a new one.
 type Judge struct {
 	params JudgeParams
+	// first is the time of the first evidence, which counts if watched is set.
+	first   time.Duration
+	watched bool
+	history history
+}
+
+// NewJudge returns a Judge without evidence. Bounds that are 0 get their defaults.
+func NewJudge(p JudgeParams) *Judge { return &Judge{params: p.withDefaults()} }
+
+// Decide returns the phase that follows from the evidence. A final phase is never left. It is called again with each change of the
+// counts, and at least every 250 ms.
+func (j *Judge) Decide(p *Plan, e Evidence) Decision {
+	if p.Phase != Observing && p.Phase != Promoting {
+		return Decision{Phase: p.Phase, Reason: p.Reason}
+	}
+	if !j.watched {
+		j.first, j.watched = e.Elapsed, true
+	}
+	j.history.record(e, p.Phase)
+	a := assess(&j.history, int(p.Order.Duration/periodTime))
+	remaining := p.Order.Duration - e.Elapsed
+	switch {
+	case a.fault*j.params.Error >= 1:
+		return Decision{Phase: Reverted, Reason: a.worst}
+	case p.Phase == Observing:
+		return j.observe(a, e, remaining)
+	default:
+		return j.promote(a, e, remaining)
+	}
 }
 
-// NewJudge returns a Judge without evidence.
-func NewJudge(p JudgeParams) *Judge { return &Judge{params: p} }
+// observe decides while the target gets a small share.
+func (j *Judge) observe(a assessment, e Evidence, remaining time.Duration) Decision {
+	missing := j.missing(a, e)
+	switch {
+	case remaining <= j.params.DeadlineMargin:
+		if missing == "" && j.isIdle(e) {
+			return Decision{Phase: Completed, Reason: "no requests"}
+		}
+		return Decision{Phase: Reverted, Reason: "insufficient evidence at the deadline: " + missing}
+	case remaining > j.params.HandOver:
+		return Decision{Phase: Observing, Reason: "observing until the hand-over"}
+	case missing != "":
+		return Decision{Phase: Observing, Reason: missing}
+	default:
+		return Decision{Phase: Promoting, Reason: fmt.Sprintf("no fault found, doubt %.2f", a.doubt)}
+	}
+}
+
+// promote decides while the target gets all new requests.
+func (j *Judge) promote(a assessment, e Evidence, remaining time.Duration) Decision {
+	atDeadline := remaining <= j.params.DeadlineMargin
+	since, _ := j.history.promotedAt()
+	switch {
+	case atDeadline && e.TargetEndpoints == 0:
+		return Decision{Phase: Reverted, Reason: "the target has no endpoint at the deadline"}
+	case atDeadline && a.doubt > maxFinalDoubt:
+		return Decision{Phase: Reverted, Reason: "a fault is likely at the deadline: " + a.worst}
+	case atDeadline:
+		return Decision{Phase: Completed, Reason: fmt.Sprintf("at the deadline with %d nodes unconfirmed", e.Unconfirmed)}
+	case e.TargetEndpoints == 0, e.Unconfirmed > 0, a.doubt > 1, e.Elapsed-since < j.params.HandOver/2:
+		return Decision{Phase: Promoting, Reason: fmt.Sprintf("handing over, %d nodes unconfirmed", e.Unconfirmed)}
+	default:
+		return Decision{Phase: Completed, Reason: "confirmed by all nodes"}
+	}
+}
+
+// missing returns what is lacking before the target can be promoted, and an empty string if nothing is.
+func (j *Judge) missing(a assessment, e Evidence) string {
+	switch {
+	case e.TargetEndpoints == 0:
+		return "the target has no endpoint"
+	case e.Elapsed-j.first < minWatchTime:
+		return "the decider has just begun to observe"
+	case 2*e.TargetEndpoints < e.OldEndpoints:
+		return fmt.Sprintf("the target has %d endpoints, the old versions have %d", e.TargetEndpoints, e.OldEndpoints)
+	case j.isIdle(e):
+		return ""
+	case e.Tally.Sends(OldGroup) == 0, a.doubt > j.params.Doubt:
+		return fmt.Sprintf("doubt %.2f, %s", a.doubt, a.worst)
+	default:
+		return ""
+	}
+}
 
-// Decide returns the phase that follows from the evidence. A final phase is never left.
-func (j *Judge) Decide(p *Plan, _ Evidence) Decision {
-	return Decision{Phase: p.Phase, Reason: p.Reason}
+// isIdle reports whether the service has had no request since the order.
+func (j *Judge) isIdle(e Evidence) bool {
+	return e.Tally.Sends(OldGroup) == 0 && e.Tally.Sends(TargetGroup) == 0
 }
--- a/decision/rollout/judge_params.go
+++ b/decision/rollout/judge_params.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // JudgeParams holds the bounds of a verdict.
 type JudgeParams struct {
@@ -8,4 +11,22 @@
 	HandOver time.Duration
 	// DeadlineMargin is the time before the deadline at which the final phase is written at the latest.
 	DeadlineMargin time.Duration
+	// Error is the probability that a good version is reverted for its answers, over the whole observation.
+	Error float64
+	// Doubt is the weight of the evidence for a fault, relative to none, below which the target is promoted.
+	Doubt float64
+}
+
+// DefaultJudgeParams returns the bounds for the users' platform.
+func DefaultJudgeParams() JudgeParams {
+	return JudgeParams{HandOver: 4 * time.Second, DeadlineMargin: time.Second, Error: 0.01, Doubt: 0.4}
+}
+
+// withDefaults returns the bounds with the defaults for those that are 0.
+func (p JudgeParams) withDefaults() JudgeParams {
+	d := DefaultJudgeParams()
+	return JudgeParams{
+		HandOver: cmp.Or(p.HandOver, d.HandOver), DeadlineMargin: cmp.Or(p.DeadlineMargin, d.DeadlineMargin),
+		Error: cmp.Or(p.Error, d.Error), Doubt: cmp.Or(p.Doubt, d.Doubt),
+	}
 }
--- a/decision/rollout/tally.go
+++ b/decision/rollout/tally.go
@@ -1,6 +1,16 @@
 package rollout
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// OverflowRoute is the route under which all routes beyond the bound are counted.
+	OverflowRoute = "*"
+	// maxRoutes bounds the routes of a tally, and with them its encoded size.
+	maxRoutes = 16
+)
 
 // Tally holds the counts of the outcomes of a roll-out, by group and route. The zero value is empty. Counts are cumulative, so a
 // newer tally of a process replaces an older one.
@@ -12,30 +22,112 @@
 // RecordSend counts a request that was sent to an endpoint of a group.
 func (t *Tally) RecordSend(g Group, route string) { t.entry(g, route).Sends++ }
 
+// RecordFirstEvent counts the time to the first event of a request when the event arrives, so that a version is judged before its
+// answers end. The Sample of the request then has Started set.
+func (t *Tally) RecordFirstEvent(g Group, route, endpoint string, d time.Duration) {
+	e := t.entry(g, route)
+	e.FirstEvents = increment(e.FirstEvents, durationBin(d))
+	e.recordResponse(endpoint)
+}
+
+// RecordInterval counts the mean time between the events of a request that has not ended. It is called at most once for a request,
+// after enough events for a mean; the Sample of the request then has no Interval.
+func (t *Tally) RecordInterval(g Group, route string, d time.Duration) {
+	e := t.entry(g, route)
+	e.Intervals = increment(e.Intervals, durationBin(d))
+}
+
 // Record counts the outcome of a request.
 func (t *Tally) Record(s Sample) {
 	e := t.entry(s.Group, s.Route)
 	e.Answers++
+	switch {
+	case s.Started:
+	case s.FirstEvent > 0:
+		e.FirstEvents = increment(e.FirstEvents, durationBin(s.FirstEvent))
+		e.recordResponse(s.Endpoint)
+	default:
+		e.Unstarted++
+		e.recordResponse(s.Endpoint)
+	}
+	if s.Interval > 0 {
+		e.Intervals = increment(e.Intervals, durationBin(s.Interval))
+	}
 	if s.Failed {
-		e.Failures++
+		e.recordFailure(s.Endpoint)
 	}
 }
 
 // Add adds the counts of another tally.
 func (t *Tally) Add(o Tally) {
-	for _, from := range o.Entries {
-		to := t.entry(from.Group, from.Route)
-		to.Sends += from.Sends
-		to.Answers += from.Answers
-		to.Failures += from.Failures
+	for i := range o.Entries {
+		t.entry(o.Entries[i].Group, o.Entries[i].Route).add(&o.Entries[i])
+	}
+}
+
+// KeepLarger keeps the larger of each pair of counts. It merges sums over the same nodes, of which each may lack counts.
+func (t *Tally) KeepLarger(o Tally) {
+	for i := range o.Entries {
+		t.entry(o.Entries[i].Group, o.Entries[i].Route).keepLarger(&o.Entries[i])
+	}
+}
+
+// Clone returns a copy that shares no memory, so that it can be sent to another task.
+func (t *Tally) Clone() Tally {
+	c := Tally{Entries: make([]TallyEntry, len(t.Entries))}
+	for i := range t.Entries {
+		c.Entries[i] = t.Entries[i].clone()
 	}
+	return c
 }
 
-// entry returns the entry of a group and a route, which it adds if there is none.
+// Sends returns the number of requests that were sent to a group, over all routes.
+func (t *Tally) Sends(g Group) int64 {
+	total := int64(0)
+	for i := range t.Entries {
+		if t.Entries[i].Group == g {
+			total += t.Entries[i].Sends
+		}
+	}
+	return total
+}
+
+// routes returns the names of the routes in order.
+func (t *Tally) routes() []string {
+	names := make([]string, 0, len(t.Entries))
+	for i := range t.Entries {
+		names = append(names, t.Entries[i].Route)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// find returns the position of an entry, and whether it exists.
+func (t *Tally) find(g Group, route string) (int, bool) {
+	return slices.BinarySearchFunc(t.Entries, TallyEntry{Group: g, Route: route}, TallyEntry.compare)
+}
+
+// entry returns the entry of a group and a route, which it adds if there is none. A route beyond the bound is counted under
+// OverflowRoute for all groups, since groups are compared by route.
 func (t *Tally) entry(g Group, route string) *TallyEntry {
-	i, found := slices.BinarySearchFunc(t.Entries, TallyEntry{Group: g, Route: route}, TallyEntry.compare)
+	i, found := t.find(g, route)
 	if !found {
+		if route != OverflowRoute && t.isFull(route) {
+			return t.entry(g, OverflowRoute)
+		}
 		t.Entries = slices.Insert(t.Entries, i, TallyEntry{Group: g, Route: route})
 	}
 	return &t.Entries[i]
 }
+
+// isFull reports whether a route can't be added. The overflow route is not counted.
+func (t *Tally) isFull(route string) bool {
+	names := t.routes()
+	if slices.Contains(names, route) {
+		return false
+	}
+	if slices.Contains(names, OverflowRoute) {
+		return len(names) > maxRoutes
+	}
+	return len(names) >= maxRoutes
+}
--- /dev/null
+++ b/decision/rollout/versioned_tally.go
@@ -0,0 +1,7 @@
+package rollout
+
+// versionedTally is the newest tally of a sender.
+type versionedTally struct {
+	version TallyVersion
+	tally   Tally
+}
