--- a/decision/rollout/assessment.go
+++ b/decision/rollout/assessment.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// coldTime is the time after the first response of the target, and after the beginning of promoting, in which slow answers are not
-// held against it, since its endpoints have just started.
-const coldTime = 2 * time.Second
+// maxColdTime bounds the time after the first response of the target in which slow answers are not held against it, since its
+// endpoints have just started. Within this time the canary share alone bounds the exposure.
+const maxColdTime = 4 * time.Second
 
 // assessment is the evidence for and against a fault of the target at one moment.
 type assessment struct {
@@ -16,6 +16,8 @@
 	fault float64
 	// doubt is the largest weight of a fault that may have begun, over the measures. It is 1 without evidence.
 	doubt float64
+	// unsettled means that the old versions have a fault at the moment, so that the target could not be judged after promoting.
+	unsettled bool
 	// worst describes the comparison with the strongest evidence for a fault.
 	worst string
 }
@@ -44,6 +46,7 @@
 			// A fault on one route is as likely as the route's share of the requests.
 			share := min(1, c.oldSum.all/max(1, total))
 			weight += share
+			a.unsettled = a.unsettled || c.isUnsettled()
 			routeFault, routeDoubt := ratios(h, onsets, c)
 			fault += share * routeFault / 2
 			doubt += share * routeDoubt / 2
@@ -79,7 +82,7 @@
 	m := comparisons[0].measure
 	l := make(likelihood, len(h.snapshots)-1)
 	for period := range l {
-		if m != failureMeasure && isCold(h, period) {
+		if m != failureMeasure && h.isCold(period) {
 			continue
 		}
 		for cell := range comparisons[0].target[period] {
@@ -94,14 +97,10 @@
 	return l
 }
 
-// isCold reports whether the endpoints of the target had just started, or just received the whole traffic, in a period.
-func isCold(h *history, period int) bool {
-	begin := h.snapshots[period].at
-	if first, responded := h.firstResponse(); !responded || begin < first+coldTime {
-		return true
-	}
-	promoted, promoting := h.promotedAt()
-	return promoting && begin >= promoted && begin < promoted+coldTime/2
+// isCold reports whether the endpoints of the target had just started in a period.
+func (h *history) isCold(period int) bool {
+	first, responded := h.firstResponse()
+	return !responded || h.snapshots[period].at < first+h.coldTime
 }
 
 // describe returns the counts for operators.
--- a/decision/rollout/comparison.go
+++ b/decision/rollout/comparison.go
@@ -9,6 +9,10 @@
 	reportDelay = 750 * time.Millisecond
 	// priorWeight is the number of answers that the usual share of the whole roll-out counts for within one period.
 	priorWeight = 10
+	// settledPeriods is the number of periods in which the old versions must be as usual before the target is promoted, unsettledShare
+	// the share of bad outcomes above the usual one that shows a fault.
+	settledPeriods = 2
+	unsettledShare = 0.15
 )
 
 // comparison holds the outcomes of one measure on one route by period.
@@ -98,10 +102,33 @@
 	return e.Intervals
 }
 
-// usualShare returns the share of bad outcomes that is usual in a period, by the old versions in this period and before.
+// usualShare returns the share of bad outcomes that is usual in a period, by the old versions in this period and before. While all new
+// requests go to the target, a fault that struck the old versions last is assumed to go on.
 func (c *comparison) usualShare(period int) float64 {
-	overall := (c.oldSum.bad + 0.2) / (c.oldSum.all + 2)
+	overall := c.overallShare()
 	now := c.old[period]
-	share := (now.bad + priorWeight*overall) / (now.all + priorWeight)
-	return min(maxUsualShare, max(minUsualShare, share))
+	for i := period; i >= 0 && now.all < priorWeight; i-- {
+		if c.old[i].all >= priorWeight {
+			overall = max(overall, c.old[i].bad/c.old[i].all)
+			break
+		}
+	}
+	return c.bounded((now.bad + priorWeight*overall) / (now.all + priorWeight))
+}
+
+// overallShare returns the share of bad outcomes of the old versions over all periods.
+func (c *comparison) overallShare() float64 { return (c.oldSum.bad + 0.2) / (c.oldSum.all + 2) }
+
+// bounded keeps a usual share within its bounds.
+func (c *comparison) bounded(share float64) float64 {
+	return min(maxUsualShare, max(minUsualShares[c.measure], share))
+}
+
+// isUnsettled reports whether the old versions have far more bad outcomes in the last periods than usual.
+func (c *comparison) isUnsettled() bool {
+	recent := outcomeCounts{}
+	for i := max(0, len(c.old)-settledPeriods); i < len(c.old); i++ {
+		recent = recent.plus(c.old[i])
+	}
+	return recent.all >= priorWeight && recent.bad/recent.all > c.overallShare()+unsettledShare
 }
--- a/decision/rollout/history.go
+++ b/decision/rollout/history.go
@@ -17,6 +17,8 @@
 // is still open.
 type history struct {
 	snapshots []snapshot
+	// coldTime is the time after the target's first response in which its times are not compared.
+	coldTime time.Duration
 }
 
 // record adds the counts of this moment. A new phase begins a new period.
--- a/decision/rollout/sample.go
+++ b/decision/rollout/sample.go
@@ -10,6 +10,8 @@
 	// Endpoint is the ID of the endpoint, by which a fault of one endpoint is told from a fault of the version.
 	Endpoint string
 	Failed   bool
+	// Cold means that the endpoint was in its cold start when the request was sent. Its times are then not compared.
+	Cold bool
 	// Started means that Tally.RecordFirstEvent has counted the first event of the request.
 	Started bool
 	// FirstEvent is the time to the first event, or to the whole answer of a request that is not streamed; 0 if there was none or
--- a/decision/rollout/tally.go
+++ b/decision/rollout/tally.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 const (
 	// OverflowRoute is the route under which all routes beyond the bound are counted.
@@ -23,36 +20,25 @@
 func (t *Tally) RecordSend(g Group, route string) { t.entry(g, route).Sends++ }
 
 // RecordFirstEvent counts the time to the first event of a request when the event arrives, so that a version is judged before its
-// answers end. The Sample of the request then has Started set.
-func (t *Tally) RecordFirstEvent(g Group, route, endpoint string, d time.Duration) {
-	e := t.entry(g, route)
-	e.FirstEvents = increment(e.FirstEvents, durationBin(d))
-	e.recordResponse(endpoint)
+// answers end. The Sample of the outcome then has Started set.
+func (t *Tally) RecordFirstEvent(s Sample) {
+	t.entry(s.Group, s.Route).recordResponse(s)
 }
 
 // RecordInterval counts the mean time between the events of a request that has not ended. It is called at most once for a request,
-// after enough events for a mean; the Sample of the request then has no Interval.
-func (t *Tally) RecordInterval(g Group, route string, d time.Duration) {
-	e := t.entry(g, route)
-	e.Intervals = increment(e.Intervals, durationBin(d))
+// after enough events for a mean. The Sample of the outcome then has no Interval.
+func (t *Tally) RecordInterval(s Sample) {
+	t.entry(s.Group, s.Route).recordInterval(s)
 }
 
 // Record counts the outcome of a request.
 func (t *Tally) Record(s Sample) {
 	e := t.entry(s.Group, s.Route)
 	e.Answers++
-	switch {
-	case s.Started:
-	case s.FirstEvent > 0:
-		e.FirstEvents = increment(e.FirstEvents, durationBin(s.FirstEvent))
-		e.recordResponse(s.Endpoint)
-	default:
-		e.Unstarted++
-		e.recordResponse(s.Endpoint)
-	}
-	if s.Interval > 0 {
-		e.Intervals = increment(e.Intervals, durationBin(s.Interval))
+	if !s.Started {
+		e.recordResponse(s)
 	}
+	e.recordInterval(s)
 	if s.Failed {
 		e.recordFailure(s.Endpoint)
 	}
--- a/decision/rollout/tally_entry.go
+++ b/decision/rollout/tally_entry.go
@@ -23,8 +23,8 @@
 	// FirstEvents and Intervals count answers by duration, in bins of a fixed geometric width without the zeros at the end.
 	FirstEvents []int64 `cbor:"6,keyasint,omitempty"`
 	Intervals   []int64 `cbor:"7,keyasint,omitempty"`
-	// Unstarted is the number of answers that ended without a first event.
-	Unstarted int64 `cbor:"8,keyasint,omitempty"`
+	// Untimed is the number of responses whose time is not compared: they ended without a first event, or the endpoint was cold.
+	Untimed int64 `cbor:"8,keyasint,omitempty"`
 	// ShardResponses and ShardFailures count the responded requests of the target and the failures by shard. Endpoints are assigned to
 	// shards by a hash, so that a fault of few endpoints is seen in few shards.
 	ShardResponses []int64 `cbor:"9,keyasint,omitempty"`
@@ -37,12 +37,24 @@
 }
 
 // responded returns the number of requests that have had a first event or have ended without one.
-func (e *TallyEntry) responded() int64 { return sumOf(e.FirstEvents) + e.Unstarted }
+func (e *TallyEntry) responded() int64 { return sumOf(e.FirstEvents) + e.Untimed }
 
-// recordResponse counts that a request at an endpoint has had its first event or has ended without one.
-func (e *TallyEntry) recordResponse(endpoint string) {
+// recordResponse counts that a request has had its first event or has ended without one.
+func (e *TallyEntry) recordResponse(s Sample) {
+	if s.FirstEvent > 0 && !s.Cold {
+		e.FirstEvents = increment(e.FirstEvents, durationBin(s.FirstEvent))
+	} else {
+		e.Untimed++
+	}
 	if e.Group == TargetGroup {
-		e.ShardResponses = increment(e.ShardResponses, shardOf(endpoint))
+		e.ShardResponses = increment(e.ShardResponses, shardOf(s.Endpoint))
+	}
+}
+
+// recordInterval counts the time between events.
+func (e *TallyEntry) recordInterval(s Sample) {
+	if s.Interval > 0 && !s.Cold {
+		e.Intervals = increment(e.Intervals, durationBin(s.Interval))
 	}
 }
 
@@ -62,7 +74,7 @@
 	e.Sends += o.Sends
 	e.Answers += o.Answers
 	e.Failures += o.Failures
-	e.Unstarted += o.Unstarted
+	e.Untimed += o.Untimed
 	e.FirstEvents = addCounts(e.FirstEvents, o.FirstEvents)
 	e.Intervals = addCounts(e.Intervals, o.Intervals)
 	e.ShardResponses = addCounts(e.ShardResponses, o.ShardResponses)
@@ -74,7 +86,7 @@
 	e.Sends = max(e.Sends, o.Sends)
 	e.Answers = max(e.Answers, o.Answers)
 	e.Failures = max(e.Failures, o.Failures)
-	e.Unstarted = max(e.Unstarted, o.Unstarted)
+	e.Untimed = max(e.Untimed, o.Untimed)
 	e.FirstEvents = maxCounts(e.FirstEvents, o.FirstEvents)
 	e.Intervals = maxCounts(e.Intervals, o.Intervals)
 	e.ShardResponses = maxCounts(e.ShardResponses, o.ShardResponses)
