Let the permitted doubt of a roll-out rise with time

Cause: a fixed bound of the doubt either promoted versions that fail on one route or reverted good ones at the deadline. Change: a quarter of the bound at the earliest time, all of it when the least hand-over time remains.

--- a/decision/rollout/assessment.go
+++ b/decision/rollout/assessment.go
@@ -46,7 +46,7 @@
 			// A fault on one route is as likely as the route's share of the requests.
 			share := min(1, c.oldSum.all/max(1, total))
 			weight += share
-			a.unsettled = a.unsettled || c.isUnsettled()
+			a.unsettled = a.unsettled || m != intervalMeasure && c.isUnsettled()
 			routeFault, routeDoubt := ratios(h, onsets, c)
 			fault += share * routeFault / 2
 			doubt += share * routeDoubt / 2
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -8,6 +8,13 @@
 // minWatchTime is the time for which a Judge has received counts before it promotes. The counts of a new decider may be incomplete.
 const minWatchTime = time.Second
 
+// minHandOver is the time that a hand-over takes at least, and firstDoubtShare the part of the permitted doubt that promotes the target
+// at the earliest time.
+const (
+	minHandOver     = time.Second
+	firstDoubtShare = 0.25
+)
+
 // maxFinalDoubt is the weight of a fault, relative to none, above which promoting ends with a revert at the deadline.
 const maxFinalDoubt = 3
 
@@ -52,7 +59,7 @@
 
 // observe decides while the target gets a small share.
 func (j *Judge) observe(a assessment, e Evidence, remaining time.Duration) Decision {
-	missing := j.missing(a, e)
+	missing := j.missing(a, e, remaining)
 	switch {
 	case remaining <= j.params.DeadlineMargin:
 		if missing == "" && j.isIdle(e) {
@@ -87,7 +94,7 @@
 }
 
 // missing returns what is lacking before the target can be promoted, and an empty string if nothing is.
-func (j *Judge) missing(a assessment, e Evidence) string {
+func (j *Judge) missing(a assessment, e Evidence, remaining time.Duration) string {
 	switch {
 	case e.TargetEndpoints == 0:
 		return "the target has no endpoint"
@@ -97,15 +104,26 @@
 		return fmt.Sprintf("the target has %d endpoints, the old versions have %d", e.TargetEndpoints, e.OldEndpoints)
 	case j.isIdle(e):
 		return ""
-	case e.Tally.Sends(OldGroup) == 0, a.doubt > j.params.Doubt:
+	case e.Tally.Sends(OldGroup) == 0, a.doubt > j.permittedDoubt(remaining):
 		return fmt.Sprintf("doubt %.2f, %s", a.doubt, a.worst)
-	case a.unsettled:
+	case a.unsettled && remaining > j.params.DeadlineMargin+minHandOver:
 		return "the old versions have a fault at the moment"
 	default:
 		return ""
 	}
 }
 
+// permittedDoubt returns the doubt at which the target is promoted. It is small at first, since waiting for more answers costs only a
+// part of the hand-over time, and rises until the time that is needed at least.
+func (j *Judge) permittedDoubt(remaining time.Duration) float64 {
+	latest := j.params.DeadlineMargin + minHandOver
+	if j.params.HandOver <= latest || remaining <= latest {
+		return j.params.Doubt
+	}
+	early := min(1, float64(remaining-latest)/float64(j.params.HandOver-latest))
+	return j.params.Doubt * (1 - early*(1-firstDoubtShare))
+}
+
 // isIdle reports whether the service has had no request since the order.
 func (j *Judge) isIdle(e Evidence) bool {
 	return e.Tally.Sends(OldGroup) == 0 && e.Tally.Sends(TargetGroup) == 0
