--- a/decision/rollout/assessment.go
+++ b/decision/rollout/assessment.go
@@ -68,11 +68,14 @@
 	if len(comparisons) == 0 {
 		return 1, 1
 	}
+	promoted := h.promotedPeriod()
 	shares := faultShares[comparisons[0].measure]
-	for _, share := range shares {
+	for i, share := range shares {
 		l := likelihoodOf(h, share, comparisons)
-		fault += l.mixture(onsets) / float64(len(shares))
-		doubt = max(doubt, l.mixture(0))
+		fault += l.mixture(onsets, promoted) / float64(len(shares))
+		if i > 0 {
+			doubt = max(doubt, l.past())
+		}
 	}
 	return fault, doubt
 }
@@ -91,7 +94,7 @@
 				usual := c.usualShare(period)
 				sum += c.target[period][cell].logLikelihoodRatio(usual, usual+faultShare*(1-usual))
 			}
-			l[period] += min(cellLimit(m), sum)
+			l[period] += min(cellBound(m, h.snapshots[period+1].phase), sum)
 		}
 	}
 	return l
--- a/decision/rollout/comparison.go
+++ b/decision/rollout/comparison.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slowFactor is the time of a slow answer relative to the median of the old versions. Bad versions are at least 3 times slower.
@@ -108,8 +111,10 @@
 	overall := c.overallShare()
 	now := c.old[period]
 	for i := period; i >= 0 && now.all < priorWeight; i-- {
-		if c.old[i].all >= priorWeight {
-			overall = max(overall, c.old[i].bad/c.old[i].all)
+		if last := c.old[i]; last.all >= priorWeight {
+			if deviation := math.Sqrt(last.all * overall * (1 - overall)); last.bad > last.all*overall+3*deviation+1 {
+				overall = last.bad / last.all
+			}
 			break
 		}
 	}
--- a/decision/rollout/history.go
+++ b/decision/rollout/history.go
@@ -63,12 +63,12 @@
 	return 0, false
 }
 
-// promotedAt returns the time at which promoting began, and whether it has.
-func (h *history) promotedAt() (time.Duration, bool) {
-	for i := range h.snapshots {
+// promotedPeriod returns the first period of promoting, and the number of periods if promoting has not begun.
+func (h *history) promotedPeriod() int {
+	for i := 1; i < len(h.snapshots); i++ {
 		if h.snapshots[i].phase == Promoting {
-			return h.snapshots[max(0, i-1)].at, true
+			return i - 1
 		}
 	}
-	return 0, false
+	return len(h.snapshots) - 1
 }
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -8,15 +8,18 @@
 // minWatchTime is the time for which a Judge has received counts before it promotes. The counts of a new decider may be incomplete.
 const minWatchTime = time.Second
 
-// minHandOver is the time that a hand-over takes at least, and firstDoubtShare the part of the permitted doubt that promotes the target
+// minHandOver is the time before the final phase that a hand-over takes at least, in which the target is observed with all requests.
+// firstDoubtShare is the part of the permitted doubt that promotes the target
 // at the earliest time.
 const (
-	minHandOver     = time.Second
+	minHandOver     = 1500 * time.Millisecond
 	firstDoubtShare = 0.25
+	// lastChanceTime is the time before the latest promotion in which the whole doubt is permitted.
+	lastChanceTime = 500 * time.Millisecond
 )
 
 // maxFinalDoubt is the weight of a fault, relative to none, above which promoting ends with a revert at the deadline.
-const maxFinalDoubt = 3
+const maxFinalDoubt = 1
 
 // confirmPercent is the part of the hand-over time for which the target is observed with all requests, also if all nodes have
 // confirmed earlier. Until then the old endpoints can take the traffic back.
@@ -65,11 +68,16 @@
 		if missing == "" && j.isIdle(e) {
 			return Decision{Phase: Completed, Reason: "no requests"}
 		}
+		if missing == "" {
+			missing = "too late for a hand-over"
+		}
 		return Decision{Phase: Reverted, Reason: "insufficient evidence at the deadline: " + missing}
 	case remaining > j.params.HandOver:
 		return Decision{Phase: Observing, Reason: "observing until the hand-over"}
 	case missing != "":
 		return Decision{Phase: Observing, Reason: missing}
+	case remaining < min(j.params.HandOver, j.params.DeadlineMargin+minHandOver):
+		return Decision{Phase: Observing, Reason: "too late for a hand-over"}
 	default:
 		return Decision{Phase: Promoting, Reason: fmt.Sprintf("no fault found, doubt %.2f", a.doubt)}
 	}
@@ -78,7 +86,7 @@
 // promote decides while the target gets all new requests.
 func (j *Judge) promote(a assessment, e Evidence, remaining time.Duration) Decision {
 	atDeadline := remaining <= j.params.DeadlineMargin
-	since, _ := j.history.promotedAt()
+	since := j.history.snapshots[j.history.promotedPeriod()].at
 	switch {
 	case atDeadline && e.TargetEndpoints == 0:
 		return Decision{Phase: Reverted, Reason: "the target has no endpoint at the deadline"}
@@ -106,7 +114,7 @@
 		return ""
 	case e.Tally.Sends(OldGroup) == 0, a.doubt > j.permittedDoubt(remaining):
 		return fmt.Sprintf("doubt %.2f, %s", a.doubt, a.worst)
-	case a.unsettled && remaining > j.params.DeadlineMargin+minHandOver:
+	case a.unsettled && remaining > j.params.DeadlineMargin+minHandOver+lastChanceTime:
 		return "the old versions have a fault at the moment"
 	default:
 		return ""
@@ -116,7 +124,7 @@
 // permittedDoubt returns the doubt at which the target is promoted. It is small at first, since waiting for more answers costs only a
 // part of the hand-over time, and rises until the time that is needed at least.
 func (j *Judge) permittedDoubt(remaining time.Duration) float64 {
-	latest := j.params.DeadlineMargin + minHandOver
+	latest := j.params.DeadlineMargin + minHandOver + lastChanceTime
 	if j.params.HandOver <= latest || remaining <= latest {
 		return j.params.Doubt
 	}
--- a/decision/rollout/simulation_case_test.go
+++ b/decision/rollout/simulation_case_test.go
@@ -39,6 +39,6 @@
 	fault faultKind
 	// from and to bound the time of the first effect of the fault.
 	from, to time.Duration
-	// underLoad limits the fault to endpoints with at least 0.7 of the load of an old endpoint, oneRoute to the first route.
+	// underLoad limits the fault to endpoints with at least 0.7 of the load of an old endpoint, oneRoute to a random route.
 	underLoad, oneRoute bool
 }
--- a/decision/rollout/simulation_request_test.go
+++ b/decision/rollout/simulation_request_test.go
@@ -32,7 +32,7 @@
 	switch {
 	case n.phase == Promoting || n.phase == Completed:
 		return s.pick(s.target)
-	case n.phase == Observing && n.exposure.AllowsTarget():
+	case n.phase == Observing && n.exposure.AllowsTarget() && s.canary.Admits(s.now, s.random.Float64()):
 		if ids := s.canary.Choose(func(id string) bool { return s.byID[id].admits(s.now) }); len(ids) > 0 {
 			return s.byID[ids[s.random.IntN(len(ids))]]
 		}
@@ -99,7 +99,7 @@
 
 // isAffected reports whether the fault of the version affects a run that begins now.
 func (s *simulation) isAffected(run *simulatedRun, load float64) bool {
-	if s.fault == noFault || run.endpoint.group != TargetGroup || s.now < s.onset || s.oneRoute && run.route != &s.service.routes[0] {
+	if s.fault == noFault || run.endpoint.group != TargetGroup || s.now < s.onset || s.oneRoute && run.route != s.faultyRoute {
 		return false
 	}
 	rate := 0.0
--- a/decision/rollout/simulation_test.go
+++ b/decision/rollout/simulation_test.go
@@ -37,6 +37,8 @@
 	// strength is the share of failures or the slowdown of a bad version, from onset on.
 	strength float64
 	onset    time.Duration
+	// faultyRoute is the route of a fault on one route.
+	faultyRoute *simulatedRoute
 	// commonFrom is the beginning of a common fault, handOver the time that nodes need to confirm promoting.
 	commonFrom, handOver time.Duration
 	promotedAt           time.Duration
@@ -58,6 +60,7 @@
 		s.strength = 3 + 5*s.random.Float64()
 	}
 	s.onset = c.from + time.Duration(s.random.Float64()*float64(c.to-c.from))
+	s.faultyRoute = &c.service.routes[s.random.IntN(len(c.service.routes))]
 	s.commonFrom = s.between(0, 8*time.Second)
 	s.handOver = s.between(time.Second, 3*time.Second)
 	for range simulatedNodes {
