Estimate the usual share of bad outcomes over the whole roll-out

Cause: the share of the old versions in one period of half a second is uncertain by 5 of 100, which convicted good versions. Change: the share of a single period counts only if it differs by more than chance; the standard error is added to the other one.

--- a/decision/rollout/comparison.go
+++ b/decision/rollout/comparison.go
@@ -10,7 +10,10 @@
 	slowFactor = 2.5
 	// reportDelay is added before a request without a first event counts as slow, for the time that counts are under way.
 	reportDelay = 750 * time.Millisecond
-	// priorWeight is the number of answers that the usual share of the whole roll-out counts for within one period.
+	// unusualDeviations is the number of standard deviations by which a period of the old versions differs from the others when a fault
+	// strikes them.
+	unusualDeviations = 2.5
+	// priorWeight is the number of answers that the share of the whole roll-out counts for within an unusual period.
 	priorWeight = 10
 	// settledPeriods is the number of periods in which the old versions must be as usual before the target is promoted, unsettledShare
 	// the share of bad outcomes above the usual one that shows a fault.
@@ -105,24 +108,36 @@
 	return e.Intervals
 }
 
-// usualShare returns the share of bad outcomes that is usual in a period, by the old versions in this period and before. While all new
-// requests go to the target, a fault that struck the old versions last is assumed to go on.
+// usualShare returns the share of bad outcomes that is usual in a period: that of the old versions over the whole roll-out, or, if it
+// differs by more than chance in this period, the share in the period. While all new requests go to the target, a fault that struck
+// the old versions last is assumed to go on.
 func (c *comparison) usualShare(period int) float64 {
-	overall := c.overallShare()
-	now := c.old[period]
-	for i := period; i >= 0 && now.all < priorWeight; i-- {
-		if last := c.old[i]; last.all >= priorWeight {
-			if deviation := math.Sqrt(last.all * overall * (1 - overall)); last.bad > last.all*overall+3*deviation+1 {
-				overall = last.bad / last.all
-			}
-			break
+	for i := period; i >= 0; i-- {
+		now := c.old[i]
+		if now.all < priorWeight && i > 0 {
+			continue
+		}
+		if c.isUnusual(now) && (i == period || now.bad > now.all*c.overallShare()) {
+			return c.bounded((now.bad + priorWeight*c.overallShare()) / (now.all + priorWeight))
 		}
+		break
 	}
-	return c.bounded((now.bad + priorWeight*overall) / (now.all + priorWeight))
+	return c.bounded(c.overallShare())
 }
 
-// overallShare returns the share of bad outcomes of the old versions over all periods.
-func (c *comparison) overallShare() float64 { return (c.oldSum.bad + 0.2) / (c.oldSum.all + 2) }
+// isUnusual reports whether outcomes of the old versions differ from the whole roll-out by more than chance.
+func (c *comparison) isUnusual(o outcomeCounts) bool {
+	share := c.overallShare()
+	return math.Abs(o.bad-o.all*share) > unusualDeviations*math.Sqrt(o.all*share*(1-share))+1
+}
+
+// overallShare returns the share of bad outcomes of the old versions over all periods, plus its standard error: few outcomes of the
+// old versions must not make a good target look bad.
+func (c *comparison) overallShare() float64 {
+	all := c.oldSum.all + 2
+	share := (c.oldSum.bad + 0.2) / all
+	return share + math.Sqrt(share*(1-share)/all)
+}
 
 // bounded keeps a usual share within its bounds.
 func (c *comparison) bounded(share float64) float64 {
