--- a/decision/rollout/assessment.go
+++ b/decision/rollout/assessment.go
@@ -9,6 +9,12 @@
 // endpoints have just started. Within this time the canary share alone bounds the exposure.
 const maxColdTime = 4 * time.Second
 
+const (
+	// minOutcomes is the number of outcomes of the target that is needed on each route with at least scarceShare of the requests.
+	minOutcomes = 5
+	scarceShare = 0.1
+)
+
 // assessment is the evidence for and against a fault of the target at one moment.
 type assessment struct {
 	// fault is the likelihood ratio of a fault by any measure, on all routes or on one, from any time on. When there is no fault, it
@@ -18,6 +24,8 @@
 	doubt float64
 	// unsettled means that the old versions have a fault at the moment, so that the target could not be judged after promoting.
 	unsettled bool
+	// scarce describes a comparison with too few outcomes of the target. It is empty if there is none.
+	scarce string
 	// worst describes the comparison with the strongest evidence for a fault.
 	worst string
 }
@@ -46,6 +54,9 @@
 			// A fault on one route is as likely as the route's share of the requests.
 			share := min(1, c.oldSum.all/max(1, total))
 			weight += share
+			if share >= scarceShare && c.targetSum.all < minOutcomes {
+				a.scarce = c.describe()
+			}
 			a.unsettled = a.unsettled || m != intervalMeasure && c.isUnsettled()
 			routeFault, routeDoubt := ratios(h, onsets, c)
 			fault += share * routeFault / 2
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -114,6 +114,8 @@
 		return ""
 	case e.Tally.Sends(OldGroup) == 0, a.doubt > j.permittedDoubt(remaining):
 		return fmt.Sprintf("doubt %.2f, %s", a.doubt, a.worst)
+	case a.scarce != "":
+		return "few answers: " + a.scarce
 	case a.unsettled && remaining > j.params.DeadlineMargin+minHandOver+lastChanceTime:
 		return "the old versions have a fault at the moment"
 	default:
--- a/decision/rollout/judge_params.go
+++ b/decision/rollout/judge_params.go
@@ -13,13 +13,13 @@
 	DeadlineMargin time.Duration
 	// Error is the probability that a good version is reverted for its answers, over the whole observation.
 	Error float64
-	// Doubt is the weight of the evidence for a fault, relative to none, below which the target is promoted.
+	// Doubt is the likelihood ratio of a fault below which the target is promoted. It is below 1, the ratio without evidence.
 	Doubt float64
 }
 
 // DefaultJudgeParams returns the bounds for the users' platform.
 func DefaultJudgeParams() JudgeParams {
-	return JudgeParams{HandOver: 4 * time.Second, DeadlineMargin: time.Second, Error: 0.01, Doubt: 1.5}
+	return JudgeParams{HandOver: 4 * time.Second, DeadlineMargin: time.Second, Error: 0.01, Doubt: 0.9}
 }
 
 // withDefaults returns the bounds with the defaults for those that are 0.
