Let a new decider of a roll-out use the times of answers at once

Cause: a judge that took over counted its first evidence as the first response of the target and waited for its cold time again. Change: the first response may have come at the beginning of its period; a judge that takes over while promoting observes first. The simulation replaces the judge at a random time.

--- a/decision/rollout/assessment.go
+++ b/decision/rollout/assessment.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // maxColdTime bounds the time after the first response of the target in which slow answers are not held against it, since its
 // endpoints have just started. Within this time the canary share alone bounds the exposure.
@@ -18,7 +15,7 @@
 // assessment is the evidence for and against a fault of the target at one moment.
 type assessment struct {
 	// fault is the likelihood ratio of a fault by any measure, on all routes or on one, from any time on. When there is no fault, it
-	// ever exceeds a value x with a probability of at most 1/x.
+	// ever exceeds a value x with a probability of at most 1/x, as far as the usual shares are known.
 	fault float64
 	// doubt is the largest weight of a fault that may have begun, over the measures. It is 1 without evidence.
 	doubt float64
@@ -111,9 +108,3 @@
 	}
 	return l
 }
-
-// describe returns the counts for operators.
-func (c *comparison) describe() string {
-	return fmt.Sprintf("%s on route %s: %.0f of %.0f on the target, %.0f of %.0f on the old versions",
-		c.measure, c.route, c.targetSum.bad, c.targetSum.all, c.oldSum.bad, c.oldSum.all)
-}
--- a/decision/rollout/comparison.go
+++ b/decision/rollout/comparison.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -155,3 +156,9 @@
 	}
 	return recent.all >= priorWeight && recent.bad/recent.all > c.overallShare()+unsettledShare
 }
+
+// describe returns the counts for operators.
+func (c *comparison) describe() string {
+	return fmt.Sprintf("%s on route %s: %.0f of %.0f on the target, %.0f of %.0f on the old versions",
+		c.measure, c.route, c.targetSum.bad, c.targetSum.all, c.oldSum.bad, c.oldSum.all)
+}
--- a/decision/rollout/history.go
+++ b/decision/rollout/history.go
@@ -51,15 +51,17 @@
 	return &h.snapshots[0]
 }
 
-// coldPeriods returns the number of first periods in which the endpoints of the target had just started.
+// coldPeriods returns the number of first periods in which the endpoints of the target had just started. The first response may have
+// come at the beginning of its period, which is long for a decider that has taken over.
 func (h *history) coldPeriods() int {
-	first := -1
-	for i := range h.snapshots {
-		if first < 0 && h.snapshots[i].hasTargetResponse() {
-			first = i
+	for first := 1; first < len(h.snapshots); first++ {
+		if !h.snapshots[first].hasTargetResponse() {
+			continue
 		}
-		if first >= 0 && h.snapshots[i].at >= h.snapshots[first].at+h.coldTime {
-			return i
+		for i := first; i < len(h.snapshots); i++ {
+			if h.snapshots[i].at >= h.snapshots[first-1].at+h.coldTime {
+				return i
+			}
 		}
 	}
 	return len(h.snapshots) - 1
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -8,8 +8,8 @@
 // minWatchTime is the time for which a Judge has received counts before it promotes. The counts of a new decider may be incomplete.
 const minWatchTime = time.Second
 
-// minHandOver is the time before the final phase that a hand-over takes at least, in which the target is observed with all requests.
 const (
+	// minHandOver is the time before the final phase that a hand-over takes at least, in which the target is observed with all requests.
 	minHandOver = 1750 * time.Millisecond
 	// firstDoubtShare is the part of the permitted doubt at which the target is promoted at the earliest time.
 	firstDoubtShare = 0.2
@@ -86,7 +86,7 @@
 // promote decides while the target gets all new requests.
 func (j *Judge) promote(a assessment, e Evidence, remaining time.Duration) Decision {
 	atDeadline := remaining <= j.params.DeadlineMargin
-	since := j.history.snapshots[j.history.promotedPeriod()].at
+	since := max(j.first, j.history.snapshots[j.history.promotedPeriod()].at)
 	switch {
 	case atDeadline && e.TargetEndpoints == 0:
 		return Decision{Phase: Reverted, Reason: "the target has no endpoint at the deadline"}
--- a/decision/rollout/judge_simulation_test.go
+++ b/decision/rollout/judge_simulation_test.go
@@ -44,6 +44,7 @@
 		for name, d := range map[string]disturbance{
 			"calm": calm, "common fault": commonFault, "killed old": killedOld, "killed target": killedTarget, "killed canary": killedCanary,
 			"flapping": flapping, "lying health": lyingHealth, "cold target": coldTarget, "hidden cold": hiddenCold,
+			"new decider": newDecider,
 		} {
 			t.Run(service.name+"/"+name, func(t *testing.T) {
 				t.Parallel()
--- a/decision/rollout/simulation_case_test.go
+++ b/decision/rollout/simulation_case_test.go
@@ -20,6 +20,8 @@
 	// coldTarget makes endpoints three times as slow in their first 3 s, which nodes know. In hiddenCold they don't.
 	coldTarget
 	hiddenCold
+	// newDecider replaces the judge once.
+	newDecider
 )
 
 // faultKind is the kind of a bad version.
--- a/decision/rollout/simulation_disturbance_test.go
+++ b/decision/rollout/simulation_disturbance_test.go
@@ -21,6 +21,8 @@
 		s.eachTenth(func(e *simulatedEndpoint) { s.flap(e) })
 	case lyingHealth:
 		s.eachTenth(func(e *simulatedEndpoint) { s.lie(e) })
+	case newDecider:
+		s.after(s.between(time.Second, 11*time.Second), func() { s.judge = NewJudge(DefaultJudgeParams()) })
 	default:
 	}
 }
