--- a/decision/rollout/exposure.go
+++ b/decision/rollout/exposure.go
@@ -3,7 +3,7 @@
 import "math/rand/v2"
 
 // excessRequests is the expected number of requests beyond the share that all nodes together may send to the target. It is below
-// the permitted slack of 50 by 6 standard deviations of the random credits, as far as these exceed what the share leaves free.
+// the permitted slack of 50 so that, with a share of 0.08 instead of the permitted 0.1, the sum is 5 standard deviations below the bound.
 const excessRequests = 20
 
 // Exposure bounds the requests that one node sends to the target of a roll-out. One task owns it.
