--- a/cmd/azuredyked/edge.go
+++ b/cmd/azuredyked/edge.go
@@ -84,6 +84,8 @@
 		NewStream:  func(r io.Reader) exchange.Stream { return workers.NewEventStream(r) },
 		NewHandler: func(server *edge.Server, budget int64) http.Handler { return front.New(server, budget) },
 		Metrics:    registry,
+
+		EncodeRolloutStatus: records.EncodeRolloutStatus,
 	})
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
--- a/decision/dispatch/params.go
+++ b/decision/dispatch/params.go
@@ -13,4 +13,6 @@
 	// ColdOverage and ColdSlack limit the requests per second on a cold endpoint to rate times overage plus slack.
 	ColdOverage float64
 	ColdSlack   float64
+	// CanaryShare is the share of a service's requests that the target of a roll-out gets while it is observed.
+	CanaryShare float64
 }
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -49,6 +49,7 @@
 	chosen.own.Tokens += r.Tokens
 	chosen.own.Prefill += newRun.prefill
 	chosen.recordSend(now)
+	placed.Rollout = t.recordRolloutSend(&r, chosen)
 	if backup := t.chooseBackup(now, &r, chosen); backup != nil {
 		newRun.backup, newRun.copyTokens = backup, meanCopyTokens(&r)
 		backup.own.Tokens += newRun.copyTokens
@@ -61,15 +62,15 @@
 	return placed, ""
 }
 
-// chooseEndpoint returns the endpoint for a request.
-func (t *Table) chooseEndpoint(now time.Time, r *Request) (*endpoint, Refusal) {
+// chooseAmong returns the endpoint for a request among those of a selection; without a roll-out, share is nil and all count.
+func (t *Table) chooseAmong(now time.Time, r *Request, share *rolloutShare, which selection) (*endpoint, Refusal) {
 	if r.SpareMemoryOnly && t.UnderMemoryPressure(now, r.Service) {
 		return nil, AllEndpointsFull
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
 	usable, paused, admitted := 0, 0, 0
 	for _, e := range t.services[r.Service] {
-		if !r.mayUse(e) {
+		if !r.mayUse(e) || share != nil && !share.contains(which, e) {
 			continue
 		}
 		usable++
@@ -147,7 +148,7 @@
 func (t *Table) UnderMemoryPressure(now time.Time, service string) bool {
 	used, capacity := 0.0, 0.0
 	for _, e := range t.services[service] {
-		if e.refreshCandidate(now, t.params.DataCentre) {
+		if t.RolloutAllowsRuns(service, e.Version) && e.refreshCandidate(now, t.params.DataCentre) {
 			used += e.candidate.UntrackedMemory
 			capacity += e.candidate.Capacity
 		}
@@ -164,7 +165,11 @@
 		return nil
 	}
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
+	share := t.rollouts[r.Service]
 	for _, e := range t.services[r.Service] {
+		if share != nil && !share.allowsCopy(primary.Version, e.Version) {
+			continue
+		}
 		if e == primary || e.isCold(now) || !e.refreshCandidate(now, t.params.DataCentre) {
 			continue
 		}
--- a/decision/dispatch/placement.go
+++ b/decision/dispatch/placement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/decision/rollout"
 )
 
 // Placement is the placement of a request that may be sent.
@@ -19,4 +20,14 @@
 	Prefill int
 	// LoadAge is the age of the last report of the other nodes' load.
 	LoadAge time.Duration
+	// Rollout is the run's part in the roll-out of its service; nil without an order.
+	Rollout *RolloutRun
+}
+
+// Group returns the run's group in the roll-out of its service.
+func (p *Placement) Group() rollout.Group {
+	if p.Rollout == nil {
+		return rollout.OtherGroup
+	}
+	return p.Rollout.Group
 }
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+
+	"azuredyke.dev/azuredyke/decision/rollout"
+)
 
 // Request holds the properties of a request that placement depends on.
 type Request struct {
@@ -27,6 +31,8 @@
 	RequiredEndpoint string
 	// Backup asks for a second endpoint that holds a copy of the run's memory.
 	Backup bool
+	// Group is the group of the run that a resumed request continues.
+	Group rollout.Group
 }
 
 // mayUse reports whether the request may run on an endpoint, now or once the endpoint accepts requests again.
--- /dev/null
+++ b/decision/dispatch/rollout_share.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"azuredyke.dev/azuredyke/common/rendezvous"
+	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/decision/rollout"
+)
+
+// rolloutShare is the state of the roll-out of one service on this node: which versions its requests may use.
+type rolloutShare struct {
+	// order is the order in force; nil if operators removed it. plan is the newest plan; nil if there is none yet.
+	order *rollout.Order
+	plan  *rollout.Plan
+	// exposure bounds the sends to the target; nil without an order and a plan in the phase Observing.
+	exposure *rollout.Exposure
+	// stopped is set while the decider cannot write and wants the target to get nothing.
+	stopped bool
+	// canary holds the endpoints of the target that get the canary share.
+	canary map[string]bool
+}
+
+// excludesTargetOf reports whether the order names a version that may get nothing before the decider has made a plan for it: the
+// plan is older, and it is for another version or was reverted.
+func (s *rolloutShare) excludesTargetOf(o *rollout.Order) bool {
+	if o == nil {
+		return false
+	}
+	return s.plan == nil || o.Revision > s.plan.Order.Revision && (o.Target != s.plan.Order.Target || s.plan.Phase == rollout.Reverted)
+}
+
+// isReplaced reports whether the plan is open although its order was replaced by one for another version or was removed. Its
+// target then gets nothing, before the decider has written that.
+func (s *rolloutShare) isReplaced() bool {
+	if s.plan == nil || s.plan.Phase.IsFinal() {
+		return false
+	}
+	return s.order == nil || s.order.Target != s.plan.Order.Target
+}
+
+// phase returns the phase that this node applies.
+func (s *rolloutShare) phase() rollout.Phase {
+	switch {
+	case s.plan == nil:
+		return rollout.NoPhase
+	case s.isReplaced():
+		return rollout.Reverted
+	default:
+		return s.plan.Phase
+	}
+}
+
+// group returns the group of a version. A plan without old versions was made while no old endpoint was listed, and any other
+// version than the target then counts as old.
+func (s *rolloutShare) group(version string) rollout.Group {
+	switch {
+	case s.order != nil && s.excludesTargetOf(s.order) && version == s.order.Target:
+		return rollout.TargetGroup
+	case s.plan == nil || len(s.plan.OldVersions) == 0 && version != s.plan.Order.Target:
+		return rollout.OldGroup
+	default:
+		return s.plan.Group(version)
+	}
+}
+
+// selections returns the sets of versions for a request, in the order in which they are tried.
+func (s *rolloutShare) selections(r *Request, stale bool) []selection {
+	switch s.phase() {
+	case rollout.NoPhase:
+		return []selection{selectAllButTarget}
+	case rollout.Observing:
+		return s.observingSelections(r, stale)
+	case rollout.Promoting:
+		if s.stopped {
+			return []selection{selectOld}
+		}
+		return []selection{selectTarget}
+	case rollout.Completed:
+		return []selection{selectAllButOld}
+	default:
+		return []selection{selectOld}
+	}
+}
+
+// observingSelections returns the sets of versions for a request in the phase Observing.
+func (s *rolloutShare) observingSelections(r *Request, stale bool) []selection {
+	// A run that goes on from a copy at an engine of the target is sent there even if the share is used up: it would be lost
+	// otherwise, and later sends make up for it.
+	continues := r.Resumed && r.Group == rollout.TargetGroup && r.RequiredEndpoint != ""
+	mayUseTarget := !stale && !s.stopped && (!r.Resumed || r.Group == rollout.TargetGroup)
+	if continues || mayUseTarget && s.exposure.AllowsTarget() {
+		if r.Resumed {
+			return []selection{selectTarget, selectOld}
+		}
+		return []selection{selectCanary, selectOld}
+	}
+	return []selection{selectOld}
+}
+
+// contains reports whether a selection contains an endpoint.
+func (s *rolloutShare) contains(which selection, e *endpoint) bool {
+	isExcluded := s.order != nil && s.excludesTargetOf(s.order) && e.Version == s.order.Target
+	switch g := s.group(e.Version); which {
+	case selectOld:
+		return g == rollout.OldGroup && !isExcluded
+	case selectAllButTarget:
+		return !isExcluded
+	case selectCanary:
+		return g == rollout.TargetGroup && s.canary[e.ID] && !isExcluded
+	case selectTarget:
+		return g == rollout.TargetGroup && !isExcluded
+	case selectAllButOld:
+		return g != rollout.OldGroup && !isExcluded
+	default:
+		return false
+	}
+}
+
+// allowsRuns reports whether runs may go on at a version; if not, they are moved as if the endpoint were leaving.
+func (s *rolloutShare) allowsRuns(version string) bool {
+	g := s.group(version)
+	switch s.phase() {
+	case rollout.NoPhase:
+		return g != rollout.TargetGroup
+	case rollout.Observing:
+		return g != rollout.OtherGroup
+	case rollout.Promoting:
+		return g == rollout.TargetGroup && !s.stopped || g == rollout.OldGroup && s.stopped
+	case rollout.Completed:
+		return g != rollout.OldGroup && !(s.excludesTargetOf(s.order) && version == s.order.Target)
+	default:
+		return g == rollout.OldGroup
+	}
+}
+
+// allowsCopy reports whether a copy of a run at one version may be placed at another one.
+func (s *rolloutShare) allowsCopy(from, to string) bool {
+	if !s.allowsRuns(to) {
+		return false
+	}
+	return s.phase() != rollout.Observing || s.group(from) == s.group(to)
+}
+
+// recordSend counts a request that was placed on a version. Repeats and copies at old endpoints are not counted, since the bound
+// is a share of the requests that reach the service.
+func (s *rolloutShare) recordSend(r *Request, version string) {
+	if s.exposure == nil {
+		return
+	}
+	if g := s.group(version); g == rollout.TargetGroup || !r.Repeat && !r.Resumed {
+		s.exposure.RecordSend(g)
+	}
+}
+
+// chooseCanary chooses the endpoints of the target that get the canary share, the same on all nodes. Each gets about the load of
+// an old endpoint, so that a fault under load is seen.
+func (s *rolloutShare) chooseCanary(share float64, endpoints []fleet.Endpoint, out map[string]bool) {
+	var targets []fleet.Endpoint
+	old := 0
+	for _, e := range endpoints {
+		switch g := s.group(e.Version); {
+		case e.Leaving || out[e.DataCentre]:
+		case g == rollout.TargetGroup:
+			targets = append(targets, e)
+		case g == rollout.OldGroup:
+			old++
+		}
+	}
+	key := fmt.Sprint("canary ", s.plan.Order.Service, " ", s.plan.Order.Target)
+	slices.SortFunc(targets, func(a, b fleet.Endpoint) int {
+		return cmp.Or(cmp.Compare(rendezvous.Score(key, b.ID), rendezvous.Score(key, a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	size := max(1, int(math.Round(share*float64(old)/(1-share))))
+	s.canary = map[string]bool{}
+	for _, e := range targets[:min(size, len(targets))] {
+		s.canary[e.ID] = true
+	}
+}
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -16,6 +16,10 @@
 // othersLoadExpiry is the time after which the load of the other nodes no longer counts if it was not reported again.
 const othersLoadExpiry = 3 * time.Second
 
+// maxRolloutAge is the age of the copy of the store from which a roll-out that is observed gets nothing. A node counts as out of
+// touch after 4 s, and until then its sends count against the bound.
+const maxRolloutAge = 3 * time.Second
+
 // Table is the placement state of one node. It is not safe for concurrent use; one task owns it.
 type Table struct {
 	// nodeStarted is the time when the node was started. The sends of its previous process are unknown, but count against the
@@ -36,6 +40,10 @@
 	lastRun uint64
 	// ownLoadChanged is set when the node's own load may differ from the last result of OwnLoads.
 	ownLoadChanged bool
+	// rollouts holds the roll-outs by service. It is empty unless operators have ordered one.
+	rollouts map[string]*rolloutShare
+	// rolloutStale is set while the copy of the store is too old to use the target of a roll-out that is observed.
+	rolloutStale bool
 
 	random                                        *rand.Rand
 	enginePolicy, strictEnginePolicy, plainPolicy *placement.Policy
@@ -71,6 +79,7 @@
 	t.ownLoadChanged = true
 	t.endpoints = make(map[string]*endpoint, len(previous))
 	t.services = map[string][]*endpoint{}
+	t.setRollouts(s)
 	if s.Configuration == nil {
 		return
 	}
@@ -187,7 +196,7 @@
 func (t *Table) PauseLeft(now time.Time, r *Request) time.Duration {
 	left, found := time.Duration(0), false
 	for _, e := range t.services[r.Service] {
-		if !r.mayUse(e) {
+		if !r.mayUse(e) || !t.RolloutAllowsRuns(r.Service, e.Version) {
 			continue
 		}
 		if pause := max(0, e.statement.pausedUntil.Sub(now)); !found || pause < left {
--- a/decision/fleet/state.go
+++ b/decision/fleet/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/common/catalog"
+	"azuredyke.dev/azuredyke/decision/rollout"
 )
 
 // lapseGrace is the time after an outage of the key-value service within which a lapsed entry must be written again. The
@@ -18,6 +19,10 @@
 	configuration  *catalog.Configuration
 	dataCentresOut map[string]bool
 	endpoints      map[string]*member
+	orders         map[string]rollout.Order
+	plans          map[string]StoredPlan
+	// unreadable holds the services with an order that cannot be used, and for which no earlier order is known.
+	unreadable map[string]bool
 	// storeUnreachable is set while the key-value service cannot be reached.
 	storeUnreachable bool
 	// graceEnd is the time from which entries that lapsed during the last outage count as removed.
@@ -26,7 +31,10 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{dataCentresOut: map[string]bool{}, endpoints: map[string]*member{}}
+	return &State{
+		dataCentresOut: map[string]bool{}, endpoints: map[string]*member{}, orders: map[string]rollout.Order{}, plans: map[string]StoredPlan{},
+		unreadable: map[string]bool{},
+	}
 }
 
 // Apply makes a change, and reports whether the state differs afterwards.
@@ -56,6 +64,13 @@
 func (s *State) Snapshot() *Snapshot {
 	snapshot := &Snapshot{
 		Configuration: s.configuration, Out: maps.Clone(s.dataCentresOut), Endpoints: make(map[string][]Endpoint),
+		Orders: maps.Clone(s.orders), Plans: maps.Clone(s.plans),
+	}
+	for service := range s.unreadable {
+		// The order that was in force before is in the plan, if there was one.
+		if stored, ok := s.plans[service]; ok {
+			snapshot.Orders[service] = stored.Plan.Order
+		}
 	}
 	for _, m := range s.endpoints {
 		e := Endpoint{Endpoint: m.endpoint, ColdUntil: m.coldUntil}
--- a/service/edge/cluster_state.go
+++ b/service/edge/cluster_state.go
@@ -5,6 +5,7 @@
 
 	"azuredyke.dev/azuredyke/backing"
 	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/service/rollout"
 )
 
 // clusterState is an immutable snapshot of the cluster, decoded from the node's copy of the store.
@@ -16,6 +17,8 @@
 	OwnLease backing.LeaseID
 	// topology assigns the relays among the other nodes and this node.
 	topology topology
+	// Decider is the node that may write the plans of roll-outs.
+	Decider rollout.Holder
 	// Revision is the store's revision up to which all changes are included.
 	Revision int64
 	// ConfirmedAt is the time on the boot clock at which the state was last known to be current.
--- a/service/edge/dependencies.go
+++ b/service/edge/dependencies.go
@@ -6,6 +6,7 @@
 
 	"azuredyke.dev/azuredyke/common/exchange"
 	"azuredyke.dev/azuredyke/common/metrics"
+	"azuredyke.dev/azuredyke/service/rollout"
 )
 
 // Dependencies are the adapters that a node uses.
@@ -21,4 +22,6 @@
 	// NewHandler returns the HTTP handler for callers. The handler holds at most budget bytes of request bodies in memory.
 	NewHandler func(s *Server, budget int64) http.Handler
 	Metrics    *metrics.Registry
+	// EncodeRolloutStatus encodes the status of a roll-out. It is needed only with the feature Rollouts.
+	EncodeRolloutStatus rollout.StatusEncoder
 }
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -87,20 +86,22 @@
 	}
 	d.snapshot = state.Fleet
 	d.table.SetSnapshot(time.Now(), state.Fleet)
-	maps.DeleteFunc(d.leaving, func(_ uint64, r *leavingRun) bool { return !r.notifyDepartures(d.available) })
+	d.notifyDepartures()
 	d.retryWaiting()
 }
 
-// available reports whether an endpoint is listed and not leaving. For copies, its data centre must also be in service.
+// available reports whether an endpoint is listed, not leaving and not replaced by a roll-out. For copies, its data centre must also
+// be in service.
 func (d *dispatcher) available(service, endpoint string, copies bool) bool {
 	return slices.ContainsFunc(d.snapshot.Endpoints[service], func(e fleet.Endpoint) bool {
-		return e.ID == endpoint && !e.Leaving && !(copies && d.snapshot.Out[e.DataCentre])
+		return e.ID == endpoint && !e.Leaving && !(copies && d.snapshot.Out[e.DataCentre]) && d.table.RolloutAllowsRuns(service, e.Version)
 	})
 }
 
 // tryPlace places or refuses a request and reports whether it did. A request that has to wait gets no reply.
 func (d *dispatcher) tryPlace(now time.Time, m placeMessage) bool {
 	m.request.RequireMemoryFit = now.Before(m.waitUntil)
+	d.updateStateAge()
 	placement, refusal := d.table.Place(now, m.request)
 	var retryAfter time.Duration
 	if refusal == dispatch.AllEndpointsPaused {
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -116,7 +116,7 @@
 // placeAtBackup places the run at its backup endpoint.
 func (r *streamRelay) placeAtBackup() (*upstream, sendOptions, error) {
 	backup := r.up.placement.Backup
-	o := sendOptions{endpoint: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent}
+	o := sendOptions{endpoint: backup.ID, copyAddress: backup.Address, lastEvent: r.lastEvent, group: r.up.placement.Group()}
 	next, err := r.place(r.ctx, o)
 	return next, o, err
 }
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -21,6 +21,7 @@
 	"azuredyke.dev/azuredyke/common/sockopt"
 	"azuredyke.dev/azuredyke/decision/gather"
 	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/rollout"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
 
@@ -49,8 +50,11 @@
 	dispatcher *dispatcher
 	peers      *peers
 	quarantine *quarantine.Manager
-	hub        *peer.Hub
-	server     *Server
+	// rollouts and decider are nil unless the feature is on.
+	rollouts *rollout.Manager
+	decider  *rollout.Decider
+	hub      *peer.Hub
+	server   *Server
 }
 
 // New returns a node that has not started.
@@ -82,6 +86,7 @@
 		quarantine: n.quarantine, graceEnd: newGraceEnd(),
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
+	n.addRollouts(d)
 	return n
 }
 
@@ -128,13 +133,20 @@
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, cluster: n.view.current, dispatcher: n.dispatcher.messages}
 	resync := &resyncer{log: n.view.log, syncClient: client, seeds: n.settings.Peers.Seeds, cluster: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self, cluster: n.view.current}
-	return []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	tasks := []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	if n.rollouts != nil {
+		tasks = append(tasks, n.rollouts.Run, n.decider.Run)
+	}
+	return tasks
 }
 
 // listen opens all listeners; the first is that for callers.
 func (n *Node) listen(ctx context.Context) ([]*httpserver.Server, error) {
 	pages := mux.NewRouter()
 	pages.Handle("/metrics", n.deps.Metrics.Handler)
+	if n.rollouts != nil {
+		pages.Handle("/rollouts", rolloutsPage{manager: n.rollouts})
+	}
 	budget := int64(bodyShare * float64(n.settings.Limits.MemoryMB) * 1e6)
 	var servers []*httpserver.Server
 	for _, entry := range []struct {
--- a/service/edge/reload.go
+++ b/service/edge/reload.go
@@ -29,6 +29,7 @@
 	return dispatch.Params{
 		DataCentre: s.Node.DataCentre, RetryRatio: s.Bounds.RetryRatio, RetryAllowance: s.Bounds.RetryAllowance,
 		RetryWindow: s.Bounds.RetryWindow, ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
+		CanaryShare: canaryShare(s.Bounds),
 	}
 }
 
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -58,6 +58,7 @@
 	s.stopGivenUp(ctx, up.placement.Endpoint)
 	s.server.metrics.attempts.Inc(1)
 	start := time.Now()
+	up.record.sent()
 	answer, err := s.server.sender.Send(sendCtx, s.request, s.newAttempt(up.placement, o))
 	if err == nil || verdict.Of(err).Reason != verdict.ReasonUnreachable {
 		s.arrivals++
@@ -79,7 +80,7 @@
 	s.copyEndpoint = fleet.Endpoint{}
 	if v.Verdict != verdict.NotRun {
 		s.runs++
-		s.copyEndpoint = up.placement.Backup
+		s.copyEndpoint, s.copyGroup = up.placement.Backup, up.placement.Group()
 	}
 	s.endAttempt(ctx, up, outcomeOf(v))
 	if v.Verdict != verdict.NotRun {
@@ -122,7 +123,7 @@
 	m.waitUntil = s.request.Received.Add(s.route.FirstByteObjective / waitDivisor)
 	if o.continues() {
 		m.request.ForceRepeat, m.request.Resumed, m.request.SpareMemoryOnly, m.request.CopyPending = true, true, o.spareMemoryOnly, o.copyPending
-		m.request.RequiredEndpoint, m.request.Exclude = o.endpoint, o.exclude
+		m.request.RequiredEndpoint, m.request.Exclude, m.request.Group = o.endpoint, o.exclude, o.group
 		m.waitUntil = time.Now()
 	}
 	if m.waitUntil.After(s.deadline) {
@@ -138,7 +139,8 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "service %s: %s", s.service, reply.refusal).
 			WithRetryAfter(spread(reply.retryAfter))
 	}
-	return &upstream{placement: reply.placement, leaving: leaving, cancel: func() {}, placer: s.server.placer}, nil
+	record := s.newRolloutRecord(reply.placement, o)
+	return &upstream{placement: reply.placement, leaving: leaving, cancel: func() {}, placer: s.server.placer, record: record}, nil
 }
 
 // newAttempt returns the attempt at the placed endpoint.
--- a/service/edge/send_options.go
+++ b/service/edge/send_options.go
@@ -1,5 +1,7 @@
 package edge
 
+import "azuredyke.dev/azuredyke/decision/rollout"
+
 // sendOptions describes how an attempt differs from a request's first one.
 type sendOptions struct {
 	// endpoint is the id of the endpoint at which a run must continue; empty means any.
@@ -16,6 +18,8 @@
 	spareMemoryOnly bool
 	// lastEvent is the id of the last event that the caller has received.
 	lastEvent string
+	// group is the group of the run that continues, in the roll-out of its service.
+	group rollout.Group
 }
 
 // continues reports whether the run continues from a copy instead of starting over.
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -14,6 +14,7 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/rollout"
 )
 
 // revokeMargin is subtracted from the time within which a revoked key must stop working. It covers a poll that gets no
@@ -32,6 +33,8 @@
 	metrics   *serverMetrics
 	// quarantine prevents requests that crash endpoints from running again.
 	quarantine *quarantine.Manager
+	// rollouts counts the outcomes under roll-outs; nil unless the feature is on.
+	rollouts *rollout.Manager
 	// revokeAfter is the setting bounds.revoke in nanoseconds.
 	revokeAfter atomic.Int64
 	// graceEnd is the end of the time that a stopping node gives its requests.
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -16,7 +16,7 @@
 func (r *streamRelay) startCopy() {
 	m := &r.migration
 	exclude := append(slices.Clone(m.refusedEndpoints), r.up.placement.Endpoint.ID)
-	target, err := r.place(r.ctx, sendOptions{copyPending: true, spareMemoryOnly: !m.leaving, exclude: exclude})
+	target, err := r.place(r.ctx, sendOptions{copyPending: true, spareMemoryOnly: !m.leaving, exclude: exclude, group: r.up.placement.Group()})
 	if err != nil {
 		r.log(zap.InfoLevel, "no endpoint for a copy", zap.String("endpoint", r.up.placement.Endpoint.ID),
 			zap.Bool("leaving", m.leaving), logging.Cause(err))
--- a/service/edge/upstream.go
+++ b/service/edge/upstream.go
@@ -17,12 +17,15 @@
 	cancel             context.CancelFunc
 	placer             placer
 	firstEventReported bool
-	ended              bool
+	// record reports the attempt for the counts of a roll-out; nil if there is none.
+	record *rolloutRecord
+	ended  bool
 }
 
 // reportFirstEvent reports, once, that the first event has arrived or the memory was copied: the prompt needs no more
 // computation.
 func (u *upstream) reportFirstEvent() {
+	u.record.event()
 	if !u.firstEventReported {
 		u.firstEventReported = true
 		u.placer.reportFirstEvent(u.placement.Run)
@@ -35,6 +38,7 @@
 		return
 	}
 	u.ended = true
+	u.record.end(o, u.answer)
 	u.cancel()
 	if u.answer != nil {
 		_ = u.answer.Body.Close()
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/backing"
@@ -17,6 +18,7 @@
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/mirror"
+	"azuredyke.dev/azuredyke/service/rollout"
 )
 
 const (
@@ -43,6 +45,11 @@
 	snapshot *fleet.Snapshot
 	nodes    []Member
 	topology topology
+
+	// rollouts is set if operators may order roll-outs. ordersIgnored counts the orders that cannot be used.
+	rollouts      bool
+	ordersIgnored tally.Counter
+	decider       rollout.Holder
 }
 
 func newView(log *zap.Logger, self Member, translate Translator) *view {
@@ -95,7 +102,11 @@
 			membersChanged = v.applyMember(e) || membersChanged
 			continue
 		}
-		change, err := v.translate(e)
+		if e.Entry.Key == rollout.DeciderKey {
+			v.applyDecider(e)
+			continue
+		}
+		change, err := v.translateChange(e)
 		if err != nil {
 			v.log.Warn("entry not usable", zap.String("key", e.Entry.Key), zap.Int64("revision", e.Entry.ModRevision), logging.Cause(err))
 		}
@@ -157,7 +168,7 @@
 
 func (v *view) publish() {
 	v.current.Publish(&clusterState{
-		Fleet: v.snapshot, Nodes: v.nodes, OwnLease: v.ownLease, topology: v.topology, Revision: v.mirror.Revision(), ConfirmedAt: v.mirror.ConfirmedAt(),
+		Fleet: v.snapshot, Nodes: v.nodes, OwnLease: v.ownLease, topology: v.topology, Decider: v.decider, Revision: v.mirror.Revision(), ConfirmedAt: v.mirror.ConfirmedAt(),
 	})
 }
 
