--- a/decision/fleet/plan_written.go
+++ b/decision/fleet/plan_written.go
@@ -17,7 +17,7 @@
 	if s.plans[c.Plan.Order.Service].Revision >= c.Revision {
 		return false
 	}
-	s.plans[c.Plan.Order.Service] = StoredPlan{Plan: c.Plan, Revision: c.Revision}
+	s.plans[c.Plan.Order.Service] = StoredPlan(c)
 	return true
 }
 
--- a/service/edge/rollout_record.go
+++ b/service/edge/rollout_record.go
@@ -15,7 +15,7 @@
 
 // rolloutRecord reports one attempt for the counts of a roll-out. A nil record reports nothing.
 type rolloutRecord struct {
-	manager *rollout.Manager
+	counts  rollout.Outcomes
 	server  *Server
 	run     dispatch.RolloutRun
 	service string
@@ -37,7 +37,7 @@
 		return nil
 	}
 	return &rolloutRecord{
-		manager: s.server.rollouts, server: s.server, run: *p.Rollout, service: s.service, route: s.route.Name,
+		counts: s.server.rollouts, server: s.server, run: *p.Rollout, service: s.service, route: s.route.Name,
 		dataCentre: p.Endpoint.DataCentre, continues: o.continues(),
 	}
 }
@@ -48,7 +48,7 @@
 		return
 	}
 	r.sentAt = time.Now()
-	r.manager.RecordSend(r.service, r.run.Revision, r.run.Group, r.route)
+	r.counts.RecordSend(r.service, r.run.Revision, r.run.Group, r.route)
 }
 
 // event records the arrival of an event.
@@ -101,5 +101,5 @@
 
 func (r *rolloutRecord) report(s decision.Sample) {
 	r.sampled = true
-	r.manager.RecordSample(r.service, r.run.Revision, s)
+	r.counts.RecordSample(r.service, r.run.Revision, s)
 }
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -34,7 +34,7 @@
 	// quarantine prevents requests that crash endpoints from running again.
 	quarantine *quarantine.Manager
 	// rollouts counts the outcomes under roll-outs; nil unless the feature is on.
-	rollouts *rollout.Manager
+	rollouts rollout.Outcomes
 	// revokeAfter is the setting bounds.revoke in nanoseconds.
 	revokeAfter atomic.Int64
 	// graceEnd is the end of the time that a stopping node gives its requests.
