--- a/fake/workers/arrival.go
+++ b/fake/workers/arrival.go
@@ -6,6 +6,8 @@
 type Arrival struct {
 	Worker  string
 	Service string
+	// Version is the version of the worker.
+	Version string
 	Request string
 	At      time.Time
 	// Continued is set if the request asks to continue from a copy of its run's memory.
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -25,6 +25,8 @@
 	Interval time.Duration
 	// EventsOf returns the number of events for the path of a request, in place of Events; nil if all requests have the same number.
 	EventsOf func(path string) int
+	// Version is the version of the worker's software.
+	Version string
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
@@ -70,7 +72,7 @@
 	behaviour := ask(in.Context(), w.Fleet, func(s *state) Behaviour {
 		behaviour := s.behaviours[w.ID]
 		s.arrivals = append(s.arrivals, Arrival{
-			Worker: w.ID, Service: w.service(), Request: request, At: time.Now(), Continued: from != "",
+			Worker: w.ID, Service: w.service(), Version: w.Version, Request: request, At: time.Now(), Continued: from != "",
 			AskedForPause: behaviour == Refuse && w.RetryAfter != "", SaidLeaving: saidLeaving,
 		})
 		return behaviour
--- a/test/harness/edge_site.go
+++ b/test/harness/edge_site.go
@@ -167,7 +167,7 @@
 
 // AddWorkerWith applies change to a new worker, starts it and writes its entry to the store.
 func (s *EdgeSite) AddWorkerWith(id string, engine bool, change func(*workers.Worker)) *workers.Worker {
-	w := &workers.Worker{Fleet: s.Fleet, ID: id, Engine: engine, Events: 60, Interval: 20 * time.Millisecond}
+	w := &workers.Worker{Fleet: s.Fleet, ID: id, Engine: engine, Events: 60, Interval: 20 * time.Millisecond, Version: "v1"}
 	w.Crash = func() { s.KillWorker(id) }
 	change(w)
 	h := newLocalServer(s.t, w, nil)
@@ -185,7 +185,7 @@
 		service = "engines"
 	}
 	s.putJSON("servers/"+w.ID, map[string]any{
-		"service": service, "address": w.Address, "zone": cmp.Or(w.Zone, "zone-1"), "version": "v1", "slots": 8, "state": state,
+		"service": service, "address": w.Address, "zone": cmp.Or(w.Zone, "zone-1"), "version": w.Version, "slots": 8, "state": state,
 		"coldLeftMs": w.ColdFor.Milliseconds(), "sequence": 1, "born": 1,
 	})
 }
