--- a/decision/dispatch/rollouts_test.go
+++ b/decision/dispatch/rollouts_test.go
@@ -171,6 +171,9 @@
 	for range 200 {
 		placed, refusal := table.Place(start, request(10))
 		sends[placed.Endpoint.Version+string(refusal)]++
+		if placed.Endpoint.Version == "v2" {
+			table.Release(start, placed.Run, Succeeded)
+		}
 	}
 	assert.Equal(t, sends["v1"], 80, "%v", sends)
 	assert.Assert(t, sends["v2"] <= 16, "%v", sends)
--- a/service/rollout/rollout_test.go
+++ b/service/rollout/rollout_test.go
@@ -207,3 +207,19 @@
 		})
 	}
 }
+
+// Guards against an order that nobody decides after the primary relays were lost, whose entries stay listed for up to a minute.
+func TestSecondRelayStandsIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runSite(t, func(_ context.Context, s *testSite) {
+			for _, n := range s.nodes {
+				if n.rank == 0 {
+					n.kill()
+				}
+			}
+			s.order("v2", 12)
+			s.await("in_progress", "v2", 4*time.Second)
+			s.awaitInTime("completed", "v2")
+		})
+	})
+}
