--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -7,6 +7,7 @@
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/placement"
+	"azuredyke.dev/azuredyke/decision/rollout"
 )
 
 const (
@@ -43,6 +44,10 @@
 	service       *catalog.Service
 	candidate     placement.Candidate
 	dataCentreOut bool
+	// group is the group in the roll-out of the service, and isExcluded is set if an order names the version that has no plan yet.
+	// Both are without meaning if there is no roll-out.
+	group      rollout.Group
+	isExcluded bool
 
 	own Load
 	// others is the others' load on the endpoint.
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -147,8 +147,9 @@
 // UnderMemoryPressure reports whether the engines of a service have too little free memory for copies.
 func (t *Table) UnderMemoryPressure(now time.Time, service string) bool {
 	used, capacity := 0.0, 0.0
+	share := t.rollouts[service]
 	for _, e := range t.services[service] {
-		if t.RolloutAllowsRuns(service, e.Version) && e.refreshCandidate(now, t.params.DataCentre) {
+		if (share == nil || share.allowsRuns(e.Version)) && e.refreshCandidate(now, t.params.DataCentre) {
 			used += e.candidate.UntrackedMemory
 			capacity += e.candidate.Capacity
 		}
--- a/decision/dispatch/rollout_share.go
+++ b/decision/dispatch/rollout_share.go
@@ -103,23 +103,32 @@
 
 // contains reports whether a selection contains an endpoint.
 func (s *rolloutShare) contains(which selection, e *endpoint) bool {
-	isExcluded := s.order != nil && s.excludesTargetOf(s.order) && e.Version == s.order.Target
-	switch g := s.group(e.Version); which {
+	if e.isExcluded {
+		return false
+	}
+	switch which {
 	case selectOld:
-		return g == rollout.OldGroup && !isExcluded
+		return e.group == rollout.OldGroup
 	case selectAllButTarget:
-		return !isExcluded
+		return true
 	case selectCanary:
-		return g == rollout.TargetGroup && s.canary[e.ID] && !isExcluded
+		return e.group == rollout.TargetGroup && s.canary[e.ID]
 	case selectTarget:
-		return g == rollout.TargetGroup && !isExcluded
+		return e.group == rollout.TargetGroup
 	case selectAllButOld:
-		return g != rollout.OldGroup && !isExcluded
+		return e.group != rollout.OldGroup
 	default:
 		return false
 	}
 }
 
+// sort sets the groups of endpoints.
+func (s *rolloutShare) sort(endpoints []*endpoint) {
+	for _, e := range endpoints {
+		e.group, e.isExcluded = s.group(e.Version), s.excludesTargetOf(s.order) && e.Version == s.order.Target
+	}
+}
+
 // allowsRuns reports whether runs may go on at a version; if not, they are moved as if the endpoint were leaving.
 func (s *rolloutShare) allowsRuns(version string) bool {
 	g := s.group(version)
--- a/decision/dispatch/rollouts.go
+++ b/decision/dispatch/rollouts.go
@@ -24,6 +24,7 @@
 	}
 	for service, share := range t.rollouts {
 		t.carryExposure(previous[service], share)
+		share.sort(t.services[service])
 		if share.plan != nil {
 			share.chooseCanary(t.params.CanaryShare, s.Endpoints[service], s.Out)
 		}
--- /dev/null
+++ b/decision/dispatch/set_snapshot.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/decision/fleet"
+)
+
+// SetSnapshot replaces the endpoints by those of a snapshot. An endpoint of the same incarnation keeps its state.
+func (t *Table) SetSnapshot(now time.Time, s *fleet.Snapshot) {
+	previous := t.endpoints
+	t.ownLoadChanged = true
+	t.endpoints = make(map[string]*endpoint, len(previous))
+	t.services = map[string][]*endpoint{}
+	if s.Configuration != nil {
+		t.addEndpoints(now, s, previous)
+	}
+	t.setRollouts(s)
+}
+
+// addEndpoints adds the endpoints of a snapshot.
+func (t *Table) addEndpoints(now time.Time, s *fleet.Snapshot, previous map[string]*endpoint) {
+	for name, list := range s.Endpoints {
+		service := s.Configuration.Services[name]
+		if service == nil {
+			continue
+		}
+		for _, listed := range list {
+			e := previous[listed.ID]
+			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
+				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
+			}
+			wasOut := e.dataCentreOut
+			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
+			if listed.ColdUntil.Add(coldMargin).After(e.coldUntil) && listed.ColdFor > 0 {
+				e.coldUntil = listed.ColdUntil.Add(coldMargin)
+			}
+			if wasOut && !e.dataCentreOut {
+				// The endpoint may have restarted cold while its data centre was out, and its entry may not show that yet.
+				e.coldUntil = now.Add(service.ColdStart + coldMargin)
+			}
+			t.endpoints[e.ID] = e
+			t.services[name] = append(t.services[name], e)
+		}
+	}
+}
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -73,41 +73,6 @@
 // using its share.
 func (t *Table) SetNodes(n int) { t.nodes = max(t.nodes, n) }
 
-// SetSnapshot replaces the endpoints by those of a snapshot. An endpoint of the same incarnation keeps its state.
-func (t *Table) SetSnapshot(now time.Time, s *fleet.Snapshot) {
-	previous := t.endpoints
-	t.ownLoadChanged = true
-	t.endpoints = make(map[string]*endpoint, len(previous))
-	t.services = map[string][]*endpoint{}
-	t.setRollouts(s)
-	if s.Configuration == nil {
-		return
-	}
-	for name, list := range s.Endpoints {
-		service := s.Configuration.Services[name]
-		if service == nil {
-			continue
-		}
-		for _, listed := range list {
-			e := previous[listed.ID]
-			if e == nil || !e.SameIncarnation(&listed.Endpoint) {
-				e = &endpoint{others: t.others[listed.ID], statement: t.statements.of(&listed.Endpoint)}
-			}
-			wasOut := e.dataCentreOut
-			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
-			if listed.ColdUntil.Add(coldMargin).After(e.coldUntil) && listed.ColdFor > 0 {
-				e.coldUntil = listed.ColdUntil.Add(coldMargin)
-			}
-			if wasOut && !e.dataCentreOut {
-				// The endpoint may have restarted cold while its data centre was out, and its entry may not show that yet.
-				e.coldUntil = now.Add(service.ColdStart + coldMargin)
-			}
-			t.endpoints[e.ID] = e
-			t.services[name] = append(t.services[name], e)
-		}
-	}
-}
-
 // SetOthersLoad replaces the others' load, which is the total load of all other nodes.
 func (t *Table) SetOthersLoad(now time.Time, loads []Load) {
 	t.clearOthersLoad()
@@ -195,8 +160,9 @@
 // there is none.
 func (t *Table) PauseLeft(now time.Time, r *Request) time.Duration {
 	left, found := time.Duration(0), false
+	share := t.rollouts[r.Service]
 	for _, e := range t.services[r.Service] {
-		if !r.mayUse(e) || !t.RolloutAllowsRuns(r.Service, e.Version) {
+		if !r.mayUse(e) || share != nil && !share.allowsRuns(e.Version) {
 			continue
 		}
 		if pause := max(0, e.statement.pausedUntil.Sub(now)); !found || pause < left {
