--- a/decision/dispatch/rollout_share.go
+++ b/decision/dispatch/rollout_share.go
@@ -82,10 +82,18 @@
 	case rollout.Completed:
 		return []selection{selectAllButOld}
 	default:
+		if s.isClosed() {
+			return []selection{selectAllButReverted}
+		}
 		return []selection{selectOld}
 	}
 }
 
+// isClosed reports whether the plan was reverted and operators removed its order. Versions that were started later may then serve.
+func (s *rolloutShare) isClosed() bool {
+	return s.order == nil && s.plan != nil && s.plan.Phase == rollout.Reverted
+}
+
 // observingSelections returns the sets of versions for a request in the phase Observing.
 func (s *rolloutShare) observingSelections(r *Request, stale bool) []selection {
 	// A run that goes on from a copy at an engine of the target is sent there even if the share is used up: it would be lost
@@ -117,6 +125,8 @@
 		return e.group == rollout.TargetGroup
 	case selectAllButOld:
 		return e.group != rollout.OldGroup
+	case selectAllButReverted:
+		return e.group != rollout.TargetGroup
 	default:
 		return false
 	}
@@ -142,7 +152,7 @@
 	case rollout.Completed:
 		return g != rollout.OldGroup && !(s.excludesTargetOf(s.order) && version == s.order.Target)
 	default:
-		return g == rollout.OldGroup
+		return g == rollout.OldGroup || s.isClosed() && g != rollout.TargetGroup
 	}
 }
 
--- a/decision/dispatch/rollouts_test.go
+++ b/decision/dispatch/rollouts_test.go
@@ -101,6 +101,7 @@
 		{"order removed", rollout.Observing, func(_ *Table, s *fleet.Snapshot) { s.Orders = nil }, []string{"v1"}},
 		{"order removed, promoting", rollout.Promoting, func(_ *Table, s *fleet.Snapshot) { s.Orders = nil }, []string{"v1"}},
 		{"order removed, completed", rollout.Completed, func(_ *Table, s *fleet.Snapshot) { s.Orders = nil }, []string{"v2", "v3"}},
+		{"order removed, reverted", rollout.Reverted, func(_ *Table, s *fleet.Snapshot) { s.Orders = nil }, []string{"v1", "v3"}},
 		{"replaced", rollout.Observing, func(_ *Table, s *fleet.Snapshot) { reorder(s, "v3") }, []string{"v1"}},
 		{"replaced, promoting", rollout.Promoting, func(_ *Table, s *fleet.Snapshot) { reorder(s, "v3") }, []string{"v1"}},
 		{"next order", rollout.Completed, func(_ *Table, s *fleet.Snapshot) { reorder(s, "v3") }, []string{"v2"}},
--- a/decision/dispatch/selection.go
+++ b/decision/dispatch/selection.go
@@ -14,6 +14,8 @@
 	selectTarget
 	// selectAllButOld holds the target and the versions that were not known when the plan was made.
 	selectAllButOld
+	// selectAllButReverted holds all versions but the target of a plan that was reverted and whose order was removed.
+	selectAllButReverted
 	// selectNone holds nothing.
 	selectNone
 )
--- a/service/edge/rollouts.go
+++ b/service/edge/rollouts.go
@@ -18,8 +18,9 @@
 	// handOverTime is the time that all nodes need to follow a plan and to move the runs on old endpoints: a change of the store is
 	// in force everywhere within a second, and a run is copied and continued elsewhere within two.
 	handOverTime = 3 * time.Second
-	// deadlineMargin is the time before the deadline at which the final state is written at the latest.
-	deadlineMargin = time.Second
+	// deadlineMargin is the time before the deadline, by the nodes' age of the order, at which the final state is written at the latest:
+	// 1 s, and 0.25 s for the time until the first node has seen the order.
+	deadlineMargin = 1250 * time.Millisecond
 )
 
 // canaryShare returns the share of the target while it is observed.
--- a/service/rollout/decider.go
+++ b/service/rollout/decider.go
@@ -185,7 +185,7 @@
 
 // loseTerm ends the term. Entries are read again in the next one.
 func (d *Decider) loseTerm(reason string) {
-	d.log.Warn("this node is no longer the decider", zap.Int64("term", d.term.revision), zap.String("reason", reason))
+	d.log.Info("this node is no longer the decider", zap.Int64("term", d.term.revision), zap.String("reason", reason))
 	d.metrics.termsLost.Inc(1)
 	d.term, d.storeFailed = nil, false
 	clear(d.rollouts)
--- a/service/rollout/manager.go
+++ b/service/rollout/manager.go
@@ -158,6 +158,9 @@
 		return s.order(service) == nil && (p == nil || p.Phase.IsFinal())
 	})
 	m.local.keep(m.keys())
+	if len(m.counts) == 0 {
+		m.remote = newRemoteSums()
+	}
 	m.metrics.open.Update(float64(len(s.openServices())))
 	m.publish(now)
 }
@@ -182,7 +185,6 @@
 // finish publishes the last state of the roll-outs once none is open.
 func (m *Manager) finish() {
 	m.progress = nil
-	m.remote = newRemoteSums()
 	m.publish(m.now())
 }
 
--- a/service/rollout/rollout_test.go
+++ b/service/rollout/rollout_test.go
@@ -223,3 +223,23 @@
 		})
 	})
 }
+
+// Guards against counts that operators no longer see once the roll-out has its final state.
+func TestCountsStayVisibleAfterTheFinalState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runSite(t, func(_ context.Context, s *testSite) {
+			s.targetFails.Store(true)
+			s.order("v2", 12)
+			s.await("reverted", "v2", 4*time.Second)
+			time.Sleep(5 * time.Second)
+			overviews := s.nodes[0].manager.Overviews()
+			assert.Equal(t, len(overviews), 1)
+			assert.Equal(t, overviews[0].Phase, "reverted")
+			failures := int64(0)
+			for _, c := range overviews[0].Fleet {
+				failures += c.Failures
+			}
+			assert.Assert(t, failures >= 20, "%+v", overviews[0].Fleet)
+		})
+	})
+}
--- a/service/rollout/test_node_test.go
+++ b/service/rollout/test_node_test.go
@@ -147,7 +147,9 @@
 
 // SendReport implements Peers.
 func (n *testNode) SendReport(r Report, both bool) {
-	n.deliver(func(to *testNode) bool { return to.dataCentre == n.dataCentre && (to.rank == 0 || both && to.rank >= 0) }, func(to *testNode) { to.manager.OfferReport(r) })
+	n.deliver(func(to *testNode) bool {
+		return to.dataCentre == n.dataCentre && (to.rank == 0 || both && to.rank >= 0)
+	}, func(to *testNode) { to.manager.OfferReport(r) })
 }
 
 // SendSum implements Peers.
--- a/test/edge/rollout_verdict_test.go
+++ b/test/edge/rollout_verdict_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against a failing version that is not reverted, gets more than its bound, or gets requests long after its 50th bad answer.
-func TestFailingVersionIsReverted(t *testing.T) {
+func TestNodesRevertAFailingVersion(t *testing.T) {
 	s := startRolloutSite(t)
 	startRolloutLoad(t, s)
 	time.Sleep(time.Second)
