--- a/decision/dispatch/rollouts_test.go
+++ b/decision/dispatch/rollouts_test.go
@@ -20,7 +20,7 @@
 	for i := range 22 {
 		ids = append(ids, fmt.Sprintf("e%02d", i))
 	}
-	t, s := newTable(0, ids...)
+	_, s := newTable(0, ids...)
 	for i := range s.Endpoints["s"] {
 		s.Endpoints["s"][i].Version = []string{"v1", "v2", "v3"}[i/10]
 	}
@@ -31,7 +31,7 @@
 	}
 	with := params
 	with.CanaryShare = 0.08
-	t = NewTable(start.Add(-time.Hour), with, rand.New(rand.NewPCG(seed, 2)))
+	t := NewTable(start.Add(-time.Hour), with, rand.New(rand.NewPCG(seed, 2)))
 	t.SetSnapshot(start, s)
 	return t, s
 }
@@ -55,14 +55,14 @@
 // another use of the random source.
 func TestVersionsDoNotMatterWithoutOrder(t *testing.T) {
 	choices := func(versions bool) []string {
-		table, s := newRolloutTable(7, rollout.NoPhase)
+		_, s := newRolloutTable(7, rollout.NoPhase)
 		s.Orders = nil
 		for i := range s.Endpoints["s"] {
 			if !versions {
 				s.Endpoints["s"][i].Version = ""
 			}
 		}
-		table = NewTable(start.Add(-time.Hour), params, rand.New(rand.NewPCG(7, 2)))
+		table := NewTable(start.Add(-time.Hour), params, rand.New(rand.NewPCG(7, 2)))
 		table.SetNodes(20)
 		table.SetSnapshot(start, s)
 		table.SetStateAge(time.Hour)
--- a/service/edge/rollout_record_test.go
+++ b/service/edge/rollout_record_test.go
@@ -36,7 +36,6 @@
 
 // statusSender answers each request with a status after a delay.
 type statusSender struct {
-	failingSender
 	status int
 }
 
--- a/service/rollout/rollout_test.go
+++ b/service/rollout/rollout_test.go
@@ -232,7 +232,7 @@
 			s.order("v2", 12)
 			s.await("reverted", "v2", 4*time.Second)
 			time.Sleep(5 * time.Second)
-			overviews := s.nodes[0].manager.Overviews()
+			overviews := s.nodes[0].process.Load().manager.Overviews()
 			assert.Equal(t, len(overviews), 1)
 			assert.Equal(t, overviews[0].Phase, "reverted")
 			failures := int64(0)
--- a/service/rollout/test_node_test.go
+++ b/service/rollout/test_node_test.go
@@ -24,10 +24,9 @@
 	rank       int
 	store      *faultykv.KV
 	state      *latest.Value[*State]
-	manager    *Manager
-	decider    *Decider
-	stop       context.CancelFunc
-	ended      atomic.Bool
+	// process holds the tasks; nil while the node's process has ended.
+	process atomic.Pointer[testProcess]
+	stop    context.CancelFunc
 	// isolated drops the node's messages to other data centres, and those from there.
 	isolated atomic.Bool
 	// oldRuns is the number of runs on old endpoints that the node reports. stopped is set by stop notices.
@@ -46,19 +45,19 @@
 // start starts the tasks of a new process of the node.
 func (n *testNode) start(ctx context.Context) {
 	ctx, n.stop = context.WithCancel(ctx)
-	n.ended.Store(false)
-	n.manager = NewManager(zap.NewNop(), n.id, n, n, n, time.Now, tally.NoopScope)
-	n.decider = NewDecider(zap.NewNop(), n.id, n, n.manager, n, n.store, records.EncodeRolloutStatus, func() Judge { return testJudge{} },
+	manager := NewManager(zap.NewNop(), n.id, n, n, n, time.Now, tally.NoopScope)
+	decider := NewDecider(zap.NewNop(), n.id, n, manager, n, n.store, records.EncodeRolloutStatus, func() Judge { return testJudge{} },
 		time.Now, tally.NoopScope)
+	n.process.Store(&testProcess{manager: manager, decider: decider})
 	go n.follow(ctx)
-	go n.manager.Run(ctx)
-	go n.decider.Run(ctx)
-	go n.serve(ctx)
+	go manager.Run(ctx)
+	go decider.Run(ctx)
+	go n.serve(ctx, manager)
 }
 
 // kill ends the node's process.
 func (n *testNode) kill() {
-	n.ended.Store(true)
+	n.process.Store(nil)
 	n.stop()
 }
 
@@ -101,7 +100,7 @@
 }
 
 // serve sends 50 requests a second: a tenth to the target while it is observed, all of them while it is promoted.
-func (n *testNode) serve(ctx context.Context) {
+func (n *testNode) serve(ctx context.Context, manager *Manager) {
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	for i := 0; ; i++ {
@@ -121,8 +120,8 @@
 			group = rollout.TargetGroup
 			n.targetSends.Add(1)
 		}
-		n.manager.RecordSend("s", order.Revision, group, "r")
-		n.manager.RecordSample("s", order.Revision, rollout.Sample{
+		manager.RecordSend("s", order.Revision, group, "r")
+		manager.RecordSample("s", order.Revision, rollout.Sample{
 			Group: group, Route: "r", Failed: group == rollout.TargetGroup && n.site.targetFails.Load(), FirstEvent: 10 * time.Millisecond,
 		})
 	}
@@ -149,37 +148,37 @@
 func (n *testNode) SendReport(r Report, both bool) {
 	n.deliver(func(to *testNode) bool {
 		return to.dataCentre == n.dataCentre && (to.rank == 0 || both && to.rank >= 0)
-	}, func(to *testNode) { to.manager.OfferReport(r) })
+	}, func(_ *testNode, m *Manager) { m.OfferReport(r) })
 }
 
 // SendSum implements Peers.
 func (n *testNode) SendSum(s Sum) {
-	n.deliver(func(to *testNode) bool { return to.dataCentre != n.dataCentre && to.rank >= 0 }, func(to *testNode) { to.manager.OfferSum(s) })
+	n.deliver(func(to *testNode) bool { return to.dataCentre != n.dataCentre && to.rank >= 0 }, func(_ *testNode, m *Manager) { m.OfferSum(s) })
 }
 
 // SendStop implements Peers.
 func (n *testNode) SendStop(s Stop) {
-	n.deliver(func(to *testNode) bool { return to.dataCentre == n.dataCentre }, func(to *testNode) { to.manager.OfferStop(s) })
-	n.deliver(func(to *testNode) bool { return to.dataCentre != n.dataCentre && to.rank >= 0 }, func(to *testNode) {
-		to.manager.OfferStop(s)
+	n.deliver(func(to *testNode) bool { return to.dataCentre == n.dataCentre }, func(_ *testNode, m *Manager) { m.OfferStop(s) })
+	n.deliver(func(to *testNode) bool { return to.dataCentre != n.dataCentre && to.rank >= 0 }, func(to *testNode, m *Manager) {
+		m.OfferStop(s)
 		to.ForwardStop(s)
 	})
 }
 
 // ForwardStop implements Peers.
 func (n *testNode) ForwardStop(s Stop) {
-	n.deliver(func(to *testNode) bool { return to.dataCentre == n.dataCentre }, func(to *testNode) { to.manager.OfferStop(s) })
+	n.deliver(func(to *testNode) bool { return to.dataCentre == n.dataCentre }, func(_ *testNode, m *Manager) { m.OfferStop(s) })
 }
 
 // deliver delivers a message to the other nodes that are selected, 5 ms later.
-func (n *testNode) deliver(selects func(*testNode) bool, message func(*testNode)) {
+func (n *testNode) deliver(selects func(*testNode) bool, message func(*testNode, *Manager)) {
 	for _, to := range n.site.nodes {
 		if to == n || !selects(to) || to.dataCentre != n.dataCentre && (n.isolated.Load() || to.isolated.Load()) {
 			continue
 		}
 		time.AfterFunc(5*time.Millisecond, func() {
-			if !to.ended.Load() {
-				message(to)
+			if p := to.process.Load(); p != nil {
+				message(to, p.manager)
 			}
 		})
 	}
--- a/service/rollout/test_site_test.go
+++ b/service/rollout/test_site_test.go
@@ -111,7 +111,7 @@
 	e, err := s.kv.Get(s.t.Context(), DeciderKey)
 	assert.NilError(s.t, err)
 	for _, n := range s.nodes {
-		if e.ModRevision > 0 && bytes.Equal(e.Value, n.decider.holder) {
+		if p := n.process.Load(); p != nil && e.ModRevision > 0 && bytes.Equal(e.Value, p.decider.holder) {
 			return n
 		}
 	}
