Keep the age of an order over restarts of one node after the other, and play roll-outs in the soak

A process now takes over a larger age from the counts of others. TestAgeOfAnOrderOutlastsRestarts failed without that.

The soak plays one roll-out, good or bad, among its faults with -soak.rollouts, and checks final states, exposure, rollback and replaced versions.

--- a/service/rollout/manager_counts.go
+++ b/service/rollout/manager_counts.go
@@ -6,6 +6,17 @@
 	"azuredyke.dev/azuredyke/decision/rollout"
 )
 
+// adoptAge takes over a larger age of an order from another process, so that the age outlasts the restart of one node after the other.
+func (m *Manager) adoptAge(now time.Time, key rolloutKey, ageMillis int64) {
+	c := m.counts[key.service]
+	if c == nil || c.order.Revision != key.revision {
+		return
+	}
+	if seenAt := now.Add(-time.Duration(ageMillis) * time.Millisecond); seenAt.Before(c.seenAt) {
+		c.seenAt = seenAt
+	}
+}
+
 // ownReport returns the counts of this process.
 func (m *Manager) ownReport(now time.Time) Report {
 	m.sequence++
--- a/service/rollout/rollout_test.go
+++ b/service/rollout/rollout_test.go
@@ -243,3 +243,22 @@
 		})
 	})
 }
+
+// Guards against a deadline that passes unnoticed because each node was restarted once since the order.
+func TestAgeOfAnOrderOutlastsRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runSite(t, func(ctx context.Context, s *testSite) {
+			// The last node holds the promotion up to the deadline.
+			s.nodes[5].oldRuns.Store(1)
+			s.order("v2", 30)
+			time.Sleep(3 * time.Second)
+			for _, n := range s.nodes {
+				n.kill()
+				time.Sleep(500 * time.Millisecond)
+				n.start(ctx)
+				time.Sleep(2500 * time.Millisecond)
+			}
+			s.awaitInTime("completed", "v2")
+		})
+	})
+}
--- a/service/rollout/service_counts.go
+++ b/service/rollout/service_counts.go
@@ -14,7 +14,7 @@
 	// previous is the revision of the order that the present one repeats; 0 if there is none. Requests that were sent under it
 	// still count.
 	previous int64
-	// seenAt is the time at which the process saw the order.
+	// seenAt is the time at which the process saw the order, or an earlier one by which another process has seen it.
 	seenAt time.Time
 	tally  rollout.Tally
 	// stoppedUntil is the end of the last stop notice; zero if there is none.
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -31,6 +31,10 @@
 	{"a run goes on at one endpoint at a time", true, findOverlappingRuns},
 	{"processes end only when told to", false, findUnexpectedExits},
 	{"the logs explain each failure", false, findUnloggedFailures},
+	{"final states of roll-outs stay, and no failing version is completed", false, findWrongFinalStates},
+	{"a failing version gets at most its exposure", false, findExcessExposure},
+	{"a failing version gets nothing after its rollback", true, findLateRollbacks},
+	{"replaced versions get nothing", true, findReplacedVersions},
 	{"every node serves again after the last fault", false, func(h *history) []string { return h.unrecovered }},
 }
 
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -50,6 +50,23 @@
 	})
 }
 
+// addRollout records a roll-out of a service, ordered after 5 s, with arrivals at its target over some seconds.
+func (h *history) addRollout(isBad bool, target int, span float64) *rolloutRecord {
+	h.rollout = &rolloutRecord{rolloutPlan: rolloutPlan{service: "s", isBad: isBad}, ordered: after(5), states: []string{"in_progress"}}
+	if isBad {
+		h.rollout.badFrom = after(5)
+	}
+	for i := range target {
+		h.addArrival(fmt.Sprint("target ", i), targetVersion, 5+span*float64(i)/float64(target))
+	}
+	return h.rollout
+}
+
+// addArrival records that a request of a service under a roll-out reached a worker of a version.
+func (h *history) addArrival(id, version string, at float64) {
+	h.workers.Arrivals = append(h.workers.Arrivals, workers.Arrival{Worker: "s-1", Service: "s", Version: version, Request: id, At: after(at)})
+}
+
 // Guards against checks that report breaches in a correct history.
 func TestChecksPassAGoodHistory(t *testing.T) {
 	assert.DeepEqual(t, findBreaches(goodHistory(), true), []string(nil))
@@ -122,6 +139,19 @@
 		"the logs explain each failure": func(h *history) {
 			h.attempts[1].status, h.attempts[1].hasSignature = 502, false
 		},
+		"final states of roll-outs stay, and no failing version is completed": func(h *history) {
+			h.addRollout(false, 0, 0).states = []string{"in_progress", stateReverted, "in_progress"}
+		},
+		"a failing version gets at most its exposure": func(h *history) { h.addRollout(true, 61, 4) },
+		"a failing version gets nothing after its rollback": func(h *history) {
+			h.addRollout(true, badAnswers, 0)
+			h.addArrival("late", targetVersion, 5+rollbackBound.Seconds()+0.1)
+		},
+		"replaced versions get nothing": func(h *history) {
+			r := h.addRollout(false, 0, 0)
+			r.states, r.finalAt = []string{stateReverted}, after(8)
+			h.addArrival("n", targetVersion, 10)
+		},
 		"every node serves again after the last fault": func(h *history) { h.unrecovered = []string{"node 0"} },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -132,7 +162,7 @@
 			}
 		})
 	}
-	assert.Equal(t, len(checks), 20)
+	assert.Equal(t, len(checks), 24)
 }
 
 // Guards against a check that excuses more requests cut at the end of a grace period than the rule does: those that were sent late,
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -14,6 +14,8 @@
 	injected      []injectedFault
 	departures    []departure
 	operatorState operatorState
+	// rollout is nil if the run has no roll-out.
+	rollout *rolloutRecord
 	// coldUntil holds the end of the cold period of each worker that was started cold.
 	coldUntil map[string]time.Time
 	// unrecovered describes the nodes and routes that did not serve again after the last fault.
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -36,6 +36,9 @@
 	departures  []departure
 	// coldUntil holds the end of the cold period of each worker that was started cold.
 	coldUntil map[string]time.Time
+	// rollout is nil without a roll-out, and targets holds the workers of its target.
+	rollout *rolloutRecord
+	targets []*workers.Worker
 }
 
 // schedule calls do after a delay.
@@ -51,6 +54,9 @@
 	for _, f := range p.faults {
 		i.schedule(f.at, func(ctx context.Context) { i.inject(ctx, f) })
 	}
+	if p.rollout != nil {
+		i.schedule(p.rollout.orderedAt, func(ctx context.Context) { i.beginRollout(ctx, p.rollout) })
+	}
 	for len(i.actions) > 0 {
 		next := i.actions[0]
 		i.actions = i.actions[1:]
--- a/test/soak/injector_workers.go
+++ b/test/soak/injector_workers.go
@@ -82,8 +82,12 @@
 
 // startWorker starts a worker in a slot.
 func (i *injector) startWorker(slot int, cold bool) {
+	if i.workers[slot] != nil {
+		// A roll-out has filled the slot meanwhile.
+		return
+	}
 	i.startCounts[slot]++
-	w := addWorker(i.site, slot, i.startCounts[slot], cold)
+	w := addWorker(i.site, slot, i.startCounts[slot], i.versionOf(slot), cold)
 	i.workers[slot] = w
 	if w.ColdFor > 0 {
 		i.coldUntil[w.ID] = time.Now().Add(w.ColdFor)
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -75,6 +75,8 @@
 	seed   uint64
 	length time.Duration
 	faults []fault
+	// rollout is nil if the run has no roll-out.
+	rollout *rolloutPlan
 }
 
 // newPlan draws the plan of a seed, with faults of the given kinds. Faults on one link do not overlap, because the end of one would end the other too. Signals
@@ -154,5 +156,8 @@
 	for i, f := range p.faults {
 		lines[i] = f.String()
 	}
+	if p.rollout != nil {
+		lines = append(lines, p.rollout.String())
+	}
 	return strings.Join(lines, "\n")
 }
--- a/test/soak/run_plan.go
+++ b/test/soak/run_plan.go
@@ -21,7 +21,7 @@
 
 // runPlan runs a plan against a new site and returns the recorded history.
 func runPlan(t *testing.T, p plan) *history {
-	s := newSite(t)
+	s := newSite(t, p.rollout != nil)
 	state := &atomic.Pointer[operatorState]{}
 	state.Store(&operatorState{
 		keys:    []string{harness.EdgeAPIKey},
@@ -66,7 +66,7 @@
 	time.Sleep(settleTime)
 	h := &history{
 		workers: s.Fleet.History(t.Context()), injected: faults.injected, departures: faults.departures,
-		operatorState: *state.Load(), coldUntil: faults.coldUntil,
+		operatorState: *state.Load(), coldUntil: faults.coldUntil, rollout: faults.rollout,
 	}
 	for _, list := range attempts {
 		h.attempts = append(h.attempts, list...)
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -56,23 +56,26 @@
 var dataCentres = []string{"zone-1", "zone-2", "zone-3"}
 
 // newSite returns a site whose nodes are not started yet.
-func newSite(t testing.TB) *harness.EdgeSite {
+func newSite(t testing.TB, rollouts bool) *harness.EdgeSite {
 	return harness.NewEdgeSite(t, nodeCount, func(e *settings.Edge) {
+		if rollouts {
+			harness.EnableRollouts(e)
+		}
 		e.Stop.Grace, e.Bounds.Revoke = grace, revokeBound
 		e.Bounds.RetryRatio, e.Bounds.RetryAllowance, e.Bounds.RetryWindow = retryRatio, retryAllowance, retryWindow
 		e.Bounds.ColdOverage, e.Bounds.ColdSlack = coldOverage, coldSlack
 	})
 }
 
-// addWorker starts a worker in a slot. Its name consists of the slot and the number of the worker in that slot.
-func addWorker(s *harness.EdgeSite, slot, number int, cold bool) *workers.Worker {
+// addWorker starts a worker of a version in a slot. Its name consists of the slot and the number of the worker in that slot.
+func addWorker(s *harness.EdgeSite, slot, number int, version string, cold bool) *workers.Worker {
 	engine, name := slot < engineCount, "desk"
 	if engine {
 		name = "engine"
 	}
 	return s.AddWorkerWith(fmt.Sprintf("%s-%d-%d", name, slot, number), engine, func(w *workers.Worker) {
 		w.RetryAfter = strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64)
-		w.IgnoresClose = ignoresClose
+		w.IgnoresClose, w.Version = ignoresClose, version
 		w.EventsOf, w.Interval, w.Zone = eventsOf, eventInterval, dataCentres[slot%len(dataCentres)]
 		if cold && engine {
 			w.ColdFor = coldTime
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -19,6 +19,7 @@
 	seeds     = flag.Int("soak.seeds", 0, "number of fresh seeds to run")
 	firstSeed = flag.Uint64("soak.seed", 0, "seed to run; with soak.seeds, the first of them")
 	length    = flag.Duration("soak.length", 10*time.Second, "period in which faults begin")
+	rollouts  = flag.Bool("soak.rollouts", false, "one roll-out, good or bad, among the faults, with -soak.seeds or -soak.seed")
 	planned   = flag.Bool("soak.planned", false, "only planned operations, and workers that leave, with -soak.seeds or -soak.seed")
 	timed     = flag.Bool("soak.timed", false, "also check the promises with a time bound; only for idle machines")
 	keepDir   = flag.String("soak.keep", "", "folder for the logs and the plan of a failed seed")
@@ -30,6 +31,9 @@
 // ciSeeds holds the seeds that CI runs.
 var ciSeeds = []uint64{1, 2}
 
+// rolloutSeeds holds the seeds with a roll-out that CI runs.
+var rolloutSeeds = []uint64{1, 2}
+
 // plannedSeeds holds the seeds of planned operations that CI runs.
 var plannedSeeds = []uint64{1}
 
@@ -86,6 +90,10 @@
 	for n := range uint64(max(1, *seeds)) {
 		t.Run(fmt.Sprint(start+n), func(t *testing.T) {
 			t.Parallel()
+			if *rollouts {
+				runSeed(t, newRolloutPlan(start+n, *length, kinds))
+				return
+			}
 			runSeed(t, newPlan(start+n, *length, kinds))
 		})
 	}
@@ -101,6 +109,16 @@
 	}
 }
 
+// Guards against roll-outs that break a promise, or a bound of a version that fails, under other faults.
+func TestRollouts(t *testing.T) {
+	for _, seed := range rolloutSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, newRolloutPlan(seed, ciLength, kindWeights))
+		})
+	}
+}
+
 // runSeed runs a plan and reports each breach as a test error.
 func runSeed(t *testing.T, p plan) {
 	h := runPlan(t, p)
@@ -112,6 +130,9 @@
 	}
 	t.Logf("seed %d: %d faults, %d attempts, %d served, %d runs, %d processes",
 		p.seed, len(h.injected), len(h.attempts), served, len(h.workers.Runs), len(h.processRuns))
+	if r := h.rollout; r != nil {
+		t.Logf("roll-out: %v, states %v, final after %v", p.rollout, r.states, r.finalAt.Sub(r.ordered))
+	}
 	found := findBreaches(h, *timed)
 	for _, breach := range found {
 		t.Error(breach)
