--- a/decision/dispatch/params.go
+++ b/decision/dispatch/params.go
@@ -17,4 +17,6 @@
 	EndpointSpeed bool
 	// OrderedAdmission limits what requests may take of the engines, so that the others wait at the nodes.
 	OrderedAdmission bool
+	// CanaryShare is the share of a service's requests that the target of a roll-out gets while it is observed.
+	CanaryShare float64
 }
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -16,6 +16,10 @@
 // othersLoadExpiry is the time after which the load of the other nodes no longer counts if it was not reported again.
 const othersLoadExpiry = 3 * time.Second
 
+// maxRolloutAge is the age of the copy of the store from which a roll-out that is observed gets nothing. A node counts as out of
+// touch after 4 s, and until then its sends count against the bound.
+const maxRolloutAge = 3 * time.Second
+
 // Table is the placement state of one node. It is not safe for concurrent use; one task owns it.
 type Table struct {
 	// nodeStarted is the time when the node was started. The sends of its previous process are unknown, but count against the
@@ -40,6 +44,12 @@
 	lastRun uint64
 	// ownLoadChanged is set when the node's own load may differ from the last result of OwnLoads.
 	ownLoadChanged bool
+	// rollouts holds the roll-outs by service. It is empty unless operators have ordered one.
+	rollouts map[string]*rolloutShare
+	// configured is set once a snapshot with a configuration was applied.
+	configured bool
+	// rolloutStale is set while the copy of the store is too old to use the target of a roll-out that is observed.
+	rolloutStale bool
 
 	// speed is used if endpoints are chosen by their speed.
 	speed speedState
@@ -77,46 +87,6 @@
 // using its share.
 func (t *Table) SetNodes(n int) { t.nodes = max(t.nodes, n) }
 
-// SetSnapshot replaces the endpoints by those of a snapshot. An endpoint of the same incarnation keeps its state.
-func (t *Table) SetSnapshot(now time.Time, s *fleet.Snapshot) {
-	previous := t.endpoints
-	t.ownLoadChanged = true
-	t.endpoints = make(map[string]*endpoint, len(previous))
-	t.services = map[string][]*endpoint{}
-	if s.Configuration == nil {
-		return
-	}
-	for name, list := range s.Endpoints {
-		service := s.Configuration.Services[name]
-		if service == nil {
-			continue
-		}
-		l := t.limitsOf(name, s.Configuration.Routes)
-		for _, listed := range list {
-			e := previous[listed.ID]
-			known := e != nil && e.SameIncarnation(&listed.Endpoint)
-			if !known {
-				e = &endpoint{service: service, statement: t.statements.of(&listed.Endpoint)}
-				t.setOthers(now, e, t.others[listed.ID])
-			}
-			wasOut, wasLeaving := e.dataCentreOut, e.isLeaving()
-			e.Endpoint, e.service, e.dataCentreOut = listed, service, s.Out[listed.DataCentre]
-			if listed.ColdUntil.Add(coldMargin).After(e.coldUntil) && listed.ColdFor > 0 {
-				e.coldUntil = listed.ColdUntil.Add(coldMargin)
-			}
-			if wasOut && !e.dataCentreOut {
-				// The endpoint may have restarted cold while its data centre was out, and its entry may not show that yet.
-				e.coldUntil = now.Add(service.ColdStart + coldMargin)
-			}
-			if known && !wasLeaving && e.isLeaving() {
-				l.reserve.RecordDeparture(now, len(list))
-			}
-			t.endpoints[e.ID] = e
-			t.services[name] = append(t.services[name], e)
-		}
-	}
-}
-
 // SetOthersLoad replaces the others' load, which is the total load of all other nodes.
 func (t *Table) SetOthersLoad(now time.Time, loads []Load) {
 	t.clearOthersLoad()
@@ -207,8 +177,9 @@
 // there is none.
 func (t *Table) PauseLeft(now time.Time, r *Request) time.Duration {
 	left, found := time.Duration(0), false
+	share := t.rollouts[r.Service]
 	for _, e := range t.services[r.Service] {
-		if !r.mayUse(e) {
+		if !r.mayUse(e) || share != nil && !share.allowsRuns(e.Version) {
 			continue
 		}
 		if pause := max(0, e.statement.pausedUntil.Sub(now)); !found || pause < left {
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -21,6 +21,7 @@
 	"azuredyke.dev/azuredyke/common/sockopt"
 	"azuredyke.dev/azuredyke/decision/gather"
 	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/rollout"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
 
@@ -52,8 +53,11 @@
 	dispatcher *dispatcher
 	peers      *peers
 	quarantine *quarantine.Manager
-	hub        *peer.Hub
-	server     *Server
+	// rollouts and decider are nil unless the feature is on.
+	rollouts *rollout.Manager
+	decider  *rollout.Decider
+	hub      *peer.Hub
+	server   *Server
 }
 
 // New returns a node that has not started.
@@ -91,6 +95,7 @@
 		n.server.buffers = newBufferKeeper(int64(callerBufferShare*float64(s.Limits.MemoryMB)*1e6), d.Metrics.Scope.SubScope("gateway"))
 	}
 	n.server.orderedAdmission.Store(s.Features.OrderedAdmission)
+	n.addRollouts(d)
 	return n
 }
 
@@ -141,6 +146,9 @@
 	if n.server.buffers != nil {
 		tasks = append(tasks, n.server.buffers.run)
 	}
+	if n.rollouts != nil {
+		tasks = append(tasks, n.rollouts.Run, n.decider.Run)
+	}
 	return tasks
 }
 
@@ -152,6 +160,9 @@
 	if n.server.buffers != nil {
 		controlCallers = sockopt.ControlBufferedCallers
 	}
+	if n.rollouts != nil {
+		pages.Handle("/rollouts", rolloutsPage{manager: n.rollouts})
+	}
 	budget := int64(bodyShare * float64(n.settings.Limits.MemoryMB) * 1e6)
 	var servers []*httpserver.Server
 	for _, entry := range []struct {
