Feed the verdict of a roll-out with the times of its requests

Cause: rollout-decision counts first events and intervals when they are known, tells endpoints and cold starts apart and chooses the canary endpoints; the service still reported one early sample and chose the endpoints itself.

Change: - Attempts report the first event when it arrives, the interval at most once after 1 s, and the outcome at the end, with the endpoint and whether it was in its cold start when the request was placed. - Requests that provably did not run are counted as unevaluated: the send is already in the cumulative counts, and without the new count each would seem to wait for a response and count as slow. - A request without an answer at its deadline is a failure of either group. The comparison with the old versions takes out what they do as well. A request given up earlier by its caller has no outcome and becomes slow once it is overdue. - While observing, a request goes to the target if the exposure allows it and the canary admits it; the canary endpoints are the first of the order that accept requests now. - The judge has its default bounds.

TestOutcomesUnderAnOrder expects the separate reports, and one failure for a stream without an event at its deadline, which had no outcome before.

--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -55,7 +55,7 @@
 	chosen.own.Tokens += r.Tokens
 	chosen.own.Prefill += newRun.prefill
 	chosen.recordSend(now)
-	placed.Rollout = t.recordRolloutSend(&r, chosen)
+	placed.Rollout = t.recordRolloutSend(now, &r, chosen)
 	if backup := t.chooseBackup(now, &r, chosen); backup != nil {
 		newRun.backup, newRun.copyTokens = backup, meanCopyTokens(&r)
 		backup.own.Tokens += newRun.copyTokens
--- a/decision/dispatch/rollout_run.go
+++ b/decision/dispatch/rollout_run.go
@@ -7,4 +7,6 @@
 	// Revision is the revision of the order in force.
 	Revision int64
 	Group    rollout.Group
+	// Cold is set if the endpoint was in its cold start when the request was placed.
+	Cold bool
 }
--- a/decision/dispatch/rollout_share.go
+++ b/decision/dispatch/rollout_share.go
@@ -1,12 +1,9 @@
 package dispatch
 
 import (
-	"cmp"
-	"fmt"
-	"math"
 	"slices"
+	"time"
 
-	"azuredyke.dev/azuredyke/common/rendezvous"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/rollout"
 )
@@ -20,8 +17,11 @@
 	exposure *rollout.Exposure
 	// stopped is set while the decider cannot write and wants the target to get nothing.
 	stopped bool
-	// canary holds the endpoints of the target that get the canary share.
-	canary map[string]bool
+	// canary is the order in which the endpoints of the target get the canary share. canaryEndpoints holds those that are used now.
+	canary          rollout.Canary
+	canaryEndpoints []string
+	// seenAt is the time at which this process saw the order.
+	seenAt time.Time
 }
 
 // excludesTargetOf reports whether the order names a version that may get nothing before the decider has made a plan for it: the
@@ -67,13 +67,13 @@
 	}
 }
 
-// selections returns the sets of versions for a request, in the order in which they are tried.
-func (s *rolloutShare) selections(r *Request, stale bool) []selection {
+// selections returns the sets of versions for a request, in the order in which they are tried. draw is a random number from 0 to 1.
+func (s *rolloutShare) selections(now time.Time, r *Request, stale bool, draw float64) []selection {
 	switch s.phase() {
 	case rollout.NoPhase:
 		return []selection{selectAllButTarget}
 	case rollout.Observing:
-		return s.observingSelections(r, stale)
+		return s.observingSelections(now, r, stale, draw)
 	case rollout.Promoting:
 		if s.stopped {
 			return []selection{selectOld}
@@ -95,15 +95,16 @@
 }
 
 // observingSelections returns the sets of versions for a request in the phase Observing.
-func (s *rolloutShare) observingSelections(r *Request, stale bool) []selection {
+func (s *rolloutShare) observingSelections(now time.Time, r *Request, stale bool, draw float64) []selection {
 	// A run that goes on from a copy at an engine of the target is sent there even if the share is used up: it would be lost
 	// otherwise, and later sends make up for it.
 	continues := r.Resumed && r.Group == rollout.TargetGroup && r.RequiredEndpoint != ""
 	mayUseTarget := !stale && !s.stopped && (!r.Resumed || r.Group == rollout.TargetGroup)
-	if continues || mayUseTarget && s.exposure.AllowsTarget() {
-		if r.Resumed {
-			return []selection{selectTarget, selectOld}
-		}
+	allowed := mayUseTarget && s.exposure.AllowsTarget()
+	switch {
+	case r.Resumed && (continues || allowed):
+		return []selection{selectTarget, selectOld}
+	case !r.Resumed && allowed && s.canary.Admits(now.Sub(s.seenAt), draw):
 		return []selection{selectCanary, selectOld}
 	}
 	return []selection{selectOld}
@@ -120,7 +121,7 @@
 	case selectAllButTarget:
 		return true
 	case selectCanary:
-		return e.group == rollout.TargetGroup && s.canary[e.ID]
+		return e.group == rollout.TargetGroup && slices.Contains(s.canaryEndpoints, e.ID)
 	case selectTarget:
 		return e.group == rollout.TargetGroup
 	case selectAllButOld:
@@ -181,27 +182,18 @@
 	}
 }
 
-// chooseCanary chooses the endpoints of the target that get the canary share, the same on all nodes. Each gets about the load of
-// an old endpoint, so that a fault under load is seen.
-func (s *rolloutShare) chooseCanary(share float64, endpoints []fleet.Endpoint, out map[string]bool) {
-	var targets []fleet.Endpoint
+// setCanary sets the order in which the endpoints of the target get the canary share, the same on all nodes.
+func (s *rolloutShare) setCanary(share float64, endpoints []fleet.Endpoint, out map[string]bool) {
+	var targets []string
 	old := 0
 	for _, e := range endpoints {
 		switch g := s.group(e.Version); {
 		case e.Leaving || out[e.DataCentre]:
 		case g == rollout.TargetGroup:
-			targets = append(targets, e)
+			targets = append(targets, e.ID)
 		case g == rollout.OldGroup:
 			old++
 		}
 	}
-	key := fmt.Sprint("canary ", s.plan.Order.Service, " ", s.plan.Order.Target)
-	slices.SortFunc(targets, func(a, b fleet.Endpoint) int {
-		return cmp.Or(cmp.Compare(rendezvous.Score(key, b.ID), rendezvous.Score(key, a.ID)), cmp.Compare(a.ID, b.ID))
-	})
-	size := max(1, int(math.Round(share*float64(old)/(1-share))))
-	s.canary = map[string]bool{}
-	for _, e := range targets[:min(size, len(targets))] {
-		s.canary[e.ID] = true
-	}
+	s.canary = rollout.NewCanary(s.plan.Order, share, old, targets)
 }
--- a/decision/dispatch/rollouts.go
+++ b/decision/dispatch/rollouts.go
@@ -10,7 +10,7 @@
 
 // setRollouts applies the orders and plans of a snapshot. The exposure of a roll-out goes on while the order names the same
 // version, and starts anew after it was reverted.
-func (t *Table) setRollouts(s *fleet.Snapshot) {
+func (t *Table) setRollouts(now time.Time, s *fleet.Snapshot) {
 	previous := t.rollouts
 	t.rollouts = make(map[string]*rolloutShare, len(s.Orders)+len(s.Plans))
 	for service, order := range s.Orders {
@@ -23,10 +23,14 @@
 		t.rollouts[service].plan = stored.Plan
 	}
 	for service, share := range t.rollouts {
+		share.seenAt = now
+		if p := previous[service]; p != nil && p.order != nil && share.order != nil && p.order.Revision == share.order.Revision {
+			share.seenAt = p.seenAt
+		}
 		t.carryExposure(previous[service], share)
 		share.sort(t.services[service])
 		if share.plan != nil {
-			share.chooseCanary(t.params.CanaryShare, s.Endpoints[service], s.Out)
+			share.setCanary(t.params.CanaryShare, s.Endpoints[service], s.Out)
 		}
 	}
 }
@@ -97,8 +101,11 @@
 		return t.chooseAmong(now, r, nil, selectNone)
 	}
 	refusal := NoEndpoint
-	for _, which := range share.selections(r, t.rolloutStale) {
+	for _, which := range share.selections(now, r, t.rolloutStale, t.random.Float64()) {
 		var e *endpoint
+		if which == selectCanary {
+			share.canaryEndpoints = share.canary.Choose(func(id string) bool { return t.admitsCanary(now, id) })
+		}
 		if e, refusal = t.chooseAmong(now, r, share, which); refusal == "" {
 			return e, ""
 		}
@@ -106,13 +113,19 @@
 	return nil, refusal
 }
 
+// admitsCanary reports whether an endpoint of the target admits a request now.
+func (t *Table) admitsCanary(now time.Time, id string) bool {
+	e := t.endpoints[id]
+	return e != nil && e.refreshCandidate(now, t.params.DataCentre) && e.coldLimitAdmits(now, t.nodeStarted, t.params, t.nodes)
+}
+
 // recordRolloutSend counts a placed request for the bound of its service's roll-out, and returns its roll-out and group; nil if
 // there is no roll-out whose outcomes count.
-func (t *Table) recordRolloutSend(r *Request, chosen *endpoint) *RolloutRun {
+func (t *Table) recordRolloutSend(now time.Time, r *Request, chosen *endpoint) *RolloutRun {
 	share := t.rollouts[r.Service]
 	if share == nil || share.order == nil {
 		return nil
 	}
 	share.recordSend(r, chosen.Version)
-	return &RolloutRun{Revision: share.order.Revision, Group: share.group(chosen.Version)}
+	return &RolloutRun{Revision: share.order.Revision, Group: share.group(chosen.Version), Cold: now.Before(chosen.coldUntil)}
 }
--- a/decision/dispatch/rollouts_test.go
+++ b/decision/dispatch/rollouts_test.go
@@ -252,3 +252,46 @@
 	table.Release(start, first.Run, Succeeded)
 	assert.Equal(t, table.RolloutProgress()[0].OldRuns, 0)
 }
+
+// Guards against times of endpoints in their cold start that are compared with those of warm ones.
+func TestRunsOnColdEndpointsAreMarked(t *testing.T) {
+	for _, cold := range []bool{false, true} {
+		table, s := newRolloutTable(1, rollout.Promoting)
+		for i := range s.Endpoints["s"] {
+			if cold {
+				s.Endpoints["s"][i].ColdFor, s.Endpoints["s"][i].ColdUntil = time.Minute, start.Add(time.Minute)
+			}
+		}
+		table.SetSnapshot(start, s)
+		placed, refusal := table.Place(start, request(10))
+		assert.Equal(t, refusal, Refusal(""))
+		assert.Equal(t, placed.Rollout.Cold, cold)
+	}
+}
+
+// Guards against a canary endpoint of a small service that gets its requests spread over the whole time, without the load at which a
+// fault shows; and against a share that goes to no endpoint because the first one does not accept requests.
+func TestCanaryRequestsComeInPulses(t *testing.T) {
+	table, s := newRolloutTable(1, rollout.Observing)
+	s.Endpoints["s"] = append(s.Endpoints["s"][:4:4], s.Endpoints["s"][10:14]...)
+	table = NewTable(start.Add(-time.Hour), table.params, rand.New(rand.NewPCG(1, 2)))
+	table.SetSnapshot(start, s)
+	used, closed := map[string]bool{}, 0
+	for i := range 4000 {
+		now := start.Add(time.Duration(i) * 4 * time.Millisecond)
+		placed, refusal := table.Place(now, request(10))
+		assert.Equal(t, refusal, Refusal(""))
+		if placed.Endpoint.Version == "v2" {
+			used[placed.Endpoint.ID] = true
+			if position := i % 1000; position < 280 || position > 720 {
+				closed++
+			}
+			if len(used) == 1 {
+				table.RecordPause(now, &placed.Endpoint.Endpoint, time.Second)
+			}
+		}
+		table.Release(now, placed.Run, Succeeded)
+	}
+	assert.Equal(t, closed, 0)
+	assert.Assert(t, len(used) > 1, "%v", used)
+}
--- a/decision/dispatch/set_snapshot.go
+++ b/decision/dispatch/set_snapshot.go
@@ -15,7 +15,7 @@
 	if s.Configuration != nil {
 		t.addEndpoints(now, s, previous)
 	}
-	t.setRollouts(s)
+	t.setRollouts(now, s)
 	t.configured = t.configured || s.Configuration != nil
 }
 
--- a/decision/rollout/comparison.go
+++ b/decision/rollout/comparison.go
@@ -100,7 +100,7 @@
 	if c.measure == firstEventMeasure {
 		// Requests that were sent long ago and have not responded are slow, whatever their time will be.
 		sent := h.before(s.at-binStart(c.limit)-reportDelay).entry(g, c.route).Sends
-		overdue := float64(max(0, sent-e.responded()))
+		overdue := float64(max(0, sent-e.responded()-e.Unevaluated))
 		n = n.plus(outcomeCounts{all: overdue, bad: overdue})
 	}
 	return n
--- a/decision/rollout/tally.go
+++ b/decision/rollout/tally.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// RecordUnevaluated counts that a sent request has ended without a response for a reason unrelated to the version: it provably did not
+// run, or its data centre was taken out. Without this count it would seem to wait for a response.
+func (t *Tally) RecordUnevaluated(g Group, route string) { t.entry(g, route).Unevaluated++ }
+
 // Add adds the counts of another tally.
 func (t *Tally) Add(o Tally) {
 	for i := range o.Entries {
--- a/decision/rollout/tally_entry.go
+++ b/decision/rollout/tally_entry.go
@@ -29,6 +29,8 @@
 	// shards by a hash, so that a fault of few endpoints is seen in few shards.
 	ShardResponses []int64 `cbor:"9,keyasint,omitempty"`
 	ShardFailures  []int64 `cbor:"10,keyasint,omitempty"`
+	// Unevaluated is the number of sent requests whose outcome says nothing about the version and that have not responded.
+	Unevaluated int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // compare orders entries by group and route.
@@ -75,6 +77,7 @@
 	e.Answers += o.Answers
 	e.Failures += o.Failures
 	e.Untimed += o.Untimed
+	e.Unevaluated += o.Unevaluated
 	e.FirstEvents = addCounts(e.FirstEvents, o.FirstEvents)
 	e.Intervals = addCounts(e.Intervals, o.Intervals)
 	e.ShardResponses = addCounts(e.ShardResponses, o.ShardResponses)
@@ -87,6 +90,7 @@
 	e.Answers = max(e.Answers, o.Answers)
 	e.Failures = max(e.Failures, o.Failures)
 	e.Untimed = max(e.Untimed, o.Untimed)
+	e.Unevaluated = max(e.Unevaluated, o.Unevaluated)
 	e.FirstEvents = maxCounts(e.FirstEvents, o.FirstEvents)
 	e.Intervals = maxCounts(e.Intervals, o.Intervals)
 	e.ShardResponses = maxCounts(e.ShardResponses, o.ShardResponses)
--- a/decision/rollout/tally_test.go
+++ b/decision/rollout/tally_test.go
@@ -68,3 +68,27 @@
 	}
 	assert.Equal(t, durationBin(time.Hour), durationBins-1)
 }
+
+// Guards against refused requests that count as slow because they never get a first event, and against a version that is not found slow
+// although it never answers.
+func TestOnlyRequestsThatMayRunAreOverdue(t *testing.T) {
+	overdue := func(unevaluated int) float64 {
+		tally, h := Tally{}, history{}
+		for range 20 {
+			tally.RecordSend(OldGroup, "r")
+			tally.Record(Sample{Group: OldGroup, Route: "r", FirstEvent: 20 * time.Millisecond})
+			tally.RecordSend(TargetGroup, "r")
+		}
+		for range unevaluated {
+			tally.RecordUnevaluated(TargetGroup, "r")
+		}
+		for i := range 6 {
+			h.record(Evidence{Elapsed: time.Duration(i) * time.Second, Tally: tally}, Observing)
+		}
+		c, known := newComparison(&h, firstEventMeasure, "r")
+		assert.Assert(t, known)
+		return c.targetSum.bad
+	}
+	assert.Equal(t, overdue(0), 20.0)
+	assert.Equal(t, overdue(20), 0.0)
+}
--- a/service/edge/rollout_record.go
+++ b/service/edge/rollout_record.go
@@ -9,9 +9,9 @@
 	"azuredyke.dev/azuredyke/service/rollout"
 )
 
-// earlySampleTime is the time after the first event at which the times of a stream are reported, before its end. Long streams
-// outlast a short roll-out, and what they show would come too late.
-const earlySampleTime = time.Second
+// intervalTime is the time after the first event at which the time between the events of a stream is reported, before its end. Long
+// streams outlast a short roll-out, and what they show would come too late.
+const intervalTime = time.Second
 
 // rolloutRecord reports one attempt for the counts of a roll-out. A nil record reports nothing.
 type rolloutRecord struct {
@@ -20,15 +20,17 @@
 	run     dispatch.RolloutRun
 	service string
 	route   string
-	// dataCentre is the data centre of the endpoint.
+	// endpoint and dataCentre are those of the attempt.
+	endpoint   string
 	dataCentre string
+	deadline   time.Time
 	// continues is set if the attempt continues a run, whose time to the first event is no measure.
 	continues bool
 
 	sentAt, firstAt, lastAt time.Time
 	events                  int
-	// sampled is set once the times were reported.
-	sampled bool
+	// measured is set once the time between events was reported.
+	measured bool
 }
 
 // newRolloutRecord returns the record of an attempt; nil if there is no order for the service.
@@ -38,7 +40,7 @@
 	}
 	return &rolloutRecord{
 		counts: s.server.rollouts, server: s.server, run: *p.Rollout, service: s.service, route: s.route.Name,
-		dataCentre: p.Endpoint.DataCentre, continues: o.continues(),
+		endpoint: p.Endpoint.ID, dataCentre: p.Endpoint.DataCentre, deadline: s.deadline, continues: o.continues(),
 	}
 }
 
@@ -59,47 +61,78 @@
 	r.lastAt = time.Now()
 	if r.events++; r.events == 1 {
 		r.firstAt = r.lastAt
+		first := r.sample(false)
+		if !r.continues {
+			first.FirstEvent = r.firstAt.Sub(r.sentAt)
+		}
+		r.counts.RecordFirstEvent(r.service, r.run.Revision, first)
 	}
-	if !r.sampled && r.lastAt.Sub(r.firstAt) >= earlySampleTime {
-		r.report(r.sample(false))
+	if !r.measured && r.lastAt.Sub(r.firstAt) >= intervalTime {
+		r.measured = true
+		s := r.sample(false)
+		s.Interval = r.interval()
+		r.counts.RecordInterval(r.service, r.run.Revision, s)
 	}
 }
 
-// end records the outcome. Refusals, and attempts that ended for a reason unrelated to the endpoint, are no evidence, and neither is
-// an answer from a data centre that was taken out.
+// end records the outcome. Refused requests provably did not run, and say nothing about the version; neither does an answer from a data
+// centre that was taken out.
 func (r *rolloutRecord) end(o dispatch.Outcome, answer *exchange.Answer) {
-	if r == nil || r.sentAt.IsZero() || r.server.cluster.Load().Fleet.Out[r.dataCentre] {
+	if r == nil || r.sentAt.IsZero() {
 		return
 	}
+	isOut := r.server.cluster.Load().Fleet.Out[r.dataCentre]
 	switch o {
 	case dispatch.Succeeded, dispatch.Failed:
-		if failed := answer != nil && answer.Status >= 500; failed || !r.sampled {
-			r.report(r.sample(failed))
+		if !isOut {
+			r.report(answer != nil && answer.Status >= 500)
+			return
 		}
 	case dispatch.Broken:
-		r.report(r.sample(true))
+		if !isOut {
+			r.report(true)
+			return
+		}
+	case dispatch.Cancelled:
+		if !isOut && !r.continues {
+			r.reportCancelled()
+			return
+		}
+	}
+	if r.events == 0 {
+		r.counts.RecordUnevaluated(r.service, r.run.Revision, r.run.Group, r.route)
 	}
 }
 
-// sample returns the outcome. A failure that follows a sample of the times has none.
-func (r *rolloutRecord) sample(failed bool) decision.Sample {
-	s := decision.Sample{Group: r.run.Group, Route: r.route, Failed: failed}
-	if r.sampled {
-		return s
+// reportCancelled records a request that had no answer when its deadline passed as a failure, of either group: a version that never
+// answers fails no request otherwise. What the old versions do as well is no fault of the target. A request that its caller gave up
+// earlier has no outcome, and counts as slow once it has no response for longer than the answers of the old versions take.
+func (r *rolloutRecord) reportCancelled() {
+	if r.events == 0 && !time.Now().Before(r.deadline) {
+		r.report(true)
 	}
-	switch {
-	case r.events > 0 && !r.continues:
-		s.FirstEvent = r.firstAt.Sub(r.sentAt)
-	case r.events == 0 && !failed:
+}
+
+// report records the outcome, with the times that were not recorded before.
+func (r *rolloutRecord) report(failed bool) {
+	s := r.sample(failed)
+	if r.events == 0 && !failed && !r.continues {
 		s.FirstEvent = time.Since(r.sentAt)
 	}
-	if r.events > 1 {
-		s.Interval = r.lastAt.Sub(r.firstAt) / time.Duration(r.events-1)
+	if !r.measured && r.events > 1 {
+		s.Interval = r.interval()
 	}
-	return s
+	r.counts.RecordSample(r.service, r.run.Revision, s)
 }
 
-func (r *rolloutRecord) report(s decision.Sample) {
-	r.sampled = true
-	r.counts.RecordSample(r.service, r.run.Revision, s)
+// sample returns the outcome without times.
+func (r *rolloutRecord) sample(failed bool) decision.Sample {
+	return decision.Sample{
+		Group: r.run.Group, Route: r.route, Endpoint: r.endpoint, Failed: failed, Cold: r.run.Cold, Started: r.events > 0,
+	}
+}
+
+// interval returns the mean time between events.
+func (r *rolloutRecord) interval() time.Duration {
+	return r.lastAt.Sub(r.firstAt) / time.Duration(max(1, r.events-1))
 }
--- a/service/edge/rollout_record_test.go
+++ b/service/edge/rollout_record_test.go
@@ -24,14 +24,32 @@
 
 // recordedOutcomes implements rollout.Outcomes. One session uses it.
 type recordedOutcomes struct {
-	sends   int
-	samples []decision.Sample
+	sends, unevaluated              int
+	firstEvents, intervals, samples []decision.Sample
 }
 
 func (o *recordedOutcomes) RecordSend(string, int64, decision.Group, string) { o.sends++ }
 
+func (o *recordedOutcomes) RecordFirstEvent(_ string, _ int64, s decision.Sample) {
+	o.firstEvents = append(o.firstEvents, withoutEndpoint(s))
+}
+
+func (o *recordedOutcomes) RecordInterval(_ string, _ int64, s decision.Sample) {
+	o.intervals = append(o.intervals, withoutEndpoint(s))
+}
+
+func (o *recordedOutcomes) RecordUnevaluated(string, int64, decision.Group, string) { o.unevaluated++ }
+
 func (o *recordedOutcomes) RecordSample(_ string, _ int64, s decision.Sample) {
-	o.samples = append(o.samples, s)
+	o.samples = append(o.samples, withoutEndpoint(s))
+}
+
+// withoutEndpoint returns a sample without its endpoint, which must be one of those of the test.
+func withoutEndpoint(s decision.Sample) decision.Sample {
+	if s.Endpoint == "a" || s.Endpoint == "b" {
+		s.Endpoint = ""
+	}
+	return s
 }
 
 // statusSender answers each request with a status after a delay.
@@ -62,46 +80,65 @@
 	ok := decision.Sample{Group: decision.OldGroup, Route: route, FirstEvent: 30 * time.Millisecond}
 	failed := decision.Sample{Group: decision.OldGroup, Route: route, Failed: true}
 	stream := catalog.Route{Streaming: true, FirstByteObjective: time.Second, MaxAttempts: 1}
+	started := decision.Sample{Group: decision.OldGroup, Route: route, Started: true}
+	broken := decision.Sample{Group: decision.OldGroup, Route: route, Started: true, Failed: true}
+	first := func(d time.Duration) []decision.Sample {
+		return []decision.Sample{{Group: decision.OldGroup, Route: route, Started: true, FirstEvent: d}}
+	}
+	interval := func(d time.Duration) []decision.Sample {
+		return []decision.Sample{{Group: decision.OldGroup, Route: route, Started: true, Interval: d}}
+	}
+	short := catalog.Route{Streaming: true, Timeout: 100 * time.Millisecond, FirstByteObjective: time.Second, MaxAttempts: 1}
 	for name, c := range map[string]struct {
-		route   catalog.Route
-		sender  exchange.Sender
-		stream  exchange.Stream
-		sends   int
-		samples []decision.Sample
+		route  catalog.Route
+		sender exchange.Sender
+		stream exchange.Stream
+		want   recordedOutcomes
 		// out is set if the endpoints' data centre is taken out.
 		out bool
 	}{
-		"whole answer":         {sender: &statusSender{status: 200}, sends: 1, samples: []decision.Sample{ok}},
-		"error of the caller":  {sender: &statusSender{status: 404}, sends: 1, samples: []decision.Sample{ok}},
-		"error of the version": {sender: &statusSender{status: 500}, sends: 1, samples: []decision.Sample{failed}},
+		"whole answer":         {sender: &statusSender{status: 200}, want: recordedOutcomes{sends: 1, samples: []decision.Sample{ok}}},
+		"error of the caller":  {sender: &statusSender{status: 404}, want: recordedOutcomes{sends: 1, samples: []decision.Sample{ok}}},
+		"error of the version": {sender: &statusSender{status: 500}, want: recordedOutcomes{sends: 1, samples: []decision.Sample{failed}}},
 		"broken": {
-			sender: &failingSender{failures: 1, failure: verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "broken")}, sends: 1,
-			samples: []decision.Sample{failed},
+			sender: &failingSender{failures: 1, failure: verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "broken")},
+			want:   recordedOutcomes{sends: 1, samples: []decision.Sample{failed}},
+		},
+		"refused": {
+			sender: &failingSender{failures: 4, failure: verdict.New(verdict.NotRun, verdict.ReasonBusy, "busy")},
+			want:   recordedOutcomes{sends: 1, unevaluated: 1},
 		},
-		"refused": {sender: &failingSender{failures: 4, failure: verdict.New(verdict.NotRun, verdict.ReasonBusy, "busy")}, sends: 1},
 		"not reached": {
-			sender: &failingSender{failures: 4, failure: verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection")}, sends: 3,
+			sender: &failingSender{failures: 4, failure: verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection")},
+			want:   recordedOutcomes{sends: 3, unevaluated: 3},
 		},
 		"short stream": {
-			route: stream, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 20 * time.Millisecond, events: 5}, sends: 1,
-			samples: []decision.Sample{{Group: decision.OldGroup, Route: route, FirstEvent: 20 * time.Millisecond, Interval: 20 * time.Millisecond}},
+			route: stream, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 20 * time.Millisecond, events: 5},
+			want: recordedOutcomes{sends: 1, firstEvents: first(20 * time.Millisecond), samples: interval(20 * time.Millisecond)},
 		},
-		"long stream, sampled before its end": {
-			route: stream, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 50 * time.Millisecond, events: 100}, sends: 1,
-			samples: []decision.Sample{{Group: decision.OldGroup, Route: route, FirstEvent: 50 * time.Millisecond, Interval: 50 * time.Millisecond}},
+		"long stream, measured before its end": {
+			route: stream, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 50 * time.Millisecond, events: 100},
+			want: recordedOutcomes{
+				sends: 1, firstEvents: first(50 * time.Millisecond), intervals: interval(50 * time.Millisecond), samples: []decision.Sample{started},
+			},
 		},
 		"cut stream": {
-			route: stream, sender: &failingSender{}, stream: &brokenStream{slowStream{raw: "x", pause: 50 * time.Millisecond, events: 30}}, sends: 1,
-			samples: []decision.Sample{
-				{Group: decision.OldGroup, Route: route, FirstEvent: 50 * time.Millisecond, Interval: 50 * time.Millisecond}, failed,
+			route: stream, sender: &failingSender{}, stream: &brokenStream{slowStream{raw: "x", pause: 50 * time.Millisecond, events: 30}},
+			want: recordedOutcomes{
+				sends: 1, firstEvents: first(50 * time.Millisecond), intervals: interval(50 * time.Millisecond), samples: []decision.Sample{broken},
 			},
 		},
-		"given up": {
-			route: catalog.Route{Streaming: true, Timeout: 100 * time.Millisecond, FirstByteObjective: time.Second, MaxAttempts: 1}, sender: &failingSender{},
-			stream: &slowStream{raw: "x", pause: time.Second, events: 5}, sends: 1,
+		"no answer by the deadline": {
+			route: short, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: time.Second, events: 5},
+			want: recordedOutcomes{sends: 1, samples: []decision.Sample{failed}},
+		},
+		"deadline after the first event": {
+			route: short, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 60 * time.Millisecond, events: 5},
+			want: recordedOutcomes{sends: 1, firstEvents: first(60 * time.Millisecond)},
 		},
 		"data centre out": {
-			route: stream, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 20 * time.Millisecond, events: 5}, sends: 1, out: true,
+			route: stream, sender: &failingSender{}, stream: &slowStream{raw: "x", pause: 20 * time.Millisecond, events: 5}, out: true,
+			want: recordedOutcomes{sends: 1, firstEvents: first(20 * time.Millisecond)},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -124,8 +161,10 @@
 						})
 					}
 				})
-				assert.Equal(t, outcomes.sends, c.sends)
-				assert.DeepEqual(t, outcomes.samples, c.samples)
+				assert.Equal(t, [2]int{outcomes.sends, outcomes.unevaluated}, [2]int{c.want.sends, c.want.unevaluated})
+				assert.DeepEqual(t, outcomes.firstEvents, c.want.firstEvents)
+				assert.DeepEqual(t, outcomes.intervals, c.want.intervals)
+				assert.DeepEqual(t, outcomes.samples, c.want.samples)
 			})
 		})
 	}
@@ -136,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		outcomes := &recordedOutcomes{}
 		serveRequest(t, catalog.Route{}, &statusSender{status: 500}, nil, func(s *Server) { s.rollouts = outcomes })
-		assert.Equal(t, outcomes.sends+len(outcomes.samples), 0)
+		assert.Equal(t, outcomes.sends+len(outcomes.samples)+outcomes.unevaluated, 0)
 	})
 }
 
--- a/service/edge/rollouts.go
+++ b/service/edge/rollouts.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"time"
-
 	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/settings"
@@ -15,12 +13,6 @@
 	// requests whose arrival is not counted.
 	maxCanaryShare = 0.08
 	canaryMargin   = 0.02
-	// handOverTime is the time that all nodes need to follow a plan and to move the runs on old endpoints: a change of the store is
-	// in force everywhere within a second, and a run is copied and continued elsewhere within two.
-	handOverTime = 3 * time.Second
-	// deadlineMargin is the time before the deadline, by the nodes' age of the order, at which the final state is written at the latest:
-	// 1 s, and 0.25 s for the time until the first node has seen the order.
-	deadlineMargin = 1250 * time.Millisecond
 )
 
 // canaryShare returns the share of the target while it is observed.
@@ -40,7 +32,7 @@
 	n.rollouts = rollout.NewManager(log, n.self.ID, cluster, rolloutDispatcher{messages: n.dispatcher.messages}, peers, bootclock.Now, scope)
 	handleRollouts(peers, n.rollouts)
 	n.decider = rollout.NewDecider(log, n.self.ID, cluster, n.rollouts, peers, d.Store, d.EncodeRolloutStatus, func() rollout.Judge {
-		return decision.NewJudge(decision.JudgeParams{HandOver: handOverTime, DeadlineMargin: deadlineMargin})
+		return decision.NewJudge(decision.JudgeParams{})
 	}, bootclock.Now, scope)
 	n.server.rollouts = n.rollouts
 }
--- a/service/rollout/service_counts.go
+++ b/service/rollout/service_counts.go
@@ -27,9 +27,7 @@
 
 // copyTally returns a copy of the counts that later counts don't change.
 func (c *serviceCounts) copyTally() rollout.Tally {
-	var t rollout.Tally
-	t.Add(c.tally)
-	return t
+	return c.tally.Clone()
 }
 
 func (c *serviceCounts) fields(now time.Time) []zap.Field {
