Prove roll-outs with tasks, tables and verdict together

Cause: the tasks were tested with a judge of their own, the verdict by its simulation; nothing showed that they fit.

Change: - Seeded roll-outs in virtual time: six nodes with manager, dispatch table and decider, random faults, the decider killed in every second run with a bad version.

--- a/decision/rollout/judge_simulation_test.go
+++ b/decision/rollout/judge_simulation_test.go
@@ -23,7 +23,11 @@
 	}
 	sum := simulationResult{}
 	for seed := range runs {
-		sum.add(simulate(c, uint64(seed+1)))
+		r := simulate(c, uint64(seed+1))
+		if c.fault != noFault && r.completed > 0 {
+			t.Logf("seed %d: a bad version was completed", seed+1)
+		}
+		sum.add(r)
 	}
 	t.Log(t.Name(), sum.String())
 	if os.Getenv("ROLLOUT_REASONS") != "" {
--- a/service/rollout/test_node_test.go
+++ b/service/rollout/test_node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	stopped atomic.Bool
 	// targetSends counts the requests that the node sent to the target.
 	targetSends atomic.Int64
+	// load sends requests through a dispatch table; nil for the simple load.
+	load *testLoad
 }
 
 func newTestNode(s *testSite, id, dataCentre string, rank int) *testNode {
@@ -45,14 +48,24 @@
 // start starts the tasks of a new process of the node.
 func (n *testNode) start(ctx context.Context) {
 	ctx, n.stop = context.WithCancel(ctx)
-	manager := NewManager(zap.NewNop(), n.id, n, n, n, time.Now, tally.NoopScope)
-	decider := NewDecider(zap.NewNop(), n.id, n, manager, n, n.store, records.EncodeRolloutStatus, func() Judge { return testJudge{} },
-		time.Now, tally.NoopScope)
+	var dispatcher Dispatcher = n
+	newJudge := func() Judge { return testJudge{} }
+	if n.site.seed > 0 {
+		n.load = newTestLoad(n, n.site.seed*100+uint64(slices.Index(n.site.nodes, n)))
+		dispatcher = n.load
+		newJudge = func() Judge { return rollout.NewJudge(rollout.JudgeParams{}) }
+	}
+	manager := NewManager(zap.NewNop(), n.id, n, dispatcher, n, time.Now, tally.NoopScope)
+	decider := NewDecider(zap.NewNop(), n.id, n, manager, n, n.store, records.EncodeRolloutStatus, newJudge, time.Now, tally.NoopScope)
 	n.process.Store(&testProcess{manager: manager, decider: decider})
 	go n.follow(ctx)
 	go manager.Run(ctx)
 	go decider.Run(ctx)
-	go n.serve(ctx, manager)
+	if n.load != nil {
+		go n.load.run(ctx, manager)
+	} else {
+		go n.serve(ctx, manager)
+	}
 }
 
 // kill ends the node's process.
--- a/service/rollout/test_site_test.go
+++ b/service/rollout/test_site_test.go
@@ -23,6 +23,10 @@
 	nodes       []*testNode
 	writes      atomic.Int64
 	targetFails atomic.Bool
+	// seed is the seed of the nodes' loads; 0 for the simple load and judge. fault is that of the target; nil if it is good.
+	seed      uint64
+	fault     *testFault
+	orderedAt time.Time
 	// deadline is that of the last order.
 	deadline time.Time
 }
@@ -30,11 +34,19 @@
 // runSite runs play on a site with three nodes in each of two data centres, and then checks the history of the plans.
 func runSite(t *testing.T, play func(ctx context.Context, s *testSite)) {
 	t.Helper()
-	s := &testSite{t: t, kv: memory.NewKV()}
+	playSite(t, &testSite{t: t, kv: memory.NewKV()}, play)
+}
+
+// playSite is runSite with a site that has no nodes yet.
+func playSite(t *testing.T, s *testSite, play func(ctx context.Context, s *testSite)) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	go s.kv.Run(ctx)
 	s.put("servers/old", `{"service":"s","address":"127.0.0.1:1","zone":"a","slots":8,"state":"ready","coldLeftMs":0,"version":"v1"}`)
 	s.put("servers/new", `{"service":"s","address":"127.0.0.1:2","zone":"a","slots":8,"state":"ready","coldLeftMs":0,"version":"v2"}`)
+	if s.seed > 0 {
+		s.addEndpoints(11)
+	}
 	for _, dataCentre := range []string{"a", "b"} {
 		for i := range 3 {
 			rank := i
@@ -55,6 +67,18 @@
 	time.Sleep(time.Minute)
 }
 
+// addEndpoints adds endpoints of each version in each data centre.
+func (s *testSite) addEndpoints(count int) {
+	for i := range count {
+		for _, version := range []string{"v1", "v2"} {
+			for _, dataCentre := range []string{"a", "b"} {
+				s.put(fmt.Sprint("servers/", version, dataCentre, i), fmt.Sprintf(
+					`{"service":"s","address":"127.0.0.1:%d","zone":%q,"slots":24,"state":"ready","coldLeftMs":0,"version":%q}`, 100+i, dataCentre, version))
+			}
+		}
+	}
+}
+
 // listed returns the nodes of a data centre and the numbers of nodes of the other ones.
 func (s *testSite) listed(dataCentre string) ([]string, map[string]int) {
 	var local []string
@@ -80,7 +104,8 @@
 }
 
 func (s *testSite) order(target string, seconds int) {
-	s.deadline = time.Now().Add(time.Duration(seconds) * time.Second)
+	s.orderedAt = time.Now()
+	s.deadline = s.orderedAt.Add(time.Duration(seconds) * time.Second)
 	s.put("op/rollout/s", fmt.Sprintf(`{"service":"s","target":%q,"durationS":%d}`, target, seconds))
 }
 
@@ -119,6 +144,17 @@
 	return nil
 }
 
+// killDecider kills the node that holds the decider's key, if there is one.
+func (s *testSite) killDecider() {
+	e, err := s.kv.Get(s.t.Context(), DeciderKey)
+	assert.NilError(s.t, err)
+	for _, n := range s.nodes {
+		if p := n.process.Load(); p != nil && e.ModRevision > 0 && bytes.Equal(e.Value, p.decider.holder) {
+			n.kill()
+		}
+	}
+}
+
 // checkHistory checks that no final state was taken back, and that plan and status were always written together.
 func (s *testSite) checkHistory() {
 	s.t.Helper()
