--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -83,6 +83,14 @@
 	return listed != nil && listed.SameIncarnation(e) && listed.Leaving
 }
 
+// recordDeparture records that one of a number of engines begins to leave, for the reserve of the service. Engines of a version that a
+// roll-out has replaced or reverted don't count: nothing may run on them, and the others need no room for it.
+func (t *Table) recordDeparture(now time.Time, l *limits, e *catalog.Endpoint, engines int) {
+	if share := t.rollouts[e.Service]; share == nil || share.allowsRuns(e.Version) {
+		l.reserve.RecordDeparture(now, engines)
+	}
+}
+
 // limit applies ordered admission to an endpoint whose candidate is up to date, and reports whether the request may go there. Only
 // new runs on engines are limited.
 func (t *Table) limit(now time.Time, r *Request, e *endpoint) bool {
--- a/decision/dispatch/set_snapshot.go
+++ b/decision/dispatch/set_snapshot.go
@@ -44,7 +44,7 @@
 				e.coldUntil = now.Add(service.ColdStart + coldMargin)
 			}
 			if known && !wasLeaving && e.isLeaving() {
-				l.reserve.RecordDeparture(now, len(list))
+				t.recordDeparture(now, l, &listed.Endpoint, len(list))
 			}
 			t.endpoints[e.ID] = e
 			t.services[name] = append(t.services[name], e)
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -152,7 +152,7 @@
 	s := t.statementOf(now, e)
 	isNew := !s.leaving
 	if l := t.limits[e.Service]; isNew && l != nil && !t.listedAsLeaving(e) {
-		l.reserve.RecordDeparture(now, len(t.services[e.Service]))
+		t.recordDeparture(now, l, e, len(t.services[e.Service]))
 	}
 	s.leaving = true
 	return isNew
--- a/service/edge/rollout_record_test.go
+++ b/service/edge/rollout_record_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -46,7 +47,7 @@
 
 // withoutEndpoint returns a sample without its endpoint, which must be one of those of the test.
 func withoutEndpoint(s decision.Sample) decision.Sample {
-	if s.Endpoint == "a" || s.Endpoint == "b" {
+	if slices.Contains([]string{"a", "b", "c"}, s.Endpoint) {
 		s.Endpoint = ""
 	}
 	return s
