Complete the counts of a data centre from both of its relays

Cause: of the sums that two relays send for one data centre, the service took the one with more counts, though each may lack some that the other has.

Change: remoteSums takes the larger of each pair of counts, as rollout.Tally.KeepLarger does for DataCentreTallies. NodeTallies and DataCentreTallies themselves stay out of the service: its messages carry several services, ages and confirmations, and the epochs of its processes are random where TallyVersion orders them.

--- a/service/rollout/relay_counts_test.go
+++ b/service/rollout/relay_counts_test.go
@@ -77,3 +77,24 @@
 	assert.Equal(t, found["b"].AgeMillis, int64(9))
 	assert.Equal(t, len(r.of(rolloutKey{"s", 8})), 0)
 }
+
+// Guards against counts of a data centre that are not seen because each of its relays lacks some, and against sums that change when
+// they are read.
+func TestSumsOfBothRelaysCompleteEachOther(t *testing.T) {
+	r := newRemoteSums()
+	for i, group := range []rollout.Group{rollout.OldGroup, rollout.TargetGroup} {
+		s := ServiceSum{Service: "s", Revision: 7}
+		for range i + 3 {
+			s.Tally.RecordSend(group, "r")
+		}
+		r.apply(Sum{DataCentre: "b", Relay: string(rune('0' + i)), Epoch: 1, Sequence: 1, Services: []ServiceSum{s}})
+	}
+	for range 2 {
+		tally := r.of(testKey)["b"].Tally
+		assert.Equal(t, tally.Sends(rollout.OldGroup), int64(3))
+		assert.Equal(t, tally.Sends(rollout.TargetGroup), int64(4))
+	}
+	for _, sum := range r.byRelay {
+		assert.Equal(t, len(sum.Services[0].Tally.Entries), 1)
+	}
+}
--- a/service/rollout/remote_sums.go
+++ b/service/rollout/remote_sums.go
@@ -15,8 +15,8 @@
 	r.byRelay[s.Relay] = s
 }
 
-// of returns the counts of a roll-out by data centre. If both relays of one have sent sums, the one with more counts is taken, since
-// counts only grow and a relay that has just started does not know the processes that ended before.
+// of returns the counts of a roll-out by data centre. The sums of both relays of one count the same nodes, so the larger of each pair of
+// counts is taken: a relay that has just started does not know the processes that ended before.
 func (r *remoteSums) of(key rolloutKey) map[string]ServiceSum {
 	found := map[string]ServiceSum{}
 	for _, sum := range r.byRelay {
@@ -24,14 +24,14 @@
 			if s.Service != key.service || s.Revision != key.revision {
 				continue
 			}
-			if known, ok := found[sum.DataCentre]; !ok || s.answers() > known.answers() {
-				age, confirmed := max(known.AgeMillis, s.AgeMillis), max(known.Confirmed, s.Confirmed)
-				s.AgeMillis, s.Confirmed = age, confirmed
-				found[sum.DataCentre] = s
-			} else {
-				known.AgeMillis, known.Confirmed = max(known.AgeMillis, s.AgeMillis), max(known.Confirmed, s.Confirmed)
-				found[sum.DataCentre] = known
+			known, ok := found[sum.DataCentre]
+			if !ok {
+				known = s
+				known.Tally = s.Tally.Clone()
 			}
+			known.Tally.KeepLarger(s.Tally)
+			known.AgeMillis, known.Confirmed = max(known.AgeMillis, s.AgeMillis), max(known.Confirmed, s.Confirmed)
+			found[sum.DataCentre] = known
 		}
 	}
 	return found
--- a/service/rollout/service_sum.go
+++ b/service/rollout/service_sum.go
@@ -12,12 +12,3 @@
 	Confirmed int           `cbor:"4,keyasint,omitempty"`
 	Tally     rollout.Tally `cbor:"5,keyasint"`
 }
-
-// answers returns the number of answers in the sum, by which the more complete one of two sums is told.
-func (s *ServiceSum) answers() int64 {
-	total := int64(0)
-	for _, e := range s.Tally.Entries {
-		total += e.Answers + e.Sends
-	}
-	return total
-}
