--- a/decision/dispatch/copy_speed.go
+++ b/decision/dispatch/copy_speed.go
@@ -18,7 +18,11 @@
 // engine there has enough free memory; nil for no copy.
 func (t *Table) chooseBackupBySpeed(now time.Time, r *Request, primary *endpoint) *endpoint {
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
+	share := t.rollouts[r.Service]
 	for _, e := range t.services[r.Service] {
+		if share != nil && !share.allowsCopy(primary.Version, e.Version) {
+			continue
+		}
 		if e == primary || e.isCold(now) || !e.refreshCandidate(now, primary.DataCentre) {
 			continue
 		}
--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -52,8 +52,9 @@
 // capacity returns what the engines of a service that are not leaving can do for requests of a priority.
 func (t *Table) capacity(service string, priority int) overload.Capacity {
 	var c overload.Capacity
+	share := t.rollouts[service]
 	for _, e := range t.services[service] {
-		if e.service.Engine != nil && !e.isLeaving() && !e.dataCentreOut {
+		if (share == nil || share.getsMostRequests(e.Version)) && e.service.Engine != nil && !e.isLeaving() && !e.dataCentreOut {
 			c.Memory += float64(e.service.Engine.Capacity)
 			c.Prefill += t.limits[service].rates.Of(priority).PerMillisecond()
 		}
@@ -61,12 +62,35 @@
 	return c
 }
 
+// enginesFor returns the number of engines of a service over which waiting requests spread; at least 1.
+func (t *Table) enginesFor(service string) int {
+	share := t.rollouts[service]
+	if share == nil {
+		return len(t.services[service])
+	}
+	count := 0
+	for _, e := range t.services[service] {
+		if share.getsMostRequests(e.Version) {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
 // listedAsLeaving reports whether the entry of an endpoint says that it is leaving.
 func (t *Table) listedAsLeaving(e *catalog.Endpoint) bool {
 	listed := t.endpoints[e.ID]
 	return listed != nil && listed.SameIncarnation(e) && listed.Leaving
 }
 
+// recordDeparture records that one of a number of engines begins to leave, for the reserve of the service. Engines of a version that a
+// roll-out has replaced or reverted don't count: nothing may run on them, and the others need no room for it.
+func (t *Table) recordDeparture(now time.Time, l *limits, e *catalog.Endpoint, engines int) {
+	if share := t.rollouts[e.Service]; share == nil || share.allowsRuns(e.Version) {
+		l.reserve.RecordDeparture(now, engines)
+	}
+}
+
 // limit applies ordered admission to an endpoint whose candidate is up to date, and reports whether the request may go there. Only
 // new runs on engines are limited.
 func (t *Table) limit(now time.Time, r *Request, e *endpoint) bool {
@@ -77,7 +101,7 @@
 	if r.Resumed {
 		return !r.CopyPending || placement.ExpectedMemoryFilter{}.Permits(&query, &e.candidate)
 	}
-	l, c, engines := t.limits[r.Service], &e.candidate, len(t.services[r.Service])
+	l, c, engines := t.limits[r.Service], &e.candidate, t.enginesFor(r.Service)
 	// Only as many engines keep room for more urgent requests as those need.
 	moreUrgent := r.MoreUrgent
 	if !r.LeavesAllRoom && t.random.IntN(engines) >= moreUrgent.Requests() {
--- a/decision/dispatch/params.go
+++ b/decision/dispatch/params.go
@@ -19,4 +19,6 @@
 	OrderedAdmission bool
 	// PromptAffinity prefers engines that are likely to have the beginning of a prompt cached.
 	PromptAffinity bool
+	// CanaryShare is the share of a service's requests that the target of a roll-out gets while it is observed.
+	CanaryShare float64
 }
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -6,6 +6,7 @@
 
 	"azuredyke.dev/azuredyke/decision/overload"
 	"azuredyke.dev/azuredyke/decision/prefix"
+	"azuredyke.dev/azuredyke/decision/rollout"
 )
 
 // Request holds the properties of a request that placement depends on.
@@ -51,6 +52,8 @@
 	WithoutLimits bool
 	// Backup asks for a second endpoint that holds a copy of the run's memory.
 	Backup bool
+	// Group is the group of the run that a resumed request continues.
+	Group rollout.Group
 }
 
 // mayUse reports whether the request may run on an endpoint, now or once the endpoint accepts requests again.
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -32,6 +32,8 @@
 	UnreadTimeout time.Duration
 	// Memory is the number of bytes of request bodies above which the worker crashes; 0 means no limit.
 	Memory int64
+	// Version is the version of the worker's software.
+	Version string
 	// Zone is the zone of the worker. ColdFor is the remaining time for which it is cold when its entry is written.
 	Zone    string
 	ColdFor time.Duration
@@ -77,7 +79,7 @@
 	behaviour := ask(in.Context(), w.Fleet, func(s *state) Behaviour {
 		behaviour := s.behaviours[w.ID]
 		s.arrivals = append(s.arrivals, Arrival{
-			Worker: w.ID, Service: w.service(), Request: request, At: time.Now(), Continued: from != "",
+			Worker: w.ID, Service: w.service(), Version: w.Version, Request: request, At: time.Now(), Continued: from != "",
 			AskedForPause: behaviour == Refuse && w.RetryAfter != "", SaidLeaving: saidLeaving,
 		})
 		return behaviour
--- a/service/edge/reload.go
+++ b/service/edge/reload.go
@@ -33,6 +33,7 @@
 		EndpointSpeed:    s.Features.EndpointSpeed,
 		OrderedAdmission: s.Features.OrderedAdmission,
 		PromptAffinity:   s.Features.PromptAffinity,
+		CanaryShare:      canaryShare(s.Bounds),
 	}
 }
 
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -22,7 +22,10 @@
 	if m.backupRefusals > 0 {
 		m.backupRefusals = maxBackupRefusals - 1
 	}
-	o := sendOptions{copyPending: true, spareMemoryOnly: !m.leaving, exclude: exclude, sourceDataCentre: r.up.placement.Endpoint.DataCentre}
+	o := sendOptions{
+		copyPending: true, spareMemoryOnly: !m.leaving, exclude: exclude,
+		sourceDataCentre: r.up.placement.Endpoint.DataCentre, group: r.up.placement.Group(),
+	}
 	target, err := r.place(r.ctx, o)
 	if err != nil {
 		r.log(zap.InfoLevel, "no endpoint for a copy", zap.String("endpoint", r.up.placement.Endpoint.ID),
