Continue a stream at the service where it began

Cause: a stream that broke and waited for its next endpoint is checked again, and took the service of the present route. It could go on with the answer of another service. Change: a request that may have run keeps its service.

--- a/service/edge/session_recheck.go
+++ b/service/edge/session_recheck.go
@@ -45,5 +45,9 @@
 	if err := s.admit(); err != nil {
 		return false, err
 	}
+	if s.runs > 0 {
+		// A repeated run stays at its service: a stream that has begun must not continue with the answer of another one.
+		s.service = service
+	}
 	return s.service == service && s.server.quarantine.Assess(s.fingerprints).Standing <= s.admission.Standing, nil
 }
--- a/service/edge/session_recheck_test.go
+++ b/service/edge/session_recheck_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against a request that is sent after a long wait although its key was revoked, its route leads to another service, or its
-// fingerprint became a suspect meanwhile.
+// fingerprint became a suspect meanwhile, and against a stream that continues at another service than it began.
 func TestHeldRequestIsCheckedAgain(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -63,6 +63,15 @@
 	cluster.Publish(keyedState("other", true))
 	check(false, "")
 	check(true, "")
+	// A stream that has begun continues at its service.
+	s.runs = 1
+	cluster.Publish(keyedState("s", true))
+	check(true, "")
+	assert.Equal(t, s.service, "other")
+	s.runs = 0
+	check(false, "")
+	cluster.Publish(keyedState("other", true))
+	check(false, "")
 	manager.ReportCrash(ctx, manager.Admit(ctx, s.fingerprints))
 	check(false, "")
 	cluster.Publish(keyedState("other", false))
