Log what a refused request waited for

Cause: the demand that a request leaves room for was cleared before its last attempt, so that the log line of every refused request said that nothing more urgent waited. Change: only the attempt itself goes without these figures; the log line also has the Retry-After time. Result: TestRefusedRequestsKeepTheirInputs failed before (0 instead of 1) and passes now; the simulations pass.

--- a/decision/dispatch/queue.go
+++ b/decision/dispatch/queue.go
@@ -163,14 +163,16 @@
 // otherwise it is refused.
 func (q *Queue) decide(now time.Time, h *HeldRequest) (d Decision, waits bool) {
 	last := q.mustDecide(now, h)
+	h.Request.WithoutLimits = last && q.maySendWithoutLimits(now, h)
+	r := h.Request
 	if last {
-		h.Request.MoreUrgent, h.Request.Contenders = overload.MoreUrgent{}, 0
-		h.Request.WithoutLimits = q.maySendWithoutLimits(now, h)
+		// The request no longer leaves room to others. It keeps what it left room for, for the log.
+		r.MoreUrgent, r.Contenders = overload.MoreUrgent{}, 0
 	}
 	d.Held = h
-	d.Placement, d.Refusal = q.table.Place(now, h.Request)
+	d.Placement, d.Refusal = q.table.Place(now, r)
 	if d.Refusal == AllEndpointsPaused {
-		d.RetryAfter = q.table.PauseLeft(now, &h.Request)
+		d.RetryAfter = q.table.PauseLeft(now, &r)
 	}
 	if d.Refusal == "" || d.Refusal == RetryBudget || last {
 		return d, false
--- a/decision/dispatch/queue_test.go
+++ b/decision/dispatch/queue_test.go
@@ -103,3 +103,17 @@
 	// Only the request of 9,000 tokens waits before it on an engine of 10,000.
 	assert.Equal(t, decisions[1].RetryAfter, 900*time.Millisecond)
 }
+
+// Guards against log lines of refused requests that say that nothing more urgent waited.
+func TestRefusedRequestsKeepTheirInputs(t *testing.T) {
+	table, _ := newOrderedTable("a")
+	q := NewQueue(table)
+	q.Offer(start, newHeld("w", 0, 9000))
+	urgent, last := newHeld("w", 0, 6000), newHeld("w", 2, 5000)
+	assert.Equal(t, len(q.Offer(start, urgent))+len(q.Offer(start, last)), 0)
+	last.HoldUntil, last.FirstEventBy = start, start
+	decisions := q.Scan(start, nil)
+	assert.Equal(t, len(decisions), 1)
+	assert.Equal(t, decisions[0].Refusal, AllEndpointsFull)
+	assert.Equal(t, decisions[0].Held.Request.MoreUrgent.Requests(), 1)
+}
--- a/service/edge/dispatcher_held.go
+++ b/service/edge/dispatcher_held.go
@@ -54,8 +54,8 @@
 	d.log.Info("wait for room ended", zap.String("request", m.id), zap.String("service", h.Request.Service),
 		zap.String("workspace", h.Workspace), zap.Int("priority", h.Priority), zap.Bool("late", h.IsLate(now)),
 		zap.Duration("held", held), zap.Duration("left", h.HoldUntil.Sub(now)), zap.String("endpoint", decision.Placement.Endpoint.ID),
-		zap.String("refusal", string(decision.Refusal)), zap.Bool("without_limits", h.Request.WithoutLimits),
+		zap.String("refusal", string(decision.Refusal)), zap.Duration("retry_after", decision.RetryAfter), zap.Bool("without_limits", h.Request.WithoutLimits),
 		zap.Int("prompt_tokens", h.Request.PromptTokens), zap.Int("tokens", h.Request.Tokens), zap.Int("prefill", decision.Placement.Prefill),
-		zap.Int("contenders", h.Request.Contenders), zap.Int("more_urgent", h.Request.MoreUrgent.Long.Requests+h.Request.MoreUrgent.Short.Requests),
+		zap.Int("contenders", h.Request.Contenders), zap.Int("more_urgent", h.Request.MoreUrgent.Requests()),
 		zap.Int("waiting", d.queue.Len()), zap.Float64("reserve", d.table.Reserves(now)[h.Request.Service]))
 }
