Collect the endpoints for copies in one place

Cause: the choice of a backup by speed had a copy of the loop that collects the eligible engines. Change: both choices use collectBackups, which takes the data centre that counts as near. Result: the tests of decision/dispatch pass; the choices are the same.

--- a/decision/dispatch/copy_speed.go
+++ b/decision/dispatch/copy_speed.go
@@ -17,15 +17,7 @@
 // chooseBackupBySpeed returns the endpoint that is to hold a copy of a run's memory, in the data centre of the primary endpoint if an
 // engine there has enough free memory; nil for no copy.
 func (t *Table) chooseBackupBySpeed(now time.Time, r *Request, primary *endpoint) *endpoint {
-	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
-	for _, e := range t.services[r.Service] {
-		if e == primary || e.isCold(now) || !e.refreshCandidate(now, primary.DataCentre) {
-			continue
-		}
-		e.candidate.Capacity *= maxCopyMemoryShare
-		t.eligible = append(t.eligible, e)
-		t.candidates = append(t.candidates, &e.candidate)
-	}
+	t.collectBackups(now, r.Service, primary, primary.DataCentre)
 	t.shuffleEligible()
 	query := &placement.Request{Exclude: r.Exclude, Memory: placement.FlatForecast(float64(r.Tokens))}
 	return t.pickNearFirst(now, r, query, t.speed.backup)
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -181,18 +181,23 @@
 	if t.choosesBySpeed(r.Service) {
 		return t.chooseBackupBySpeed(now, r, primary)
 	}
+	t.collectBackups(now, r.Service, primary, t.params.DataCentre)
+	query := &placement.Request{Exclude: r.Exclude, Memory: placement.FlatForecast(float64(r.Tokens))}
+	if i, ok := t.strictEnginePolicy.Choose(query, t.candidates); ok {
+		return t.eligible[i]
+	}
+	return nil
+}
+
+// collectBackups sets the eligible endpoints for the copy of a run's memory. Those in dataCentre count as near.
+func (t *Table) collectBackups(now time.Time, service string, primary *endpoint, dataCentre string) {
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
-	for _, e := range t.services[r.Service] {
-		if e == primary || e.isCold(now) || !e.refreshCandidate(now, t.params.DataCentre) {
+	for _, e := range t.services[service] {
+		if e == primary || e.isCold(now) || !e.refreshCandidate(now, dataCentre) {
 			continue
 		}
 		e.candidate.Capacity *= maxCopyMemoryShare
 		t.eligible = append(t.eligible, e)
 		t.candidates = append(t.candidates, &e.candidate)
 	}
-	query := &placement.Request{Exclude: r.Exclude, Memory: placement.FlatForecast(float64(r.Tokens))}
-	if i, ok := t.strictEnginePolicy.Choose(query, t.candidates); ok {
-		return t.eligible[i]
-	}
-	return nil
 }
