--- a/service/edge/session_recheck.go
+++ b/service/edge/session_recheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 )
 
@@ -41,9 +42,18 @@
 // recheck checks the request against the present configuration and the quarantine. It reports whether the request may run as it was
 // placed, and returns an error if it may not run at all.
 func (s *session) recheck() (bool, error) {
-	service := s.service
+	service, workspace := s.service, s.workspace
 	if err := s.admit(); err != nil {
 		return false, err
 	}
+	if workspace != nil && s.workspace != nil && workspace.Name != s.workspace.Name {
+		// The caller sent the request for the workspace that held the key then.
+		return false, verdict.New(verdict.NotRun, verdict.ReasonStale, "the API key moved to another workspace while the request waited").
+			WithRetryAfter(minRetryAfter)
+	}
+	if s.runs > 0 {
+		// A repeated run stays at its service: a stream that has begun must not continue with the answer of another one.
+		s.service = service
+	}
 	return s.service == service && s.server.quarantine.Assess(s.fingerprints).Standing <= s.admission.Standing, nil
 }
--- a/service/edge/session_recheck_test.go
+++ b/service/edge/session_recheck_test.go
@@ -34,8 +34,8 @@
 	return &clusterState{Fleet: &fleet.Snapshot{Configuration: c}, ConfirmedAt: bootclock.Now()}
 }
 
-// Guards against a request that is sent after a long wait although its key was revoked, its route leads to another service, or its
-// fingerprint became a suspect meanwhile.
+// Guards against a request that is sent after a long wait although its key was revoked or moved to another workspace, its route leads to another service, or its
+// fingerprint became a suspect meanwhile, and against a stream that continues at another service than it began.
 func TestHeldRequestIsCheckedAgain(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -63,8 +63,21 @@
 	cluster.Publish(keyedState("other", true))
 	check(false, "")
 	check(true, "")
+	// A stream that has begun continues at its service.
+	s.runs = 1
+	cluster.Publish(keyedState("s", true))
+	check(true, "")
+	assert.Equal(t, s.service, "other")
+	s.runs = 0
+	check(false, "")
+	cluster.Publish(keyedState("other", true))
+	check(false, "")
 	manager.ReportCrash(ctx, manager.Admit(ctx, s.fingerprints))
 	check(false, "")
+	moved := keyedState("other", true)
+	moved.Fleet.Configuration.Keys["k"] = &catalog.Workspace{Name: "another"}
+	cluster.Publish(moved)
+	check(false, verdict.ReasonStale)
 	cluster.Publish(keyedState("other", false))
 	check(false, verdict.ReasonUnauthorized)
 }
