Explain where a request would go

Cause: the log says where a request went, but not why the other endpoints were passed over, and only after it was sent.

Change: azuredykectl explain asks a node (GET /explain on the metrics listener). The dispatcher task plays the choice on a copy of the table and of the queue, with a random source of its own, so that filters, limits and scorers are those of the choice. chooseEndpoint and limit now return the obstacle of an endpoint instead of a bool; the order of checks and draws is as before.

--- a/cmd/azuredykectl/root.go
+++ b/cmd/azuredykectl/root.go
@@ -34,6 +34,6 @@
 		root.AddCommand(newKindCommand(a, k))
 	}
 	root.AddCommand(newApplyCommand(a, nil), newNodesCommand(a), newEndpointsCommand(a), newCellsCommand(a),
-		newQueueCommand(a), newAuditCommand(a), newLoadCommand(), newExperimentCommand(), newTraceCommand())
+		newQueueCommand(a), newAuditCommand(a), newLoadCommand(), newExperimentCommand(), newTraceCommand(), newExplainCommand(a))
 	return root
 }
--- a/decision/dispatch/limits.go
+++ b/decision/dispatch/limits.go
@@ -67,15 +67,18 @@
 	return listed != nil && listed.SameIncarnation(e) && listed.Leaving
 }
 
-// limit applies ordered admission to an endpoint whose candidate is up to date, and reports whether the request may go there. Only
-// new runs on engines are limited.
-func (t *Table) limit(now time.Time, r *Request, e *endpoint) bool {
+// limit applies ordered admission to an endpoint whose candidate is up to date, and returns what keeps the request from it. Only new
+// runs on engines are limited.
+func (t *Table) limit(now time.Time, r *Request, e *endpoint) Obstacle {
 	if e.service.Engine == nil || r.Tokens == 0 || r.SpareMemoryOnly || r.WithoutLimits {
-		return true
+		return ""
 	}
 	query := placement.Request{Memory: placement.FlatForecast(float64(r.Tokens))}
 	if r.Resumed {
-		return !r.CopyPending || placement.ExpectedMemoryFilter{}.Permits(&query, &e.candidate)
+		if !r.CopyPending || (placement.ExpectedMemoryFilter{}).Permits(&query, &e.candidate) {
+			return ""
+		}
+		return MemoryTaken
 	}
 	l, c, engines := t.limits[r.Service], &e.candidate, len(t.services[r.Service])
 	// Only as many engines keep room for more urgent requests as those need.
@@ -86,9 +89,9 @@
 	}
 	prefill := overload.PrefillLimit{Urgent: l.urgent, Rates: l.rates, Yields: r.MoreUrgent.Short.Requests > 0}
 	if !prefill.Admits(now, r.Priority, c.Prefill+r.MoreUrgent.HeadroomPrompt(engines), r.prefill(), r.FirstEventBy) {
-		return false
+		return PrefillBacklog
 	}
-	reserve := l.reserve.Share(now)
+	unreserved, reserve := c.Capacity, l.reserve.Share(now)
 	headroom := r.MoreUrgent.HeadroomTokens(engines, r.isLong(), c.UntrackedMemory, c.Capacity, reserve)
 	if r.isLong() {
 		c.Capacity *= 1 - reserve - l.use.ShortShare()
@@ -97,7 +100,14 @@
 		}
 	}
 	c.Capacity = max(1, c.Capacity-headroom)
-	return placement.ExpectedMemoryFilter{}.Permits(&query, c)
+	if (placement.ExpectedMemoryFilter{}).Permits(&query, c) {
+		return ""
+	}
+	c.Capacity = unreserved
+	if (placement.ExpectedMemoryFilter{}).Permits(&query, c) {
+		return MemoryReserved
+	}
+	return MemoryTaken
 }
 
 // orderedPolicies returns the policies for a request to an engine, in the order in which they are tried. strict rejects the engines on
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -76,34 +76,27 @@
 	t.eligible, t.candidates = t.eligible[:0], t.candidates[:0]
 	usable, paused, admitted, limited := 0, 0, 0, 0
 	for _, e := range t.services[r.Service] {
-		if !r.mayUse(e) {
+		o := t.obstacle(now, r, e)
+		if o.isLasting() {
 			continue
 		}
 		usable++
-		if now.Before(e.statement.pausedUntil) {
+		switch o {
+		case Paused:
 			paused++
-			continue
-		}
-		if !e.refreshCandidate(now, t.nearDataCentre(r)) {
-			continue
-		}
-		admitted++
-		if !e.coldLimitAdmits(now, t.nodeStarted, t.params, t.nodes) {
-			continue
-		}
-		if r.SpareMemoryOnly {
-			e.candidate.Capacity *= maxCopyMemoryShare
-		}
-		if t.params.OrderedAdmission && !t.limit(now, r, e) {
+		case Avoided, SlotsTaken:
+		case ColdLimit:
+			admitted++
+		case PrefillBacklog, MemoryTaken, MemoryReserved:
+			admitted++
 			limited++
-			continue
+		default:
+			admitted++
+			t.eligible = append(t.eligible, e)
+			t.candidates = append(t.candidates, &e.candidate)
 		}
-		t.eligible = append(t.eligible, e)
-		t.candidates = append(t.candidates, &e.candidate)
-	}
-	query := &placement.Request{
-		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Copy: r.CopyPending, Memory: placement.FlatForecast(float64(r.Tokens)),
 	}
+	query := r.query()
 	if t.yields(r) {
 		return nil, LeftToOthers
 	}
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"azuredyke.dev/azuredyke/decision/overload"
+	"azuredyke.dev/azuredyke/decision/placement"
 )
 
 // Request holds the properties of a request that placement depends on.
@@ -51,8 +52,26 @@
 }
 
 // mayUse reports whether the request may run on an endpoint, now or once the endpoint accepts requests again.
-func (r *Request) mayUse(e *endpoint) bool {
-	return (r.RequiredEndpoint == "" || e.ID == r.RequiredEndpoint) && !e.isLeaving() && !e.dataCentreOut && !slices.Contains(r.Exclude, e.ID)
+func (r *Request) mayUse(e *endpoint) bool { return r.lastingObstacle(e) == "" }
+
+// lastingObstacle returns the obstacle that lasts for as long as the request.
+func (r *Request) lastingObstacle(e *endpoint) Obstacle {
+	switch {
+	case e.isLeaving():
+		return Leaving
+	case e.dataCentreOut:
+		return DataCentreOut
+	case r.RequiredEndpoint != "" && e.ID != r.RequiredEndpoint, slices.Contains(r.Exclude, e.ID):
+		return Excluded
+	}
+	return ""
+}
+
+// query returns the request as the placement policies see it.
+func (r *Request) query() *placement.Request {
+	return &placement.Request{
+		PromptTokens: r.PromptTokens, OutputTokens: r.Tokens - r.PromptTokens, Copy: r.CopyPending, Memory: placement.FlatForecast(float64(r.Tokens)),
+	}
 }
 
 // isLong reports whether the run holds its memory for long.
--- a/decision/overload/prefill_rates.go
+++ b/decision/overload/prefill_rates.go
@@ -14,3 +14,13 @@
 	}
 	return rate
 }
+
+// Clone returns a copy that learns on its own.
+func (p PrefillRates) Clone() PrefillRates {
+	c := make(PrefillRates, len(p))
+	for priority, rate := range p {
+		copied := *rate
+		c[priority] = &copied
+	}
+	return c
+}
--- a/decision/overload/reserve.go
+++ b/decision/overload/reserve.go
@@ -47,6 +47,9 @@
 	return min(maxReserve, largest)
 }
 
+// Clone returns a copy that shares no departures.
+func (r *Reserve) Clone() Reserve { return Reserve{departures: slices.Clone(r.departures)} }
+
 func (r *Reserve) expire(now time.Time) {
 	r.departures = slices.DeleteFunc(r.departures, func(d departure) bool { return now.Sub(d.at) > reservePeriod })
 }
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -1,5 +1,10 @@
 package placement
 
+import (
+	"reflect"
+	"strings"
+)
+
 // Policy combines filters, scorers and a picker. It reuses its buffers between decisions, so it is not safe for concurrent use.
 type Policy struct {
 	Filters []Filter
@@ -14,7 +19,7 @@
 func (p *Policy) Choose(r *Request, candidates []*Candidate) (int, bool) {
 	p.scored = p.scored[:0]
 	for i, c := range candidates {
-		if p.permits(r, c) {
+		if p.Permits(r, c) {
 			p.scored = append(p.scored, Scored{Index: i})
 		}
 	}
@@ -32,7 +37,21 @@
 	return p.scored[p.Picker.Pick(p.scored)].Index, true
 }
 
-func (p *Policy) permits(r *Request, c *Candidate) bool {
+// Ratings returns the weighted scores of a candidate by scorer. Their sum is the score that Choose compares.
+func (p *Policy) Ratings(r *Request, c *Candidate) []Rating {
+	var ratings []Rating
+	for _, w := range p.Scorers {
+		if preparer, ok := w.Scorer.(Preparer); ok {
+			preparer.Prepare(r)
+		}
+		name := reflect.Indirect(reflect.ValueOf(w.Scorer)).Type().Name()
+		ratings = append(ratings, Rating{Scorer: strings.TrimSuffix(name, "Scorer"), Score: w.Weight * w.Scorer.Score(r, c)})
+	}
+	return ratings
+}
+
+// Permits reports whether all filters permit a candidate.
+func (p *Policy) Permits(r *Request, c *Candidate) bool {
 	for _, f := range p.Filters {
 		if !f.Permits(r, c) {
 			return false
