Play explanations outside of the dispatcher task

Cause: playing a choice among 12,000 endpoints of one service took 81 to 90 ms, in which the dispatcher would place nothing.

Change: the dispatcher replies with a copy that shares no state that changes; the handler plays the choice on it, one request at a time, because each copies the endpoints.

--- a/cmd/azuredykectl/explain_output.go
+++ b/cmd/azuredykectl/explain_output.go
@@ -13,10 +13,13 @@
 
 // printExplanation prints the inputs of a choice, a table of the endpoints and the outcome.
 func printExplanation(out io.Writer, x *explanation.Answer) error {
-	othersAge := "none reported"
+	othersAge, waiting := "none reported", "off"
 	if x.OthersLoadAgeMS != nil {
 		othersAge = formatMS(*x.OthersLoadAgeMS)
 	}
+	if x.OrderedAdmission {
+		waiting = fmt.Sprint(x.Waiting)
+	}
 	inputs := table{
 		header: []string{
 			"ROUTE", "SERVICE", "CONFIG", "REVISION", "CONFIRMED", "NODES", "OTHERS' LOAD", "PRIORITY", "ORDERED ADMISSION", "ENDPOINT SPEED",
@@ -24,7 +27,7 @@
 		},
 		rows: [][]string{{
 			x.Route, x.Service, fmt.Sprint(x.ConfigurationVersion), fmt.Sprint(x.Revision), formatMS(x.ConfirmedAgeMS), fmt.Sprint(x.Nodes),
-			othersAge, fmt.Sprint(x.Priority), onOrOff(x.OrderedAdmission), onOrOff(x.EndpointSpeed), fmt.Sprint(x.Waiting),
+			othersAge, fmt.Sprint(x.Priority), onOrOff(x.OrderedAdmission), onOrOff(x.EndpointSpeed), waiting,
 		}},
 	}
 	if err := inputs.write(out); err != nil {
--- a/decision/dispatch/endpoint_explanation.go
+++ b/decision/dispatch/endpoint_explanation.go
@@ -13,9 +13,13 @@
 	// Obstacle is empty if the endpoint may be used. Left is the remaining time of a pause or an avoidance.
 	Obstacle Obstacle
 	Left     time.Duration
-	// Candidate holds the figures that the scorers compare. Its capacity is that for this request.
-	Candidate placement.Candidate
-	Ratings   []placement.Rating
+	// InFlight is the number of requests in flight, Limit its maximum, Prefill the number of queued prompt tokens.
+	InFlight, Limit, Prefill int
+	// Memory is the memory in use in tokens, Capacity the memory that the request may fill; 0 for plain endpoints.
+	Memory, Capacity float64
+	// Slowdown is the expected slowdown; 0 if endpoints are not chosen by their speed.
+	Slowdown float64
+	Ratings  []placement.Rating
 }
 
 // Score returns the sum of the ratings.
@@ -44,6 +48,8 @@
 		}
 	}
 	t.setCandidateSpeeds(now, []*endpoint{e})
-	x.Candidate, x.Ratings = e.candidate, policy.Ratings(query, &e.candidate)
+	c := &e.candidate
+	x.InFlight, x.Limit, x.Prefill, x.Memory, x.Capacity, x.Slowdown = c.InFlight, c.Limit, c.Prefill, c.UntrackedMemory, c.Capacity, c.Slowdown
+	x.Ratings = policy.Ratings(query, c)
 	return x
 }
--- a/decision/dispatch/explain.go
+++ b/decision/dispatch/explain.go
@@ -20,7 +20,7 @@
 		x.Waits = x.Refusal != "" && now.Add(retryAfter).Before(h.WaitUntil)
 		return x
 	}
-	played := q.copyFor(h.Request.Service, random)
+	played := q.Snapshot(h.Request.Service, random)
 	decisions := played.Offer(now, &h)
 	// The scan has set the room that the request leaves to others.
 	x := q.table.explain(now, h.Request, random)
@@ -38,9 +38,10 @@
 	return x
 }
 
-// copyFor returns a copy of the queue that places requests by a copy of the table.
-func (q *Queue) copyFor(service string, random *rand.Rand) *Queue {
-	c := &Queue{table: q.table.copyFor(service, random), stopping: q.stopping, others: q.others}
+// Snapshot returns a copy of the queue and the table, with the endpoints of one service. It shares no state that changes, so that
+// another goroutine can explain choices with it.
+func (q *Queue) Snapshot(service string, random *rand.Rand) *Queue {
+	c := &Queue{table: q.table.copyFor(service, random), stopping: q.stopping, others: q.others.Clone()}
 	for _, h := range q.held {
 		held := *h
 		c.held = append(c.held, &held)
@@ -54,6 +55,7 @@
 	x := Explanation{
 		Nodes: t.nodes, LoadAge: now.Sub(t.othersUpdatedAt), LoadKnown: !t.othersUpdatedAt.IsZero(),
 		OrderedAdmission: t.params.OrderedAdmission, BySpeed: t.choosesBySpeed(r.Service),
+		Endpoints: make([]EndpointExplanation, 0, len(c.services[r.Service])),
 	}
 	for _, e := range c.services[r.Service] {
 		x.Endpoints = append(x.Endpoints, c.explainEndpoint(now, &r, e))
@@ -78,11 +80,12 @@
 	for name, l := range t.limits {
 		c.limits[name] = &limits{urgent: l.urgent, rates: l.rates.Clone(), reserve: l.reserve.Clone(), use: l.use}
 	}
-	for _, e := range t.services[service] {
-		copied := *e
-		copied.coldSends = slices.Clone(e.coldSends)
-		c.endpoints[e.ID] = &copied
-		c.services[service] = append(c.services[service], &copied)
+	endpoints, statements := make([]endpoint, len(t.services[service])), make([]statement, len(t.services[service]))
+	for i, e := range t.services[service] {
+		endpoints[i], statements[i] = *e, *e.statement
+		endpoints[i].statement, endpoints[i].coldSends = &statements[i], slices.Clone(e.coldSends)
+		c.endpoints[e.ID] = &endpoints[i]
+		c.services[service] = append(c.services[service], &endpoints[i])
 	}
 	return c
 }
--- a/decision/overload/pressure_sums.go
+++ b/decision/overload/pressure_sums.go
@@ -18,6 +18,16 @@
 // NewPressureSums returns sums without sources.
 func NewPressureSums() *PressureSums { return &PressureSums{sources: map[string]*reportedPressure{}} }
 
+// Clone returns a copy that changes on its own.
+func (s *PressureSums) Clone() *PressureSums {
+	c := NewPressureSums()
+	for source, r := range s.sources {
+		copied := *r
+		c.sources[source] = &copied
+	}
+	return c
+}
+
 // Record replaces the pressure of a source. Its usage stays if the report has none.
 func (s *PressureSums) Record(now time.Time, source string, p Pressure) {
 	r := s.sources[source]
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -39,7 +39,7 @@
 
 // Ratings returns the weighted scores of a candidate by scorer. Their sum is the score that Choose compares.
 func (p *Policy) Ratings(r *Request, c *Candidate) []Rating {
-	var ratings []Rating
+	ratings := make([]Rating, 0, len(p.Scorers))
 	for _, w := range p.Scorers {
 		if preparer, ok := w.Scorer.(Preparer); ok {
 			preparer.Prepare(r)
--- a/service/edge/explain_message.go
+++ b/service/edge/explain_message.go
@@ -2,18 +2,17 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"azuredyke.dev/azuredyke/decision/dispatch"
 )
 
-// explainMessage asks where a request would go, without placing it.
+// explainMessage asks for a copy of the placement state of a service, on which a choice can be played. The dispatcher only makes the
+// copy, because playing the choice takes several times as long.
 type explainMessage struct {
-	request dispatch.HeldRequest
-	reply   chan<- dispatch.Explanation
+	service string
+	reply   chan<- *dispatch.Queue
 }
 
 func (m explainMessage) apply(d *dispatcher) {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	m.reply <- d.queue.Explain(time.Now(), m.request, random)
+	m.reply <- d.queue.Snapshot(m.service, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/service/edge/explainer.go
+++ b/service/edge/explainer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -20,10 +21,22 @@
 // explainer is the HTTP handler that says where a request would go.
 type explainer struct {
 	server *Server
+	// busy holds one element while a request is handled. Each copies the endpoints of a service, so that several at a time could
+	// exceed the node's memory.
+	busy chan struct{}
 }
 
+func newExplainer(s *Server) *explainer { return &explainer{server: s, busy: make(chan struct{}, 1)} }
+
 // ServeHTTP implements http.Handler.
 func (e *explainer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case e.busy <- struct{}{}:
+		defer func() { <-e.busy }()
+	default:
+		http.Error(w, "the node is explaining another request", http.StatusServiceUnavailable)
+		return
+	}
 	answer, failure := e.explain(r)
 	if failure != nil {
 		http.Error(w, failure.message, failure.status)
@@ -45,12 +58,13 @@
 	held := query.held(s)
 	ctx, cancel := context.WithTimeout(r.Context(), explainTimeout)
 	defer cancel()
-	x, err := mailbox.Call(ctx, e.server.placer.messages, func(reply chan<- dispatch.Explanation) dispatcherMessage {
-		return explainMessage{request: held, reply: reply}
+	snapshot, err := mailbox.Call(ctx, e.server.placer.messages, func(reply chan<- *dispatch.Queue) dispatcherMessage {
+		return explainMessage{service: s.service, reply: reply}
 	})
 	if err != nil {
 		return nil, newExplainError(http.StatusGatewayTimeout, "the dispatcher did not answer within %v", explainTimeout)
 	}
+	x := snapshot.Explain(time.Now(), held, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	age := e.server.stateAge()
 	answer := newExplainAnswer(s, &x)
 	answer.Priority, answer.ConfirmedAgeMS = held.Priority, age.Milliseconds()
@@ -79,11 +93,10 @@
 	}
 	for i := range x.Endpoints {
 		e := &x.Endpoints[i]
-		c := &e.Candidate
 		encoded := explanation.Endpoint{
 			ID: e.Endpoint.ID, DataCentre: e.Endpoint.DataCentre, Version: e.Endpoint.Version, Usable: e.Obstacle == "",
-			Reason: string(e.Obstacle), LeftMS: e.Left.Milliseconds(), InFlight: c.InFlight, Limit: c.Limit,
-			MemoryTokens: int(c.UntrackedMemory), MemoryLimit: int(c.Capacity), PromptTokens: c.Prefill, Slowdown: c.Slowdown,
+			Reason: string(e.Obstacle), LeftMS: e.Left.Milliseconds(), InFlight: e.InFlight, Limit: e.Limit,
+			MemoryTokens: int(e.Memory), MemoryLimit: int(e.Capacity), PromptTokens: e.Prefill, Slowdown: e.Slowdown,
 			Scores: map[string]float64{}, Score: e.Score(),
 		}
 		for _, r := range e.Ratings {
--- a/service/edge/explainer_test.go
+++ b/service/edge/explainer_test.go
@@ -42,12 +42,12 @@
 	server := &Server{cluster: cluster, placer: placer{messages: d.messages}}
 	server.revokeAfter.Store(int64(time.Minute))
 	w := httptest.NewRecorder()
-	(&explainer{server: server}).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/explain?"+query, nil))
+	newExplainer(server).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/explain?"+query, nil))
 	var answer explanation.Answer
 	if w.Code == http.StatusOK {
 		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &answer))
 	}
-	assert.Equal(t, len(d.table.OwnLoads()), 0)
+	assert.Equal(t, len(d.ownLoads.Load()), 0)
 	return w.Code, strings.TrimSpace(w.Body.String()), answer
 }
 
@@ -90,3 +90,13 @@
 		assert.Equal(t, body, c.message)
 	}
 }
+
+// Guards against several explanations that together exceed the memory of the node, and against one that waits for the dispatcher.
+func TestExplainerHandlesOneRequestAtATime(t *testing.T) {
+	e := newExplainer(&Server{})
+	e.busy <- struct{}{}
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/explain", nil))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, strings.TrimSpace(w.Body.String()), "the node is explaining another request")
+}
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -148,7 +148,7 @@
 func (n *Node) listen(ctx context.Context) ([]*httpserver.Server, error) {
 	pages := mux.NewRouter()
 	pages.Handle("/metrics", n.deps.Metrics.Handler)
-	pages.Handle("/explain", &explainer{server: n.server}).Methods(http.MethodGet)
+	pages.Handle("/explain", newExplainer(n.server)).Methods(http.MethodGet)
 	controlCallers := sockopt.ControlCallers
 	if n.server.buffers != nil {
 		controlCallers = sockopt.ControlBufferedCallers
