Test the reasons of a running node's explanation

Cause: the test with node processes checked only that a request would be sent.

Change: it also checks the reason of an endpoint that is leaving.

--- a/test/edge/explain_test.go
+++ b/test/edge/explain_test.go
@@ -11,13 +11,13 @@
 	"azuredyke.dev/azuredyke/test/harness"
 )
 
-// Guards against a node process that doesn't serve explanations, and against one that sends a request to explain it.
-func TestNodeExplainsAChoiceWithoutSending(t *testing.T) {
+// Guards against a node process that doesn't serve explanations, or that doesn't follow the store in them, and against one that counts
+// the explained request.
+func TestNodeExplainsAChoiceWithoutPlacing(t *testing.T) {
 	s := harness.NewEdgeSite(t, 2)
 	s.AddWorker("here", true)
-	s.AddWorker("leaving", true)
+	s.PutWorkerEntry(s.AddWorker("leaving", true), "draining")
 	s.Start()
-	s.SetEvacuated("zone-2", true)
 	get := func() (a explanation.Answer) {
 		resp, err := http.Get("http://" + s.Nodes[0].Settings.Listen.Metrics + "/explain?host=site.example&path=/note/1&prompt_tokens=1000&max_tokens=400")
 		assert.NilError(t, err)
@@ -26,12 +26,15 @@
 		return a
 	}
 	var a explanation.Answer
+	// A started node sends nothing to cold endpoints at first.
 	s.Eventually("a request would be sent", func() bool {
 		a = get()
-		return a.Outcome == explanation.OutcomeSent && len(a.Endpoints) == 2
+		return a.Outcome == explanation.OutcomeSent
 	})
-	assert.Equal(t, a.Route, "note")
+	assert.Equal(t, a.Route+" "+a.Chosen, "note here")
 	for _, e := range get().Endpoints {
 		assert.Equal(t, e.InFlight, 0)
+		assert.Equal(t, e.Usable, e.ID == "here")
+		assert.Equal(t, e.Reason == "leaving", e.ID == "leaving")
 	}
 }
