Test explanations under waiting requests and without a dispatcher

Cause: no test held a request in the queue while another was explained, and none covered the time-out or the stale configuration.

--- a/decision/dispatch/explain_test.go
+++ b/decision/dispatch/explain_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// Guards against an explanation that ignores the requests that wait at the node, to which a less urgent one leaves room.
+func TestExplanationRegardsWaitingRequests(t *testing.T) {
+	table, _ := newOrderedTable("a")
+	table.endpoints["a"].others = Load{InFlight: 1, Tokens: 8500}
+	queue := NewQueue(table)
+	lessUrgent := Request{Service: "s", PromptTokens: 500, Tokens: 510, Priority: 2}
+	assert.Equal(t, explain(queue, start, lessUrgent).Chosen, "a")
+	urgent := heldFor(Request{Service: "s", PromptTokens: 2000, Tokens: 2010}, start)
+	assert.Equal(t, len(queue.Offer(start, &urgent)), 0)
+	x := explain(queue, start, lessUrgent)
+	assert.Assert(t, x.Waits)
+	assert.Equal(t, x.Waiting, 1)
+	assert.Equal(t, x.Endpoints[0].Obstacle, MemoryReserved)
+	assert.Equal(t, queue.Len(), 1)
+}
+
 // Guards against explanations that change later choices: by a placement, a budget, what was learnt, or a draw of the random source.
 func TestExplanationsDoNotChangeChoices(t *testing.T) {
 	for _, p := range []Params{{}, {OrderedAdmission: true}, {EndpointSpeed: true}, {OrderedAdmission: true, EndpointSpeed: true}} {
--- a/service/edge/explainer_test.go
+++ b/service/edge/explainer_test.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,3 +102,28 @@
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, strings.TrimSpace(w.Body.String()), "the node is explaining another request")
 }
+
+// Guards against a request that is shown as sent although the node refuses keys, and against a question without an answer.
+func TestExplainerWithoutConfirmationOrDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &catalog.Configuration{Version: 9, Routes: []catalog.Route{{Name: "r", Host: "h", PathPrefix: "/"}}}
+		c.Index()
+		cluster := latest.New(&clusterState{Fleet: &fleet.Snapshot{Configuration: c}})
+		d := newDispatcher(zap.NewNop(), dispatch.Params{RetryWindow: time.Second}, cluster)
+		e := newExplainer(&Server{cluster: cluster, placer: placer{messages: d.messages}})
+		get := func() *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/explain?host=h&path=/", nil))
+			return w
+		}
+		w := get()
+		assert.Equal(t, w.Code, http.StatusGatewayTimeout)
+		assert.Equal(t, strings.TrimSpace(w.Body.String()), "the dispatcher did not answer within 2s")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.run(ctx)
+		var a explanation.Answer
+		assert.NilError(t, json.Unmarshal(get().Body.Bytes(), &a))
+		assert.Equal(t, a.Outcome+" "+a.Reason, "refused configuration_too_old")
+	})
+}
