--- a/decision/dispatch/rollout_share.go
+++ b/decision/dispatch/rollout_share.go
@@ -24,6 +24,17 @@
 	seenAt time.Time
 }
 
+// clone returns a copy that shares no state that changes.
+func (s *rolloutShare) clone() *rolloutShare {
+	c := *s
+	if s.exposure != nil {
+		exposure := *s.exposure
+		c.exposure = &exposure
+	}
+	c.canaryEndpoints = slices.Clone(s.canaryEndpoints)
+	return &c
+}
+
 // excludesTargetOf reports whether the order names a version that may get nothing before the decider has made a plan for it: the
 // plan is older, and it is for another version or was reverted.
 func (s *rolloutShare) excludesTargetOf(o *rollout.Order) bool {
