Give replies with large changes more time after time-outs

Cause: 450 KB of changes don't arrive within 250 ms over links of 10 to 20 Mbit/s. Each node that was behind asked again at once, so that the replies filled the links of their senders and none arrived. Change: a node that fetches because it is behind doubles the time for a reply after each time-out, up to 1 s. The regular source keeps its time, on which the detection of a silent relay depends.

--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -111,7 +111,7 @@
 
 // pollRelay waits at a relay for changes. A relay that does not answer, or whose state is too old, is avoided for a while.
 func (f *follower) pollRelay(ctx context.Context, address string) {
-	reply, err := f.syncClient.fetch(ctx, address, f.revision, syncWait)
+	reply, err := f.syncClient.fetch(ctx, address, f.revision, syncWait, syncTimeout)
 	if err == nil && !reply.Available && reply.Revision > f.revision && f.pollStore(ctx) {
 		// The relay has read the store after this node and does not know all deletions in between. The store does.
 		return
--- a/service/edge/resyncer.go
+++ b/service/edge/resyncer.go
@@ -12,6 +12,7 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/transport/peer"
 )
 
 const (
@@ -34,6 +35,7 @@
 	seeds      []string
 	cluster    *latest.Value[*clusterState]
 	hints      mailbox.Mailbox[revisionHint]
+	patience   syncPatience
 	// usingPeers is set while the state is too old and changes come from other nodes.
 	usingPeers bool
 }
@@ -99,7 +101,13 @@
 // resync fetches the changes after this node's revision from the node at an address.
 func (r *resyncer) resync(ctx context.Context, address string) {
 	before := r.cluster.Load()
-	reply, err := r.syncClient.fetch(ctx, address, before.Revision, 0)
+	reply, err := r.syncClient.fetch(ctx, address, before.Revision, 0, r.patience.current())
+	switch {
+	case err == nil:
+		r.patience.recordReply()
+	case peer.ErrMayBeDelivered.Has(err):
+		r.patience.recordTimeout()
+	}
 	if err != nil || !reply.Available {
 		r.log.Info("fetching changes from another node failed", zap.String("address", address),
 			zap.Int64("revision", before.Revision), logging.Cause(err))
--- a/service/edge/sync_client.go
+++ b/service/edge/sync_client.go
@@ -15,11 +15,11 @@
 	view mailbox.Mailbox[viewMessage]
 }
 
-// fetch requests the changes after a revision from the node at an address. It returns the reply once the view's mailbox
-// holds it.
-func (c syncClient) fetch(ctx context.Context, address string, since int64, wait time.Duration) (syncReply, error) {
+// fetch requests the changes after a revision from the node at an address, which may wait for some. timeout is the time that the reply
+// may take beyond that. fetch returns the reply once the view's mailbox holds it.
+func (c syncClient) fetch(ctx context.Context, address string, since int64, wait, timeout time.Duration) (syncReply, error) {
 	requestedAt := bootclock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	reply, err := peer.Call[syncRequest, syncReply](callCtx, c.hub, address, kindSync,
 		syncRequest{Since: since, WaitMillis: wait.Milliseconds()})
