--- a/decision/prefix/chain.go
+++ b/decision/prefix/chain.go
@@ -9,14 +9,6 @@
 // Chain holds the beginnings of a prompt, shortest first. The last one is the whole prompt.
 type Chain []Beginning
 
-// Beginning is a part of a prompt with all parts before it.
-type Beginning struct {
-	// Hash identifies the ids of all parts and their order.
-	Hash uint64
-	// PartTokens is the size of the last part.
-	PartTokens int
-}
-
 // Append adds the next part of the prompt.
 func (c Chain) Append(id string, tokens int) Chain {
 	var before [8]byte
