--- a/decision/overload/prefill_limit.go
+++ b/decision/overload/prefill_limit.go
@@ -3,13 +3,11 @@
 import "time"
 
 // backlogShare is the share of the most urgent class's objective that the prompts on an engine may take before a less urgent one is
-// added. With 0.4, 3.5 in 100 urgent requests were not in time in simulation, with 0.25 1.7, since several nodes add prompts on the
-// same figures.
+// added. Several nodes may add a prompt on the same figures, and the urgent one that follows still needs time for its own.
 const backlogShare = 0.25
 
 // urgentMargin and lessUrgentMargin extend the mean time to the first event. Steps of other runs and, for less urgent requests, urgent
-// prompts that arrive later make it vary. With the mean alone, many of those that were sent near the end of their objective missed it
-// in simulation.
+// prompts that arrive later make it vary, so that the mean alone would make requests late that are sent near the end of their objective.
 const (
 	urgentMargin     = 1.1
 	lessUrgentMargin = 2.0
--- a/decision/overload/pressure_schedule.go
+++ b/decision/overload/pressure_schedule.go
@@ -3,8 +3,7 @@
 import "time"
 
 const (
-	// pressureInterval is the least time between two notices for each class in the first one, which bounds their bytes. In simulation
-	// intervals of 50 and 150 ms gave the same results.
+	// pressureInterval is the least time between two notices for each class in the first one, which bounds their bytes.
 	pressureInterval = 50 * time.Millisecond
 	// pressureSpacing is the least time between two notices for each of their receivers. It bounds the messages of a relay.
 	pressureSpacing = 500 * time.Microsecond
--- a/decision/placement/speed_policies.go
+++ b/decision/placement/speed_policies.go
@@ -5,8 +5,7 @@
 // Weights of the policies by the speed of endpoints. Memory and the time to the first event weigh as much as in the policies without
 // speed. One more long run on an engine of 26,000 tokens costs 0.07, a queued prompt of 3,000 tokens about 0.4. The difference between
 // an engine at 1.7 and one at 0.7 times the usual interval is 0.33, so that a fast engine runs a few more long requests than a slow
-// one, and prompts that wait still turn the choice. In the simulation of deployment B at full load, a memory weight of 1 left 109 of
-// 3,277 streams with a pause over 180 ms, 0.5 left 84, the policies without speed 187.
+// one, and prompts that wait still turn the choice.
 const (
 	speedMemoryWeight     = 0.5
 	speedFirstEventWeight = 2
