Log the origin and size of each change of the configuration

The logs could not tell a configuration that takes long on its way from one that a node heard of late, nor whether a request was sent under a newer configuration than it was decided on. A change of the cluster state now names its source, the size of the entry and the time of the call without the wait of the other node; a request that is sent by an older configuration than the one in force is logged with both versions.

--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -64,7 +64,7 @@
 	// storeFailed is set while the store does not answer. The store is polled again after backoff.
 	storeFailed bool
 	backoff     time.Duration
-	// source is the address of the relay that delivered the last changes, or "store".
+	// source is the address of the relay that delivered the last changes, or sourceStore.
 	source string
 }
 
@@ -163,12 +163,13 @@
 	if err != nil {
 		return err
 	}
-	f.recordProgress("store", batch.Revision)
+	f.recordProgress(sourceStore, batch.Revision)
+	origin := changeOrigin{source: sourceStore, took: bootclock.Now().Sub(start)}
 	if len(batch.Events) == 0 && bootclock.Now().Sub(start) >= pollWait {
 		// The store waited without sending a change, so the state is confirmed as of the end of the wait.
 		start = start.Add(pollWait)
 	}
-	return f.view.Send(ctx, storeChangedMessage{batch: batch, asOf: start})
+	return f.view.Send(ctx, storeChangedMessage{batch: batch, asOf: start, origin: origin})
 }
 
 // readAll reads all entries.
@@ -180,8 +181,10 @@
 	if err != nil {
 		return err
 	}
-	f.recordProgress("store", result.Revision)
-	return f.view.Send(ctx, storeReadMessage{result: result, asOf: start})
+	f.recordProgress(sourceStore, result.Revision)
+	return f.view.Send(ctx, storeReadMessage{
+		result: result, asOf: start, origin: changeOrigin{source: sourceStore, took: bootclock.Now().Sub(start)},
+	})
 }
 
 // recordProgress records the revision that has been read, and logs a change of the source.
--- a/service/edge/peer_changes_message.go
+++ b/service/edge/peer_changes_message.go
@@ -8,6 +8,7 @@
 	// requestedAt is the time of the request on the boot clock. The age in the reply counts from that time, so a slow
 	// reply never looks newer than it is.
 	requestedAt time.Time
+	origin      changeOrigin
 }
 
 func (m peerChangesMessage) apply(v *view) {
@@ -17,6 +18,6 @@
 		// The other node reaches the store, so later deletions are real ones and not lapsed leases.
 		v.storeAnswered()
 	}
-	v.applyEvents(v.mirror.Apply(m.reply.Events, m.reply.Revision, asOf))
+	v.applyEvents(m.origin, v.mirror.Apply(m.reply.Events, m.reply.Revision, asOf))
 	v.publish()
 }
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -51,6 +51,7 @@
 		s.server.metrics.repeats.Inc(1)
 	}
 	s.sends++
+	s.logOlderConfiguration()
 	s.stopGivenUp(ctx, up.placement.Endpoint)
 	s.server.metrics.attempts.Inc(1)
 	start := time.Now()
@@ -73,6 +74,13 @@
 	return up, nil
 }
 
+// logOlderConfiguration logs that the request is sent by an older version of the configuration than the one in force.
+func (s *session) logOlderConfiguration() {
+	if c := s.server.cluster.Load().Fleet.Configuration; c != nil && c.Version != s.cluster.Fleet.Configuration.Version {
+		s.log(zap.InfoLevel, "request sent by an older configuration", zap.Int64("config_in_force", c.Version))
+	}
+}
+
 // failAttempt ends an attempt that got no answer.
 func (s *session) failAttempt(ctx context.Context, up *upstream, o sendOptions, err error, took time.Duration) error {
 	v := verdict.Of(err)
--- a/service/edge/store_changed_message.go
+++ b/service/edge/store_changed_message.go
@@ -10,11 +10,12 @@
 type storeChangedMessage struct {
 	batch backing.WatchBatch
 	// asOf is the time on the boot clock up to which the batch is complete.
-	asOf time.Time
+	asOf   time.Time
+	origin changeOrigin
 }
 
 func (m storeChangedMessage) apply(v *view) {
 	v.storeAnswered()
-	v.applyEvents(v.mirror.Apply(m.batch.Events, m.batch.Revision, m.asOf))
+	v.applyEvents(m.origin, v.mirror.Apply(m.batch.Events, m.batch.Revision, m.asOf))
 	v.publish()
 }
--- a/service/edge/store_read_message.go
+++ b/service/edge/store_read_message.go
@@ -10,11 +10,12 @@
 type storeReadMessage struct {
 	result backing.RangeResult
 	// asOf is the time on the boot clock at which the read began.
-	asOf time.Time
+	asOf   time.Time
+	origin changeOrigin
 }
 
 func (m storeReadMessage) apply(v *view) {
 	v.storeAnswered()
-	v.applyEvents(v.mirror.Replace(m.result.Entries, m.result.Revision, m.asOf))
+	v.applyEvents(m.origin, v.mirror.Replace(m.result.Entries, m.result.Revision, m.asOf))
 	v.publish()
 }
--- a/service/edge/sync_client.go
+++ b/service/edge/sync_client.go
@@ -26,5 +26,7 @@
 	if err != nil || !reply.Available {
 		return reply, err
 	}
-	return reply, c.view.Send(ctx, peerChangesMessage{reply: reply, requestedAt: requestedAt})
+	waited := time.Duration(reply.WaitedMillis) * time.Millisecond
+	origin := changeOrigin{source: address, took: bootclock.Now().Sub(requestedAt) - waited}
+	return reply, c.view.Send(ctx, peerChangesMessage{reply: reply, requestedAt: requestedAt, origin: origin})
 }
--- a/service/edge/sync_handler.go
+++ b/service/edge/sync_handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/transport/peer"
@@ -16,10 +17,14 @@
 // for a change as long as the request allows.
 func handleSync(hub *peer.Hub, cluster *latest.Value[*clusterState], view mailbox.Mailbox[viewMessage]) {
 	peer.Handle(hub, kindSync, 0, func(ctx context.Context, _ string, request syncRequest) (syncReply, error) {
+		start := bootclock.Now()
 		waitForChange(ctx, cluster, request)
-		return mailbox.Call(ctx, view, func(reply chan<- syncReply) viewMessage {
+		waited := bootclock.Now().Sub(start)
+		reply, err := mailbox.Call(ctx, view, func(reply chan<- syncReply) viewMessage {
 			return syncMessage{since: request.Since, reply: reply}
 		})
+		reply.WaitedMillis = waited.Milliseconds()
+		return reply, err
 	})
 }
 
--- a/service/edge/sync_reply.go
+++ b/service/edge/sync_reply.go
@@ -10,4 +10,6 @@
 	Events    []backing.WatchEvent `cbor:"3,keyasint"`
 	// AgeMillis is the time in milliseconds since the node's state was last confirmed to be current.
 	AgeMillis int64 `cbor:"4,keyasint"`
+	// WaitedMillis is the time in milliseconds for which the node waited for a change before it replied.
+	WaitedMillis int64 `cbor:"5,keyasint,omitempty"`
 }
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -85,7 +85,7 @@
 
 // applyEvents applies changes of the store to the state and logs each one that has an effect. The entries of the first
 // read are logged at debug level, because all nodes read them at the same moment when a fleet starts.
-func (v *view) applyEvents(events []backing.WatchEvent) {
+func (v *view) applyEvents(origin changeOrigin, events []backing.WatchEvent) {
 	if len(events) == 0 {
 		return
 	}
@@ -112,8 +112,9 @@
 		}
 		if change != nil && v.state.Apply(now, change) {
 			changed = true
-			v.log.Log(level, "cluster state changed", zap.String("key", e.Entry.Key), zap.Int64("revision", e.Entry.ModRevision),
-				zap.Bool("deleted", e.Deleted), zap.Stringer("change", change))
+			v.log.Log(level, "cluster state changed", append(origin.fields(), zap.String("key", e.Entry.Key),
+				zap.Int64("revision", e.Entry.ModRevision), zap.Int("bytes", len(e.Entry.Value)), zap.Bool("deleted", e.Deleted),
+				zap.Stringer("change", change))...)
 		}
 	}
 	if changed {
