Send large configurations compressed, and don't end replies that still arrive

Callers were served by a configuration that had been replaced for longer than the bound.

Cause: a node got the whole value in each reply and ended a reply that took more than 250 ms beyond its wait (1.1 s from the store). The links of the small nodes carry 10 Mbit/s, so the value takes 0.7 s.

Change: relays compress values of 4 KB and more once for each revision. A node tells that it can decompress, so that nodes of both versions work together. The follower of a relay gives replies more time after time-outs, as the resyncer does.

--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -27,9 +27,12 @@
 	// pollSpacingPerDataCentre extends the spacing on fleets with many data centres, so that the calls of all of them together
 	// stay bounded. Their relays poll at different times and tell each other of new revisions.
 	pollSpacingPerDataCentre = 75 * time.Millisecond
-	// callTimeout is how long a reply may take beyond a poll's wait. A healthy store replies within milliseconds, a slow
-	// one within some hundred milliseconds.
+	// callTimeout is how long a small reply may take. A healthy store replies within milliseconds, a slow one within some hundred
+	// milliseconds.
 	callTimeout = 500 * time.Millisecond
+	// maxPollReply bounds the time of a poll's reply beyond its wait. The store ends a poll whose reply makes no progress much sooner; a
+	// large configuration that still arrives takes seconds over the smallest links.
+	maxPollReply = 5 * time.Second
 	// readTimeout bounds a read of all entries, which takes many calls on a large fleet. All nodes may read at once after a power
 	// cut; the store then needs some seconds to send them its entries.
 	readTimeout = 15 * time.Second
@@ -61,6 +64,8 @@
 	revision int64
 	// avoidUntil is the time until which a relay is avoided, by address.
 	avoidUntil map[string]time.Time
+	// patience is the time that relays get for their replies.
+	patience syncPatience
 	// storeFailed is set while the store does not answer. The store is polled again after backoff.
 	storeFailed bool
 	backoff     time.Duration
@@ -111,7 +116,8 @@
 
 // pollRelay waits at a relay for changes. A relay that does not answer, or whose state is too old, is avoided for a while.
 func (f *follower) pollRelay(ctx context.Context, address string) {
-	reply, err := f.syncClient.fetch(ctx, address, f.revision, syncWait, syncTimeout)
+	reply, err := f.syncClient.fetch(ctx, address, f.revision, syncWait, f.patience.current())
+	f.patience.record(err)
 	if err == nil && !reply.Available && reply.Revision > f.revision && f.pollStore(ctx) {
 		// The relay has read the store after this node and does not know all deletions in between. The store does.
 		return
@@ -157,7 +163,7 @@
 		return f.readAll(ctx)
 	}
 	start := bootclock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, pollWait+maxPollReply)
 	defer cancel()
 	batch, err := f.store.Poll(callCtx, allKeys, f.revision, pollWait)
 	if err != nil {
--- a/service/edge/resyncer.go
+++ b/service/edge/resyncer.go
@@ -12,7 +12,6 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/mailbox"
-	"azuredyke.dev/azuredyke/transport/peer"
 )
 
 const (
@@ -102,12 +101,7 @@
 func (r *resyncer) resync(ctx context.Context, address string) {
 	before := r.cluster.Load()
 	reply, err := r.syncClient.fetch(ctx, address, before.Revision, 0, r.patience.current())
-	switch {
-	case err == nil:
-		r.patience.recordReply()
-	case peer.ErrMayBeDelivered.Has(err):
-		r.patience.recordTimeout()
-	}
+	r.patience.record(err)
 	if err != nil || !reply.Available {
 		r.log.Info("fetching changes from another node failed", zap.String("address", address),
 			zap.Int64("revision", before.Revision), logging.Cause(err))
--- a/service/edge/sync_client.go
+++ b/service/edge/sync_client.go
@@ -22,10 +22,13 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	reply, err := peer.Call[syncRequest, syncReply](callCtx, c.hub, address, kindSync,
-		syncRequest{Since: since, WaitMillis: wait.Milliseconds()})
+		syncRequest{Since: since, WaitMillis: wait.Milliseconds(), Unpacks: true})
 	if err != nil || !reply.Available {
 		return reply, err
 	}
+	if err := unpackValues(reply.Events, reply.Packed); err != nil {
+		return syncReply{}, err
+	}
 	waited := time.Duration(reply.WaitedMillis) * time.Millisecond
 	origin := changeOrigin{source: address, took: bootclock.Now().Sub(requestedAt) - waited}
 	return reply, c.view.Send(ctx, peerChangesMessage{reply: reply, requestedAt: requestedAt, origin: origin})
--- a/service/edge/sync_patience.go
+++ b/service/edge/sync_patience.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/transport/peer"
+)
 
 // maxSyncTimeout bounds the time that a reply may take beyond its wait. Large changes take about a second over the smallest links when
 // all nodes of a data centre fetch them at once.
@@ -15,6 +19,16 @@
 // current returns the time that a reply may take beyond its wait.
 func (p *syncPatience) current() time.Duration { return max(syncTimeout, p.timeout) }
 
+// record records the outcome of a request. Only one that was delivered shows that its reply needs more time.
+func (p *syncPatience) record(err error) {
+	switch {
+	case err == nil:
+		p.recordReply()
+	case peer.ErrMayBeDelivered.Has(err):
+		p.recordTimeout()
+	}
+}
+
 // recordReply records a reply in time.
 func (p *syncPatience) recordReply() { p.timeout = syncTimeout }
 
--- a/service/edge/sync_reply.go
+++ b/service/edge/sync_reply.go
@@ -12,4 +12,6 @@
 	AgeMillis int64 `cbor:"4,keyasint"`
 	// WaitedMillis is the time in milliseconds for which the node waited for a change before it replied.
 	WaitedMillis int64 `cbor:"5,keyasint,omitempty"`
+	// Packed holds the large values of Events.
+	Packed []packedValue `cbor:"6,keyasint,omitempty"`
 }
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -37,6 +37,7 @@
 	current   *latest.Value[*clusterState]
 
 	mirror *mirror.Mirror
+	packer *valuePacker
 	// hasRead is set once entries of the store have been applied.
 	hasRead  bool
 	state    *fleet.State
@@ -57,7 +58,7 @@
 	return &view{
 		log: log, self: self, translate: translate, messages: mailbox.New[viewMessage](viewCapacity),
 		current: latest.New(&clusterState{Fleet: state.Snapshot(), topology: alone}),
-		mirror:  mirror.New(), state: state, members: map[string]Member{}, snapshot: state.Snapshot(), topology: alone,
+		mirror:  mirror.New(), packer: newValuePacker(), state: state, members: map[string]Member{}, snapshot: state.Snapshot(), topology: alone,
 	}
 }
 
@@ -98,6 +99,7 @@
 	}
 	changed, membersChanged := false, false
 	for _, e := range events {
+		v.packer.forget(e)
 		if strings.HasPrefix(e.Entry.Key, memberPrefix) {
 			membersChanged = v.applyMember(e) || membersChanged
 			continue
--- a/test/harness/link.go
+++ b/test/harness/link.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// LimitBandwidth limits the data from the server on each connection to a number of kilobytes per second.
+func (l *Link) LimitBandwidth(kilobytes int) {
+	_, err := l.add("bandwidth", directions[1], "bandwidth", fmt.Sprintf(`{"rate":%d}`, kilobytes))
+	assert.NilError(l.t, err)
+}
+
 // add adds a toxic in one direction. The returned toxic is nil for types other than stallToxicType.
 func (l *Link) add(name, direction, kind, attributes string) (*stallToxic, error) {
 	wrapper, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(
