Keep the limits that endpoints name for the requests of all nodes

Cause: nothing read the header.

Change: a node that has heard of a limit asks the owner of the endpoint's budget, a node chosen by rendezvous hash, before it sends a request there. The owner keeps one token bucket for the endpoint. A request that is not granted goes to another endpoint, or is refused at once with the time until the node may ask again. A higher limit, or its end, counts only from the answer to a request that was sent after the present limit was heard. Limits are announced to the other nodes when they change.

--- a/decision/dispatch/endpoint.go
+++ b/decision/dispatch/endpoint.go
@@ -84,7 +84,8 @@
 	if engine := e.service.Engine; engine != nil {
 		c.Limit, c.Capacity = max(1, engine.Slots), float64(engine.Capacity)
 	}
-	c.Admits = !e.isLeaving() && !e.dataCentreOut && !now.Before(e.avoidUntil) && !now.Before(e.statement.pausedUntil) && inFlight < c.Limit
+	_, closed := e.statement.closedUntil(now)
+	c.Admits = !e.isLeaving() && !e.dataCentreOut && !now.Before(e.avoidUntil) && closed == "" && inFlight < c.Limit
 	return c.Admits
 }
 
--- a/decision/dispatch/endpoint_explanation.go
+++ b/decision/dispatch/endpoint_explanation.go
@@ -10,7 +10,8 @@
 // EndpointExplanation says whether a request may use an endpoint, and how the policy rates it.
 type EndpointExplanation struct {
 	Endpoint fleet.Endpoint
-	// Obstacle is empty if the endpoint may be used. Left is the remaining time of a pause or an avoidance.
+	// Obstacle is empty if the endpoint may be used. Left is the remaining time of a pause, an avoidance or
+	// a refusal because of the endpoint's limit.
 	Obstacle Obstacle
 	Left     time.Duration
 	// InFlight is the number of requests in flight, Limit its maximum, Prefill the number of queued prompt tokens.
@@ -37,8 +38,9 @@
 	e.refreshCandidate(now, t.nearDataCentre(r))
 	x := EndpointExplanation{Endpoint: e.Endpoint, Obstacle: t.obstacle(now, r, e)}
 	switch x.Obstacle {
-	case Paused:
-		x.Left = e.statement.pausedUntil.Sub(now)
+	case Paused, RateLimited:
+		until, _ := e.statement.closedUntil(now)
+		x.Left = until.Sub(now)
 	case Avoided:
 		x.Left = e.avoidUntil.Sub(now)
 	case "":
--- a/decision/dispatch/obstacle.go
+++ b/decision/dispatch/obstacle.go
@@ -11,10 +11,12 @@
 	DataCentreOut Obstacle = "data_centre_out"
 	Excluded      Obstacle = "excluded"
 	// Paused means that the endpoint has asked for no requests, Avoided that an attempt on it failed or was refused recently.
-	Paused     Obstacle = "paused"
-	Avoided    Obstacle = "avoided"
-	SlotsTaken Obstacle = "slots"
-	ColdLimit  Obstacle = "cold_limit"
+	Paused  Obstacle = "paused"
+	Avoided Obstacle = "avoided"
+	// RateLimited means that this node may send nothing now because of the endpoint's limit on the requests of all nodes.
+	RateLimited Obstacle = "rate_limit"
+	SlotsTaken  Obstacle = "slots"
+	ColdLimit   Obstacle = "cold_limit"
 	// PrefillBacklog means that the prompts on the endpoint would make this request or a more urgent one late.
 	PrefillBacklog Obstacle = "prefill_backlog"
 	// MemoryTaken means that the memory of the request does not fit, MemoryReserved that it fits only into memory that is kept
@@ -31,8 +33,11 @@
 	if o := r.lastingObstacle(e); o != "" {
 		return o
 	}
-	if now.Before(e.statement.pausedUntil) {
-		return Paused
+	if _, closed := e.statement.closedUntil(now); closed != "" {
+		return closed
+	}
+	if r.AvoidRateLimited && e.statement.rateLimit.limited {
+		return RateLimited
 	}
 	if !e.refreshCandidate(now, t.nearDataCentre(r)) {
 		if now.Before(e.avoidUntil) {
--- a/decision/dispatch/placement.go
+++ b/decision/dispatch/placement.go
@@ -14,6 +14,10 @@
 	Endpoint fleet.Endpoint
 	// Backup is the endpoint that holds a copy of the run's memory; its ID is empty if there is none.
 	Backup fleet.Endpoint
+	// RateLimited is set if the endpoint limits the requests of all nodes together, to RateLimit a second. The request may then be sent
+	// only once the owner of the endpoint's budget has granted it.
+	RateLimited bool
+	RateLimit   float64
 	// InFlight is the number of requests on the endpoint before this one, by the load figures of this node.
 	InFlight int
 	// Prefill is the number of prompt tokens on the endpoint that are computed before those of this request.
--- a/decision/dispatch/refusal.go
+++ b/decision/dispatch/refusal.go
@@ -8,7 +8,7 @@
 	NoEndpoint       Refusal = "no_endpoint"
 	AllEndpointsCold Refusal = "all_endpoints_at_cold_limit"
 	AllEndpointsFull Refusal = "all_endpoints_full"
-	// AllEndpointsPaused means that all endpoints have asked for no requests for some time.
+	// AllEndpointsPaused means that all endpoints have asked for no requests for some time or get none because of their limits.
 	AllEndpointsPaused Refusal = "all_endpoints_paused"
 	// LeftToOthers means that more requests wait than engines have room, and that others try them this time.
 	LeftToOthers Refusal = "left_to_others"
--- a/decision/dispatch/request.go
+++ b/decision/dispatch/request.go
@@ -37,6 +37,8 @@
 	ForceRepeat bool
 	// Exclude lists endpoints that must not be chosen.
 	Exclude []string
+	// AvoidRateLimited keeps the request from endpoints that limit the requests of all nodes.
+	AvoidRateLimited bool
 	// RequiredEndpoint names the endpoint that must be chosen; empty means any.
 	RequiredEndpoint string
 	// Priority orders requests, 0 first. FirstEventBy is the time at which the objective for the first event ends; zero if there is
--- a/decision/dispatch/statement.go
+++ b/decision/dispatch/statement.go
@@ -10,6 +10,19 @@
 	leaving     bool
 	pausedUntil time.Time
 	updatedAt   time.Time
+	rateLimit   rateLimit
+}
+
+// closedUntil returns the time until which the endpoint gets no requests from this node, and the obstacle that this is.
+func (s *statement) closedUntil(now time.Time) (time.Time, Obstacle) {
+	switch {
+	case s.rateLimit.isRefused(now) && s.rateLimit.refusedUntil.After(s.pausedUntil):
+		return s.rateLimit.refusedUntil, RateLimited
+	case now.Before(s.pausedUntil):
+		return s.pausedUntil, Paused
+	default:
+		return time.Time{}, ""
+	}
 }
 
 // pause extends the time for which the endpoint gets no requests. A shorter pause does not end an earlier one, because answers on
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -160,16 +160,21 @@
 
 // statementOf returns the statement of an endpoint that says something now.
 func (t *Table) statementOf(now time.Time, e *catalog.Endpoint) *statement {
-	s := t.statements.of(e)
-	if listed := t.endpoints[e.ID]; listed != nil && listed.SameIncarnation(e) {
-		s = listed.statement
-	}
+	s := t.knownStatement(e)
 	t.statements.keep(now, e, s)
 	return s
 }
 
-// PauseLeft returns the time until the pause of the first endpoint that a request may use ends; 0 if one of them is not paused or
-// there is none.
+// knownStatement returns the statement of an endpoint.
+func (t *Table) knownStatement(e *catalog.Endpoint) *statement {
+	if listed := t.endpoints[e.ID]; listed != nil && listed.SameIncarnation(e) {
+		return listed.statement
+	}
+	return t.statements.of(e)
+}
+
+// PauseLeft returns the time until the pause of the first endpoint that a request may use ends, or until the node may ask again for its
+// limit; 0 if one of them may be used or there is none.
 func (t *Table) PauseLeft(now time.Time, r *Request) time.Duration {
 	left, found := time.Duration(0), false
 	share := t.rollouts[r.Service]
@@ -177,7 +182,11 @@
 		if !r.mayUse(e) || share != nil && !share.allowsRuns(e.Version) {
 			continue
 		}
-		if pause := max(0, e.statement.pausedUntil.Sub(now)); !found || pause < left {
+		pause := time.Duration(0)
+		if until, closed := e.statement.closedUntil(now); closed != "" {
+			pause = until.Sub(now)
+		}
+		if !found || pause < left {
 			left, found = pause, true
 		}
 	}
--- a/decision/limit/bucket.go
+++ b/decision/limit/bucket.go
@@ -2,19 +2,30 @@
 
 import "time"
 
-// burstSeconds is the capacity of a bucket in seconds of its rate.
-const burstSeconds = 1
+// defaultBurst is the capacity of a bucket as a time at its rate.
+const defaultBurst = time.Second
 
 // Bucket is a token bucket. Its level becomes negative when usage is charged that was not known in advance.
 type Bucket struct {
-	rate    float64
+	rate float64
+	// burst is the capacity as a time at the rate. The capacity is at least least tokens.
+	burst   time.Duration
+	least   float64
 	level   float64
 	updated time.Time
 }
 
 // NewBucket returns a full bucket with a rate in tokens per second. A rate of 0 means no limit.
 func NewBucket(now time.Time, rate float64) *Bucket {
-	return &Bucket{rate: rate, level: burstSize(rate), updated: now}
+	// A rate below 1 still admits requests.
+	b := NewEmptyBucket(now, rate, defaultBurst, 1)
+	b.level = b.capacity()
+	return b
+}
+
+// NewEmptyBucket returns an empty bucket that holds the tokens of a burst at its rate, and at least a number of tokens.
+func NewEmptyBucket(now time.Time, rate float64, burst time.Duration, least float64) *Bucket {
+	return &Bucket{rate: rate, burst: burst, least: least, updated: now}
 }
 
 // SetRate changes the rate from now on. It does not refill a bucket that is not full.
@@ -24,18 +35,21 @@
 	}
 	b.refill(now)
 	b.rate = rate
-	b.level = min(b.level, burstSize(rate))
+	b.level = min(b.level, b.capacity())
 }
 
 // Take charges n tokens and returns true if the bucket holds at least one token; otherwise it returns the time until it
 // does.
-func (b *Bucket) Take(now time.Time, n float64) (bool, time.Duration) {
+func (b *Bucket) Take(now time.Time, n float64) (bool, time.Duration) { return b.TakeAbove(now, n, 1) }
+
+// TakeAbove is Take with another level that the bucket must hold. A level of 0 or less lets the bucket be overdrawn.
+func (b *Bucket) TakeAbove(now time.Time, n, level float64) (bool, time.Duration) {
 	if b.rate <= 0 {
 		return true, 0
 	}
 	b.refill(now)
-	if b.level < 1 {
-		return false, time.Duration((1 - b.level) / b.rate * float64(time.Second))
+	if b.level < level {
+		return false, time.Duration((level - b.level) / b.rate * float64(time.Second))
 	}
 	b.level -= n
 	return true, 0
@@ -53,8 +67,8 @@
 func (b *Bucket) refill(now time.Time) {
 	elapsed := now.Sub(b.updated).Seconds()
 	b.updated = now
-	b.level = min(burstSize(b.rate), b.level+elapsed*b.rate)
+	b.level = min(b.capacity(), b.level+elapsed*b.rate)
 }
 
-// burstSize returns the capacity of a bucket. It is at least one token, so that a rate below 1 still admits requests.
-func burstSize(rate float64) float64 { return max(1, rate*burstSeconds) }
+// capacity returns the capacity of the bucket.
+func (b *Bucket) capacity() float64 { return max(b.least, b.rate*b.burst.Seconds()) }
--- a/decision/limit/workspace_usage_test.go
+++ b/decision/limit/workspace_usage_test.go
@@ -29,7 +29,7 @@
 			}
 			assert.Assert(t, w.Running() <= limits.MaxConcurrency)
 		}
-		allowed := burstSize(limits.RequestsPerSecond) + limits.RequestsPerSecond*now.Sub(start).Seconds()
+		allowed := NewBucket(start, limits.RequestsPerSecond).capacity() + limits.RequestsPerSecond*now.Sub(start).Seconds()
 		assert.Assert(t, float64(admitted) <= allowed+1)
 	})
 }
--- a/decision/retry/window_budget.go
+++ b/decision/retry/window_budget.go
@@ -41,6 +41,13 @@
 	b.repeats[b.slot%int64(len(b.repeats))]++
 }
 
+// ReturnRepeat takes back a repeat that was counted and not sent.
+func (b *WindowBudget) ReturnRepeat(now time.Time) {
+	b.advance(now)
+	slot := b.slot % int64(len(b.repeats))
+	b.repeats[slot] = max(0, b.repeats[slot]-1)
+}
+
 // advance clears the slots that have left the window. One slot more than the window has is kept, so that repeats count
 // for at least the whole window.
 func (b *WindowBudget) advance(now time.Time) {
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -41,6 +41,8 @@
 	Delay time.Duration
 	// RetryAfter is the header Retry-After with the behaviour Refuse; none if it is empty.
 	RetryAfter string
+	// RateLimit is the header Server-Limit of all answers; none if it is empty.
+	RateLimit string
 	// Crashes reports whether a request crashes the worker that begins to run it; nil if none does. Crash ends the worker's process.
 	Crashes func(*http.Request) bool
 	Crash   func()
@@ -70,6 +72,9 @@
 	if saidLeaving {
 		out.Header().Set("Server-Leaving", "1")
 	}
+	if w.RateLimit != "" {
+		out.Header().Set("Server-Limit", w.RateLimit)
+	}
 	if want := in.Header.Get("X-Expected-Instance"); want != "" && want != w.ID {
 		out.Header().Set("X-Instance-Id", w.ID)
 		out.WriteHeader(http.StatusMisdirectedRequest)
--- a/service/edge/dispatcher.go
+++ b/service/edge/dispatcher.go
@@ -14,6 +14,7 @@
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/overload"
+	"azuredyke.dev/azuredyke/service/ratelimit"
 )
 
 const (
@@ -51,6 +52,8 @@
 	pressureAt        time.Time
 	pressurePublished bool
 	metrics           *overloadMetrics
+	// announceRateLimit sends the limit of an endpoint to the other nodes without blocking.
+	announceRateLimit func(ratelimit.Limit)
 }
 
 func newDispatcher(log *zap.Logger, p dispatch.Params, cluster *latest.Value[*clusterState]) *dispatcher {
@@ -61,7 +64,7 @@
 		messages: mailbox.New[dispatcherMessage](dispatcherCapacity), ownLoads: latest.New[[]dispatch.Load](nil),
 		leaving: map[uint64]*leavingRun{}, speedMetrics: speedMetrics{scope: tally.NoopScope},
 		promptMetrics: promptMetrics{scope: tally.NoopScope}, ownPressure: latest.New(overload.Pressure{}),
-		metrics: newOverloadMetrics(tally.NoopScope),
+		metrics: newOverloadMetrics(tally.NoopScope), announceRateLimit: func(ratelimit.Limit) {},
 	}
 }
 
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -21,6 +21,7 @@
 	"azuredyke.dev/azuredyke/common/sockopt"
 	"azuredyke.dev/azuredyke/decision/gather"
 	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/ratelimit"
 	"azuredyke.dev/azuredyke/service/rollout"
 	"azuredyke.dev/azuredyke/transport/peer"
 )
@@ -53,6 +54,7 @@
 	dispatcher *dispatcher
 	peers      *peers
 	quarantine *quarantine.Manager
+	rates      *ratelimit.Manager
 	// rollouts and decider are nil unless the feature is on.
 	rollouts *rollout.Manager
 	decider  *rollout.Decider
@@ -86,10 +88,14 @@
 	handleSync(n.hub, n.view.current, n.view.messages)
 	n.quarantine = quarantine.NewManager(logging.For(log, logging.Gateway), quarantinePeers{hub: n.hub, self: n.self, cluster: n.view.current})
 	handleQuarantine(n.hub, n.quarantine)
+	ratePeers := rateLimitPeers{hub: n.hub, self: n.self, cluster: n.view.current}
+	n.rates = ratelimit.NewManager(logging.For(log, logging.Dispatcher), ratePeers)
+	n.dispatcher.announceRateLimit = ratePeers.Announce
+	handleRateLimits(n.hub, n.rates, n.dispatcher.messages)
 	n.server = &Server{
 		log: logging.For(log, logging.Gateway), cluster: n.view.current, placer: placer{messages: n.dispatcher.messages},
 		sender: d.Sender, mover: d.Mover, liveness: d.Liveness, newStream: d.NewStream, metrics: newServerMetrics(d.Metrics.Scope.SubScope("gateway")),
-		quarantine: n.quarantine, graceEnd: newGraceEnd(),
+		quarantine: n.quarantine, rates: n.rates, graceEnd: newGraceEnd(),
 	}
 	n.server.revokeAfter.Store(int64(s.Bounds.Revoke))
 	if s.Features.CallerBuffers {
@@ -143,7 +149,7 @@
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, cluster: n.view.current, dispatcher: n.dispatcher.messages}
 	resync := &resyncer{log: n.view.log, syncClient: client, seeds: n.settings.Peers.Seeds, cluster: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self, cluster: n.view.current}
-	tasks := []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	tasks := []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.rates.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
 	if n.server.buffers != nil {
 		tasks = append(tasks, n.server.buffers.run)
 	}
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -67,11 +67,14 @@
 	_ = p.messages.Send(context.Background(), measurementMessage{run: run, measurement: m})
 }
 
-// reportStatement reports what an endpoint says about itself.
-func (p placer) reportStatement(e fleet.Endpoint, statement exchange.Statement) {
-	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, statement: statement})
+// reportStatement reports what an endpoint says about itself in the answer to a request that was sent at sentAt.
+func (p placer) reportStatement(e fleet.Endpoint, statement exchange.Statement, sentAt time.Time) {
+	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, statement: statement, sentAt: sentAt})
 }
 
+// reportRateRefusal reports that the owner of an endpoint's budget did not grant a request.
+func (p placer) reportRateRefusal(m rateRefusalMessage) { _ = p.messages.Send(context.Background(), m) }
+
 // release ends a run.
 func (p placer) release(run uint64, o dispatch.Outcome) {
 	_ = p.messages.Send(context.Background(), releaseMessage{run: run, outcome: o})
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -12,8 +12,13 @@
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
+	"azuredyke.dev/azuredyke/decision/limit"
+	"azuredyke.dev/azuredyke/service/ratelimit"
 )
 
+// maxRateAsks bounds the endpoints for which the owner of the budget is asked for one request, since each question takes a round trip.
+const maxRateAsks = 4
+
 // spreadDivisor divides a Retry-After time: callers are told to return up to a quarter later.
 const spreadDivisor = 4
 
@@ -123,11 +128,33 @@
 	s.triedEndpoints = append(s.triedEndpoints, up.placement.Endpoint.ID)
 }
 
-// place requests an endpoint from the dispatcher.
+// place requests an endpoint from the dispatcher. If the endpoint limits the requests of all nodes, the owner of its budget must grant
+// the request; if it does not, another endpoint is requested.
 func (s *session) place(ctx context.Context, o sendOptions) (*upstream, error) {
+	for asks := 0; ; asks++ {
+		up, err := s.placeOnce(ctx, o, asks >= maxRateAsks)
+		if err != nil || !up.placement.RateLimited {
+			return up, err
+		}
+		endpoint := up.placement.Endpoint
+		grant := s.server.rates.Acquire(ctx, ratelimit.Question{
+			Endpoint: ratelimit.EndpointOf(&endpoint.Endpoint), Ask: limit.Ask{Rate: up.placement.RateLimit, Continues: o.continues()},
+		})
+		if grant.Granted {
+			return up, nil
+		}
+		up.end(dispatch.Cancelled)
+		s.server.metrics.rateRefusals.Inc(1)
+		s.server.placer.reportRateRefusal(rateRefusalMessage{endpoint: endpoint, retryAfter: grant.RetryAfter, repeat: s.arrivals > 0 && !o.continues()})
+	}
+}
+
+// placeOnce requests an endpoint from the dispatcher.
+func (s *session) placeOnce(ctx context.Context, o sendOptions, avoidRateLimited bool) (*upstream, error) {
 	leaving := make(chan departure, 2)
 	m := placeMessage{request: s.placement(), id: s.request.ID, first: !s.counted, priority: s.priority(), leaving: leaving}
 	s.counted = true
+	m.request.AvoidRateLimited = avoidRateLimited
 	m.waitUntil = s.request.Received.Add(s.route.FirstByteObjective / waitDivisor)
 	if o.continues() {
 		m.request.ForceRepeat, m.request.Resumed, m.request.SpareMemoryOnly, m.request.CopyPending = true, true, o.spareMemoryOnly, o.copyPending
@@ -169,7 +196,13 @@
 	if s.workspace != nil {
 		a.Workspace = s.workspace.Name
 	}
-	a.OnStatement = func(statement exchange.Statement) { s.server.placer.reportStatement(placement.Endpoint, statement) }
+	sentAt := time.Now()
+	a.OnStatement = func(statement exchange.Statement) {
+		// Most endpoints state nothing in most answers. Only where a limit is known does such an answer say something.
+		if placement.RateLimited || statement != (exchange.Statement{}) {
+			s.server.placer.reportStatement(placement.Endpoint, statement, sentAt)
+		}
+	}
 	a.CopyAddress, a.CopyHandle = o.copyAddress, o.copyHandle
 	return a
 }
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -14,6 +14,7 @@
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/service/quarantine"
+	"azuredyke.dev/azuredyke/service/ratelimit"
 	"azuredyke.dev/azuredyke/service/rollout"
 )
 
@@ -33,6 +34,8 @@
 	metrics   *serverMetrics
 	// quarantine prevents requests that crash endpoints from running again.
 	quarantine *quarantine.Manager
+	// rates keeps the requests to endpoints within the limits that these have named.
+	rates *ratelimit.Manager
 	// rollouts counts the outcomes under roll-outs; nil unless the feature is on.
 	rollouts rollout.Outcomes
 	// revokeAfter is the setting bounds.revoke in nanoseconds.
--- a/service/edge/server_metrics.go
+++ b/service/edge/server_metrics.go
@@ -25,7 +25,9 @@
 	// buffer less.
 	streamsUnread  tally.Counter
 	buffersReduced tally.Counter
-	firstByte      tally.Histogram
+	// rateRefusals counts the requests that the owner of an endpoint's budget did not grant to this node.
+	rateRefusals tally.Counter
+	firstByte    tally.Histogram
 }
 
 func newServerMetrics(scope tally.Scope) *serverMetrics {
@@ -34,8 +36,8 @@
 		repeats: scope.Counter("repeats"), moves: scope.Counter("moves"), movesFailed: scope.Counter("moves_failed"),
 		streamsCut: scope.Counter("streams_cut"), crashes: scope.Counter("endpoint_crashes"),
 		runsStopped: scope.Counter("runs_stopped"), streamsUnread: scope.Counter("streams_unread"),
-		buffersReduced: scope.Counter("buffers_reduced"),
-		firstByte:      scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
+		buffersReduced: scope.Counter("buffers_reduced"), rateRefusals: scope.Counter("rate_refusals"),
+		firstByte: scope.Histogram("first_byte", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)),
 	}
 }
 
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -66,7 +66,7 @@
 	m := &r.migration
 	m.copying = false
 	if result.Statement != (exchange.Statement{}) {
-		r.server.placer.reportStatement(r.up.placement.Endpoint, result.Statement)
+		r.server.placer.reportStatement(r.up.placement.Endpoint, result.Statement, time.Time{})
 	}
 	m.target.reportFirstEvent()
 	done := result.Outcome == exchange.MoveDone
