Let a desk of the fault soak name a limit, and check that it is kept

The stand-ins named no limit, so the soak could not show requests over one. The last desk now names 1 request a second in all its answers; the new check counts what it gets in any 4 s, as strict as the users' rule.

--- a/fake/workers/arrival.go
+++ b/fake/workers/arrival.go
@@ -14,6 +14,8 @@
 	Continued bool
 	// AskedForPause is set if the worker refused the request and said that it wants no more for some time.
 	AskedForPause bool
+	// SaidLimit is set if the worker named a limit for the requests of all nodes in its answer.
+	SaidLimit bool
 	// SaidLeaving is set if the worker said in its answer that it is leaving.
 	SaidLeaving bool
 }
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -86,6 +86,7 @@
 		s.arrivals = append(s.arrivals, Arrival{
 			Worker: w.ID, Service: w.service(), Version: w.Version, Request: request, At: time.Now(), Continued: from != "",
 			AskedForPause: behaviour == Refuse && w.RetryAfter != "", SaidLeaving: saidLeaving,
+			SaidLimit: w.RateLimit != "",
 		})
 		return behaviour
 	})
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -23,6 +23,7 @@
 	{"leaving endpoints get no new work", true, findWorkForLeaving},
 	{"endpoints that say they leave get no new work", true, findWorkAfterSaidLeaving},
 	{"endpoints that want a pause get it", true, findWorkInPause},
+	{"endpoints get no more than the limit they name", true, findWorkOverLimit},
 	{"data centres that are out get no new work", true, findWorkForEvacuated},
 	{"repeats keep to the budget", false, findExcessRepeats},
 	{"cold endpoints bear what they get", false, findColdExcess},
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -106,6 +106,14 @@
 				h.workers.Arrivals = append(h.workers.Arrivals, workers.Arrival{Worker: "engine-0-1", Service: "engines", Request: "n", At: after(11 + 0.1*float64(i)), Continued: true})
 			}
 		},
+		"endpoints get no more than the limit they name": func(h *history) {
+			h.attempts = append(h.attempts, attempt{id: "l", route: routeLookup, path: "/lookup/1", key: "k", sentAt: after(2), endedAt: after(2.5), status: 200, hasSignature: true, echoesID: true, body: "GET /lookup/1 by desk-6-1"})
+			h.addRun("desk-6-1", "desk", &h.attempts[2], 2, 2.5)
+			h.workers.Arrivals[2].SaidLimit = true
+			for n := range 12 {
+				h.workers.Arrivals = append(h.workers.Arrivals, workers.Arrival{Worker: "desk-6-1", Service: "desk", Request: "b", At: after(10 + 0.3*float64(n)), Continued: true})
+			}
+		},
 		"data centres that are out get no new work": func(h *history) {
 			h.departures = []departure{{name: dataCentres[1], acknowledgedAt: after(4.9), isDataCentre: true}}
 		},
@@ -162,7 +170,7 @@
 			}
 		})
 	}
-	assert.Equal(t, len(checks), 24)
+	assert.Equal(t, len(checks), 25)
 }
 
 // Guards against a check that excuses more requests cut at the end of a grace period than the rule does: those that were sent late,
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -41,9 +41,18 @@
 	abandonBound  = 500 * time.Millisecond
 	// pauseTime is the pause that a refusing worker asks for. A node may send it at most pauseRequests requests between pauseGrace
 	// after the refusal and the end of the pause.
-	pauseTime      = 1500 * time.Millisecond
-	pauseGrace     = 500 * time.Millisecond
-	pauseRequests  = 2
+	pauseTime     = 1500 * time.Millisecond
+	pauseGrace    = 500 * time.Millisecond
+	pauseRequests = 2
+	// The desk in limitedSlot names a limit of namedLimit requests a second. From limitContact after that it may get limitFactor times
+	// as many in each limitWindow, and limitAllowance, from the nodes that have passed on such an answer limitNotice before.
+	limitedSlot    = workerCount - 1
+	namedLimit     = 1.0
+	limitContact   = 4 * time.Second
+	limitWindow    = 4 * time.Second
+	limitNotice    = 500 * time.Millisecond
+	limitFactor    = 1.5
+	limitAllowance = 5
 	minCutDuration = 200 * time.Millisecond
 	retryRatio     = 0.2
 	retryAllowance = 12.0
@@ -77,6 +86,9 @@
 		w.RetryAfter = strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64)
 		w.IgnoresClose, w.Version = ignoresClose, version
 		w.EventsOf, w.Interval, w.Zone = eventsOf, eventInterval, dataCentres[slot%len(dataCentres)]
+		if slot == limitedSlot {
+			w.RateLimit = strconv.FormatFloat(namedLimit, 'f', -1, 64)
+		}
 		if cold && engine {
 			w.ColdFor = coldTime
 		}
