Don't close a limited endpoint to a node because a caller has left

When a caller disconnected while its node asked for a grant, the node took the missing answer for a refusal, and sent nothing to the endpoint for 500 ms. The place of the request is now released without that. TestCallerThatLeavesDoesNotCloseALimitedEndpoint failed without the change.

--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -144,6 +144,9 @@
 			return up, nil
 		}
 		up.end(dispatch.Cancelled)
+		if ctx.Err() != nil {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "waiting for a grant of the endpoint's limit: %w", ctx.Err())
+		}
 		s.server.metrics.rateRefusals.Inc(1)
 		s.server.placer.reportRateRefusal(rateRefusalMessage{endpoint: endpoint, retryAfter: grant.RetryAfter, repeat: s.arrivals > 0 && !o.continues()})
 	}
--- /dev/null
+++ b/service/edge/send_rate_limit_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/common/exchange"
+	"azuredyke.dev/azuredyke/common/mailbox"
+	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/limit"
+	"azuredyke.dev/azuredyke/service/ratelimit"
+)
+
+// silentPeers lists one other node that never answers.
+type silentPeers struct{}
+
+func (silentPeers) Nodes() map[string]string { return map[string]string{"other": "address of other"} }
+
+func (silentPeers) Ask(ctx context.Context, _ string, _ ratelimit.Question) (limit.Grant, error) {
+	<-ctx.Done()
+	return limit.Grant{}, ctx.Err()
+}
+
+func (silentPeers) Announce(ratelimit.Limit) {}
+
+// Guards against an endpoint that gets no requests from a node for a while because one caller has left while the node asked for a grant.
+func TestCallerThatLeavesDoesNotCloseALimitedEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, leaves := range []bool{true, false} {
+			tasks, end := context.WithCancel(t.Context())
+			rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
+			go rates.Run(tasks)
+			messages := mailbox.New[dispatcherMessage](8)
+			server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
+			s := &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() {
+				_, err := s.place(ctx, sendOptions{})
+				done <- err
+			}()
+			(<-messages.Receive()).(placeMessage).reply <- placeReply{placement: dispatch.Placement{RateLimited: true, RateLimit: 1}}
+			synctest.Wait()
+			if leaves {
+				cancel()
+				synctest.Wait()
+			}
+			assert.Assert(t, (<-messages.Receive()).(releaseMessage).outcome == dispatch.Cancelled)
+			if leaves {
+				assert.Assert(t, <-done != nil)
+				assert.Equal(t, messages.Len(), 0)
+			} else {
+				_ = (<-messages.Receive()).(rateRefusalMessage)
+				cancel()
+				assert.Assert(t, <-done != nil)
+			}
+			end()
+		}
+	})
+}
