--- a/service/edge/send_rate_limit_test.go
+++ b/service/edge/send_rate_limit_test.go
@@ -31,36 +31,39 @@
 
 // Guards against an endpoint that gets no requests from a node for a while because one caller has left while the node asked for a grant.
 func TestCallerThatLeavesDoesNotCloseALimitedEndpoint(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		for _, leaves := range []bool{true, false} {
-			tasks, end := context.WithCancel(t.Context())
-			rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
-			go rates.Run(tasks)
-			messages := mailbox.New[dispatcherMessage](8)
-			server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
-			s := &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan error, 1)
-			go func() {
-				_, err := s.place(ctx, sendOptions{})
-				done <- err
-			}()
-			(<-messages.Receive()).(placeMessage).reply <- placeReply{placement: dispatch.Placement{RateLimited: true, RateLimit: 1}}
-			synctest.Wait()
-			if leaves {
-				cancel()
+	for name, leaves := range map[string]bool{"caller leaves": true, "caller waits": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tasks, end := context.WithCancel(t.Context())
+				defer end()
+				rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
+				go rates.Run(tasks)
+				messages := mailbox.New[dispatcherMessage](8)
+				server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
+				s := &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				done := make(chan error, 1)
+				go func() {
+					_, err := s.place(ctx, sendOptions{})
+					done <- err
+				}()
+				(<-messages.Receive()).(placeMessage).reply <- placeReply{placement: dispatch.Placement{RateLimited: true, RateLimit: 1}}
 				synctest.Wait()
-			}
-			assert.Assert(t, (<-messages.Receive()).(releaseMessage).outcome == dispatch.Cancelled)
-			if leaves {
+				if leaves {
+					cancel()
+					synctest.Wait()
+				}
+				assert.Assert(t, (<-messages.Receive()).(releaseMessage).outcome == dispatch.Cancelled)
+				if !leaves {
+					_ = (<-messages.Receive()).(rateRefusalMessage)
+					cancel()
+				}
 				assert.Assert(t, <-done != nil)
-				assert.Equal(t, messages.Len(), 0)
-			} else {
-				_ = (<-messages.Receive()).(rateRefusalMessage)
-				cancel()
-				assert.Assert(t, <-done != nil)
-			}
-			end()
-		}
-	})
+				if leaves {
+					assert.Equal(t, messages.Len(), 0)
+				}
+			})
+		})
+	}
 }
