Let the lost owners of a test be asked, and remove an unused method

TestLostOwnerIsReplacedByTheStandby removed the lost nodes from its stand-in, so nobody asked them and the bound on questions to them held for nothing. They now stay listed and silent, and the test also requires that they are asked. The interface of the peers had a method that the manager never called.

--- a/decision/dispatch/endpoint_explanation.go
+++ b/decision/dispatch/endpoint_explanation.go
@@ -10,8 +10,8 @@
 // EndpointExplanation says whether a request may use an endpoint, and how the policy rates it.
 type EndpointExplanation struct {
 	Endpoint fleet.Endpoint
-	// Obstacle is empty if the endpoint may be used. Left is the remaining time of a pause, an avoidance or
-	// a refusal because of the endpoint's limit.
+	// Obstacle is empty if the endpoint may be used. Left is the remaining time of a pause, an avoidance or a refusal
+	// because of the endpoint's limit.
 	Obstacle Obstacle
 	Left     time.Duration
 	// InFlight is the number of requests in flight, Limit its maximum, Prefill the number of queued prompt tokens.
--- a/decision/dispatch/obstacle.go
+++ b/decision/dispatch/obstacle.go
@@ -10,11 +10,11 @@
 	Leaving       Obstacle = "leaving"
 	DataCentreOut Obstacle = "data_centre_out"
 	Excluded      Obstacle = "excluded"
-	// Paused means that the endpoint has asked for no requests, Avoided that an attempt on it failed or was refused recently.
-	Paused  Obstacle = "paused"
-	Avoided Obstacle = "avoided"
-	// RateLimited means that this node may send nothing now because of the endpoint's limit on the requests of all nodes.
+	// Paused means that the endpoint has asked for no requests, RateLimited that this node may send nothing now because of the
+	// endpoint's limit on the requests of all nodes, Avoided that an attempt on it failed or was refused recently.
+	Paused      Obstacle = "paused"
 	RateLimited Obstacle = "rate_limit"
+	Avoided     Obstacle = "avoided"
 	SlotsTaken  Obstacle = "slots"
 	ColdLimit   Obstacle = "cold_limit"
 	// PrefillBacklog means that the prompts on the endpoint would make this request or a more urgent one late.
--- a/decision/dispatch/place.go
+++ b/decision/dispatch/place.go
@@ -42,7 +42,8 @@
 		}
 	}
 	placed := Placement{
-		Endpoint: chosen.Endpoint, RateLimited: chosen.statement.rateLimit.limited, RateLimit: chosen.statement.rateLimit.rate, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
+		Endpoint: chosen.Endpoint, InFlight: chosen.candidate.InFlight, Prefill: chosen.candidate.Prefill, LoadAge: now.Sub(t.othersUpdatedAt),
+		RateLimited: chosen.statement.rateLimit.limited, RateLimit: chosen.statement.rateLimit.rate,
 	}
 	newRun := &run{
 		endpoint: chosen, tokens: r.Tokens, prefill: r.prefill(), prefillAhead: chosen.candidate.Prefill, placedAt: now, resumed: r.Resumed,
--- a/decision/limit/endpoint_budget.go
+++ b/decision/limit/endpoint_budget.go
@@ -51,7 +51,10 @@
 
 // NewEndpointBudget returns a budget without grants to begin with: an earlier owner may have just given them.
 func NewEndpointBudget(now time.Time) *EndpointBudget {
-	return &EndpointBudget{bucket: NewEmptyBucket(now, minEndpointRate, endpointBurst, minEndpointBurst), rate: math.Inf(1), nodes: map[string]time.Time{}, askedAt: now, prunedAt: now}
+	return &EndpointBudget{
+		bucket: NewEmptyBucket(now, minEndpointRate, endpointBurst, minEndpointBurst), rate: math.Inf(1), nodes: map[string]time.Time{},
+		askedAt: now, prunedAt: now,
+	}
 }
 
 // AskedAt returns the time of the last ask.
--- a/service/edge/rate_limit_peers.go
+++ b/service/edge/rate_limit_peers.go
@@ -39,7 +39,7 @@
 	return peer.Call[ratelimit.Question, limit.Grant](ctx, p.hub, address, kindRateAsk, q)
 }
 
-// Announce implements ratelimit.Peers.
+// Announce sends a limit to the other nodes without blocking. The notice may be lost.
 func (p rateLimitPeers) Announce(l ratelimit.Limit) {
 	t := p.cluster.Load().topology
 	receivers := t.localRelays
--- a/service/edge/send_rate_limit_test.go
+++ b/service/edge/send_rate_limit_test.go
@@ -27,8 +27,6 @@
 	return limit.Grant{}, ctx.Err()
 }
 
-func (silentPeers) Announce(ratelimit.Limit) {}
-
 // Guards against an endpoint that gets no requests from a node for a while because one caller has left while the node asked for a grant.
 func TestCallerThatLeavesDoesNotCloseALimitedEndpoint(t *testing.T) {
 	for name, leaves := range map[string]bool{"caller leaves": true, "caller waits": false} {
--- a/service/edge/sync_patience.go
+++ b/service/edge/sync_patience.go
@@ -6,8 +6,7 @@
 	"azuredyke.dev/azuredyke/transport/peer"
 )
 
-// maxSyncTimeout bounds the time that a reply may take beyond its wait. Large changes take about a second over the smallest links when
-// all nodes of a data centre fetch them at once.
+// maxSyncTimeout bounds the time that a reply may take beyond its wait, so that a node soon leaves a relay that is silent.
 const maxSyncTimeout = time.Second
 
 // syncPatience is the time that one task gives the replies to its sync requests. A reply that is cut off by the timeout has used the
--- a/service/ratelimit/manager_test.go
+++ b/service/ratelimit/manager_test.go
@@ -30,12 +30,12 @@
 	return managers
 }
 
-// granted lets every node ask once each 10 ms, and returns the number of granted requests.
+// granted lets every node that is not lost ask once each 10 ms, and returns the number of granted requests.
 func granted(ctx context.Context, managers map[string]*Manager, rate float64, d time.Duration) int {
 	count := 0
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, m := range managers {
-			if m.Acquire(ctx, Question{Endpoint: endpoint, Ask: limit.Ask{Rate: rate}}).Granted {
+		for id, m := range managers {
+			if !m.peers.(*testPeers).lost[id].Load() && m.Acquire(ctx, Question{Endpoint: endpoint, Ask: limit.Ask{Rate: rate}}).Granted {
 				count++
 			}
 		}
@@ -65,14 +65,12 @@
 		ranked := managers["node-0"].ownersOf(time.Now(), endpoint)
 		first, second := ranked[0].node, ranked[1].node
 		peers.lost[first].Store(true)
-		delete(managers, first)
 		count := granted(ctx, managers, 10, 10*time.Second)
 		assert.Assert(t, count > 20 && count <= 35, "%d requests in 10 s at 10 a second", count)
 		// Each of the other nodes asks the lost owner again after unreachableTime.
-		assert.Assert(t, peers.asked[first].Load() <= 4*(10+int64(unreachableTime.Seconds()))/int64(unreachableTime.Seconds()),
+		assert.Assert(t, peers.asked[first].Load() > 0 && peers.asked[first].Load() <= 4*(10+int64(unreachableTime.Seconds()))/int64(unreachableTime.Seconds()),
 			"%d questions to the lost owner", peers.asked[first].Load())
 		peers.lost[second].Store(true)
-		delete(managers, second)
 		assert.Equal(t, granted(ctx, managers, 10, 5*time.Second), 0)
 	})
 }
--- a/service/ratelimit/peers.go
+++ b/service/ratelimit/peers.go
@@ -12,6 +12,4 @@
 	Nodes() map[string]string
 	// Ask calls Manager.Decide on the node at an address.
 	Ask(ctx context.Context, address string, q Question) (limit.Grant, error)
-	// Announce sends a limit to the other nodes. It must not block, and the notice may be lost.
-	Announce(l Limit)
 }
--- a/service/ratelimit/test_peers_test.go
+++ b/service/ratelimit/test_peers_test.go
@@ -39,5 +39,3 @@
 	}
 	return limit.Grant{}, errors.New("unknown address")
 }
-
-func (p *testPeers) Announce(Limit) {}
