--- a/decision/limit/rate_simulation_test.go
+++ b/decision/limit/rate_simulation_test.go
@@ -53,11 +53,12 @@
 		total = s.demand
 	}
 	var arrivals []time.Duration
-	lastChange, rate := time.Duration(0), s.rate
+	rates, rate := []statedRate{{0, s.rate}}, s.rate
 	for at := time.Duration(0); at < simulatedTime; at += time.Duration(random.ExpFloat64() / total * float64(time.Second)) {
 		now := start.Add(at)
-		if s.rateChanges && at-lastChange > 6*time.Second {
-			lastChange, rate = at, s.rate*[]float64{0.5, 1, 2}[random.IntN(3)]
+		if s.rateChanges && at-rates[len(rates)-1].from > 6*time.Second {
+			rate = s.rate * []float64{0.5, 1, 2}[random.IntN(3)]
+			rates = append(rates, statedRate{at, rate})
 		}
 		if s.ownerRestarts && random.Float64() < 0.3/total {
 			owner = NewEndpointBudget(now)
@@ -80,24 +81,42 @@
 		}
 		arrivals = append(arrivals, at+time.Duration(random.Int64N(int64(maxTransit))))
 	}
-	return s.result(arrivals)
+	return s.result(arrivals, rates)
 }
 
-// result evaluates the arrivals. With a rate that changes, the highest one counts, and after a fall of the rate the earlier one.
-func (s rateSimulation) result(arrivals []time.Duration) rateResult {
+// result evaluates the arrivals against the rates that the endpoint has stated.
+func (s rateSimulation) result(arrivals []time.Duration, rates []statedRate) rateResult {
 	slices.Sort(arrivals)
-	highest := s.rate
-	if s.rateChanges {
-		highest *= 2
-	}
 	result := rateResult{worst: math.Inf(-1), used: float64(len(arrivals)) / (s.rate * simulatedTime.Seconds())}
 	first := 0
 	for last, at := range arrivals {
 		for arrivals[first] <= at-boundWindow {
 			first++
 		}
-		bound := boundFactor*highest*boundWindow.Seconds() + boundAllowance
+		bound := boundFactor*allowedBetween(rates, at-boundWindow, at) + boundAllowance
 		result.worst = max(result.worst, float64(last-first+1)-bound)
 	}
 	return result
 }
+
+// statedRate is the rate that the endpoint states from a time on.
+type statedRate struct {
+	from time.Duration
+	rate float64
+}
+
+// allowedBetween returns the number of requests that the rates allow between two times. The first rate also holds before its time.
+func allowedBetween(rates []statedRate, from, to time.Duration) float64 {
+	allowed := 0.0
+	for i, r := range rates {
+		begin, end := from, to
+		if i > 0 {
+			begin = max(from, r.from)
+		}
+		if i+1 < len(rates) {
+			end = min(to, rates[i+1].from)
+		}
+		allowed += r.rate * max(0, end-begin).Seconds()
+	}
+	return allowed
+}
