Choose the owners of a budget without sorting all nodes

Each question sorted the list of nodes by a hash that was computed anew for each comparison, in the task that also grants. A few comments and one field of the token bucket say more plainly what they mean.

--- a/decision/limit/bucket.go
+++ b/decision/limit/bucket.go
@@ -8,11 +8,11 @@
 // Bucket is a token bucket. Its level becomes negative when usage is charged that was not known in advance.
 type Bucket struct {
 	rate float64
-	// burst is the capacity as a time at the rate. The capacity is at least least tokens.
-	burst   time.Duration
-	least   float64
-	level   float64
-	updated time.Time
+	// burst is the capacity as a time at the rate, minCapacity its lower bound in tokens.
+	burst       time.Duration
+	minCapacity float64
+	level       float64
+	updated     time.Time
 }
 
 // NewBucket returns a full bucket with a rate in tokens per second. A rate of 0 means no limit.
@@ -23,9 +23,9 @@
 	return b
 }
 
-// NewEmptyBucket returns an empty bucket that holds the tokens of a burst at its rate, and at least a number of tokens.
-func NewEmptyBucket(now time.Time, rate float64, burst time.Duration, least float64) *Bucket {
-	return &Bucket{rate: rate, burst: burst, least: least, updated: now}
+// NewEmptyBucket returns an empty bucket that holds the tokens of burst at its rate, but at least minCapacity.
+func NewEmptyBucket(now time.Time, rate float64, burst time.Duration, minCapacity float64) *Bucket {
+	return &Bucket{rate: rate, burst: burst, minCapacity: minCapacity, updated: now}
 }
 
 // SetRate changes the rate from now on. It does not refill a bucket that is not full.
@@ -70,5 +70,4 @@
 	b.level = min(b.capacity(), b.level+elapsed*b.rate)
 }
 
-// capacity returns the capacity of the bucket.
-func (b *Bucket) capacity() float64 { return max(b.least, b.rate*b.burst.Seconds()) }
+func (b *Bucket) capacity() float64 { return max(b.minCapacity, b.rate*b.burst.Seconds()) }
--- a/decision/limit/endpoint_budget.go
+++ b/decision/limit/endpoint_budget.go
@@ -12,8 +12,8 @@
 	// minEndpointRate is the lowest rate that is granted. An endpoint that takes no requests at all gets one each four seconds, since
 	// only its answers tell when that ends.
 	minEndpointRate = 0.25
-	// endpointBurst is the time at the endpoint's rate for which unused grants are kept, minEndpointBurst their least number. Requests
-	// come at random times, so with less much of a low rate is lost.
+	// endpointBurst is the time at the endpoint's rate for which unused grants are kept; at least minEndpointBurst of them are. Requests
+	// come at random times, and without a reserve a low rate would often have no request to grant.
 	endpointBurst    = 150 * time.Millisecond
 	minEndpointBurst = 2
 	// overdraftTime is the time at the endpoint's rate by which the first owner grants requests in advance that continue a run, which
@@ -24,7 +24,7 @@
 	rateHold = time.Second
 	// maxRefusalTime bounds the time after which a node asks again, and with it the time for which it does not learn of a new rate.
 	maxRefusalTime = 2 * time.Second
-	// minRefusalTime keeps a node from asking many times for one request.
+	// minRefusalTime keeps a node from asking many times while one request waits.
 	minRefusalTime = 20 * time.Millisecond
 	// asksPerGrant is the number of asks for each grant that nodes are told to make if there are more. A ratio of 1 would leave grants
 	// unused when asks come unevenly.
@@ -35,7 +35,7 @@
 	nodeMemory = 2 * maxRefusalTime
 )
 
-// EndpointBudget divides the requests that an endpoint takes from all nodes together between them. The owner of the budget grants each
+// EndpointBudget divides the requests that an endpoint takes among the nodes. The owner of the budget grants each
 // request. It is not safe for concurrent use; one task owns it.
 type EndpointBudget struct {
 	bucket *Bucket
--- a/service/edge/rate_limit_peers.go
+++ b/service/edge/rate_limit_peers.go
@@ -26,10 +26,12 @@
 }
 
 // Nodes implements ratelimit.Peers.
-func (p rateLimitPeers) Nodes() map[string]string {
-	nodes := map[string]string{p.self.ID: ""}
-	for _, m := range p.cluster.Load().Nodes {
-		nodes[m.ID] = m.Address
+func (p rateLimitPeers) Nodes() []ratelimit.Node {
+	others := p.cluster.Load().Nodes
+	nodes := make([]ratelimit.Node, 0, len(others)+1)
+	nodes = append(nodes, ratelimit.Node{ID: p.self.ID})
+	for _, m := range others {
+		nodes = append(nodes, ratelimit.Node{ID: m.ID, Address: m.Address})
 	}
 	return nodes
 }
--- a/service/edge/send_rate_limit_test.go
+++ b/service/edge/send_rate_limit_test.go
@@ -20,7 +20,9 @@
 // silentPeers lists one other node that never answers.
 type silentPeers struct{}
 
-func (silentPeers) Nodes() map[string]string { return map[string]string{"other": "address of other"} }
+func (silentPeers) Nodes() []ratelimit.Node {
+	return []ratelimit.Node{{ID: "other", Address: "address of other"}}
+}
 
 func (silentPeers) Ask(ctx context.Context, _ string, _ ratelimit.Question) (limit.Grant, error) {
 	<-ctx.Done()
@@ -65,3 +67,26 @@
 		})
 	}
 }
+
+// Guards against a request that asks the owners of all limited endpoints of a large service, one after the other.
+func TestRequestAsksForFewLimitedEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
+		go rates.Run(ctx)
+		messages := mailbox.New[dispatcherMessage](8)
+		server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
+		s := &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
+		go func() { _, _ = s.place(ctx, sendOptions{}) }()
+		for asks := 0; asks <= maxRateAsks; {
+			m, ok := (<-messages.Receive()).(placeMessage)
+			if !ok {
+				continue
+			}
+			assert.Equal(t, m.request.AvoidRateLimited, asks == maxRateAsks)
+			m.reply <- placeReply{placement: dispatch.Placement{RateLimited: asks < maxRateAsks, RateLimit: 1}}
+			asks++
+		}
+	})
+}
--- a/service/ratelimit/endpoint.go
+++ b/service/ratelimit/endpoint.go
@@ -19,7 +19,7 @@
 	return Endpoint{ID: e.ID, Born: e.Born, Address: e.Address, Service: e.Service}
 }
 
-// Catalog returns the endpoint as far as its identity tells.
+// Catalog returns a catalog entry with the identity only.
 func (e Endpoint) Catalog() *catalog.Endpoint {
 	return &catalog.Endpoint{ID: e.ID, Born: e.Born, Address: e.Address, Service: e.Service}
 }
--- a/service/ratelimit/limit.go
+++ b/service/ratelimit/limit.go
@@ -1,6 +1,6 @@
 package ratelimit
 
-// Limit is the limit of an endpoint as one node tells it the others.
+// Limit is the limit of an endpoint, as a node announces it to the others.
 type Limit struct {
 	Endpoint Endpoint `cbor:"1,keyasint"`
 	// Rate is the number of requests per second that the endpoint takes from all nodes together.
--- a/service/ratelimit/manager.go
+++ b/service/ratelimit/manager.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -61,11 +60,11 @@
 	}
 	for _, o := range candidates {
 		q.Ask.Standby = o.standby
-		if o.address == "" {
+		if o.Address == "" {
 			return m.Decide(ctx, "", q)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
-		grant, err := m.peers.Ask(callCtx, o.address, q)
+		grant, err := m.peers.Ask(callCtx, o.Address, q)
 		cancel()
 		if err == nil {
 			return grant
@@ -73,7 +72,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		m.log.Info("owner of the budget of an endpoint did not answer", zap.String("endpoint", q.Endpoint.ID), zap.String("owner", o.node),
+		m.log.Info("owner of the budget of an endpoint did not answer", zap.String("endpoint", q.Endpoint.ID), zap.String("owner", o.ID),
 			zap.Bool("standby", o.standby), logging.Cause(err))
 		_ = m.messages.Send(ctx, unreachableMessage{owner: o})
 	}
@@ -115,14 +114,17 @@
 // ownersOf returns the reachable owners of an endpoint's budget.
 func (m *Manager) ownersOf(now time.Time, e Endpoint) []owner {
 	nodes, key := m.peers.Nodes(), e.key()
-	ranked := slices.SortedFunc(maps.Keys(nodes), func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvous.Score(key, b), rendezvous.Score(key, a)), cmp.Compare(a, b))
-	})
+	ids := make([]string, len(nodes))
+	for i, n := range nodes {
+		ids[i] = n.ID
+	}
 	var reachable []owner
-	for rank, node := range ranked[:min(owners, len(ranked))] {
-		if now.After(m.unreachableUntil[node]) {
-			reachable = append(reachable, owner{node: node, address: nodes[node], standby: rank > 0})
+	for rank := range min(owners, len(nodes)) {
+		i := slices.Index(ids, rendezvous.First(key, ids))
+		if now.After(m.unreachableUntil[ids[i]]) {
+			reachable = append(reachable, owner{Node: nodes[i], standby: rank > 0})
 		}
+		ids, nodes = slices.Delete(ids, i, i+1), slices.Delete(nodes, i, i+1)
 	}
 	return reachable
 }
--- a/service/ratelimit/manager_test.go
+++ b/service/ratelimit/manager_test.go
@@ -63,7 +63,7 @@
 		managers := startManagers(ctx, 5)
 		peers := managers["node-0"].peers.(*testPeers)
 		ranked := managers["node-0"].ownersOf(time.Now(), endpoint)
-		first, second := ranked[0].node, ranked[1].node
+		first, second := ranked[0].ID, ranked[1].ID
 		peers.lost[first].Store(true)
 		count := granted(ctx, managers, 10, 10*time.Second)
 		assert.Assert(t, count > 20 && count <= 35, "%d requests in 10 s at 10 a second", count)
--- a/service/ratelimit/test_peers_test.go
+++ b/service/ratelimit/test_peers_test.go
@@ -17,12 +17,13 @@
 	asked map[string]*atomic.Int64
 }
 
-func (p *testPeers) Nodes() map[string]string {
-	nodes := map[string]string{}
+func (p *testPeers) Nodes() []Node {
+	nodes := []Node{{ID: p.self}}
 	for id := range p.asked {
-		nodes[id] = "address of " + id
+		if id != p.self {
+			nodes = append(nodes, Node{ID: id, Address: "address of " + id})
+		}
 	}
-	nodes[p.self] = ""
 	return nodes
 }
 
--- a/service/ratelimit/unreachable_message.go
+++ b/service/ratelimit/unreachable_message.go
@@ -8,5 +8,5 @@
 }
 
 func (u unreachableMessage) apply(now time.Time, m *Manager) {
-	m.unreachableUntil[u.owner.node] = now.Add(unreachableTime)
+	m.unreachableUntil[u.owner.ID] = now.Add(unreachableTime)
 }
