--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -201,7 +201,7 @@
 	}
 	sentAt := time.Now()
 	a.OnStatement = func(statement exchange.Statement) {
-		// Most endpoints state nothing in most answers. Only where a limit is known does such an answer say something.
+		// An answer without a statement says something only if the endpoint is known to limit its requests.
 		if placement.RateLimited || statement != (exchange.Statement{}) {
 			s.server.placer.reportStatement(placement.Endpoint, statement, sentAt)
 		}
