Reword comments on the limits of endpoints

Readers had to read some comments twice, and two were untrue: OnStatement is also called for an answer that states nothing, and a refusal for a limit also comes from owners that do not answer. Only comments change.

The difference was checked to hold comment lines only.

--- a/common/exchange/attempt.go
+++ b/common/exchange/attempt.go
@@ -18,7 +18,8 @@
 	CopyAddress string
 	// CopyHandle identifies the copy; empty means the copy that is updated while the run generates tokens.
 	CopyHandle string
-	// OnStatement is called with what the endpoint says about itself when the header of its answer arrives. It may be nil.
+	// OnStatement is called with what the endpoint says about itself when the header of its answer arrives, also if that is nothing. It
+	// may be nil.
 	OnStatement func(Statement)
 	// Priority is the rank by which the endpoint orders its work, from 0, the most urgent, to 9. It is stated only if HasPriority
 	// is set.
--- a/decision/limit/ask.go
+++ b/decision/limit/ask.go
@@ -1,6 +1,6 @@
 package limit
 
-// Ask is the question of a node whether it may send one request to an endpoint that limits its requests.
+// Ask asks for the permission of one request to an endpoint that limits the requests of all nodes.
 type Ask struct {
 	// Rate is the number of requests per second that the endpoint takes from all nodes together, as the node knows it.
 	Rate float64 `cbor:"1,keyasint"`
--- a/decision/limit/endpoint_budget.go
+++ b/decision/limit/endpoint_budget.go
@@ -16,8 +16,8 @@
 	// come at random times, and without a reserve a low rate would often have no request to grant.
 	endpointBurst    = 150 * time.Millisecond
 	minEndpointBurst = 2
-	// overdraftTime is the time at the endpoint's rate by which the first owner grants requests in advance that continue a run, which
-	// is at least one request. With the bursts of both owners this is below half of what the endpoint takes in four seconds.
+	// overdraftTime bounds the overdraft of the first owner for requests that continue a run, as a time at the endpoint's rate; at least
+	// one request is allowed. With the bursts of both owners this is below half of what the endpoint takes in four seconds.
 	overdraftTime = 250 * time.Millisecond
 	// rateHold is the time for which a lower rate holds after a node has last stated it. Answers overtake each other, so nodes may state
 	// different rates for a while.
@@ -26,7 +26,7 @@
 	maxRefusalTime = 2 * time.Second
 	// minRefusalTime keeps a node from asking many times while one request waits.
 	minRefusalTime = 20 * time.Millisecond
-	// asksPerGrant is the number of asks for each grant that nodes are told to make if there are more. A ratio of 1 would leave grants
+	// asksPerGrant is the ratio of asks to grants above which refused nodes are told to wait longer. A ratio of 1 would leave grants
 	// unused when asks come unevenly.
 	asksPerGrant = 2
 	// askMemory is the time constant of the measured rate of asks.
--- a/service/edge/others_rate_limit_message.go
+++ b/service/edge/others_rate_limit_message.go
@@ -8,7 +8,7 @@
 	"azuredyke.dev/azuredyke/service/ratelimit"
 )
 
-// othersRateLimitMessage carries the limit that an endpoint has named to another node.
+// othersRateLimitMessage carries the limit that an endpoint has stated to another node.
 type othersRateLimitMessage struct {
 	limit ratelimit.Limit
 }
--- a/service/edge/placer.go
+++ b/service/edge/placer.go
@@ -72,7 +72,7 @@
 	_ = p.messages.Send(context.Background(), endpointStatementMessage{endpoint: e, statement: statement, sentAt: sentAt})
 }
 
-// reportRateRefusal reports that the owner of an endpoint's budget did not grant a request.
+// reportRateRefusal reports that no owner of an endpoint's budget granted a request.
 func (p placer) reportRateRefusal(m rateRefusalMessage) { _ = p.messages.Send(context.Background(), m) }
 
 // release ends a run.
--- a/service/edge/rate_refusal_message.go
+++ b/service/edge/rate_refusal_message.go
@@ -6,7 +6,7 @@
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
-// rateRefusalMessage reports that the owner of an endpoint's budget did not grant a request.
+// rateRefusalMessage reports that no owner of an endpoint's budget granted a request.
 type rateRefusalMessage struct {
 	endpoint   fleet.Endpoint
 	retryAfter time.Duration
--- a/service/edge/server.go
+++ b/service/edge/server.go
@@ -34,7 +34,7 @@
 	metrics   *serverMetrics
 	// quarantine prevents requests that crash endpoints from running again.
 	quarantine *quarantine.Manager
-	// rates keeps the requests to endpoints within the limits that these have named.
+	// rates keeps the requests to endpoints within the limits that these have stated.
 	rates *ratelimit.Manager
 	// rollouts counts the outcomes under roll-outs; nil unless the feature is on.
 	rollouts rollout.Outcomes
--- a/service/edge/server_metrics.go
+++ b/service/edge/server_metrics.go
@@ -25,7 +25,7 @@
 	// buffer less.
 	streamsUnread  tally.Counter
 	buffersReduced tally.Counter
-	// rateRefusals counts the requests that the owner of an endpoint's budget did not grant to this node.
+	// rateRefusals counts the requests to endpoints with a limit that this node was not granted, also for lack of an owner's answer.
 	rateRefusals tally.Counter
 	firstByte    tally.Histogram
 }
--- a/service/ratelimit/decide_message.go
+++ b/service/ratelimit/decide_message.go
@@ -6,7 +6,7 @@
 	"azuredyke.dev/azuredyke/decision/limit"
 )
 
-// decideMessage asks for a request to an endpoint whose budget this node keeps.
+// decideMessage asks for the decision on one request to an endpoint whose budget this node keeps.
 type decideMessage struct {
 	// node is the id of the node that asks; empty for this node.
 	node     string
--- a/service/ratelimit/manager.go
+++ b/service/ratelimit/manager.go
@@ -32,7 +32,7 @@
 	expireInterval = time.Second
 )
 
-// Manager is the task that owns the budgets of the endpoints that this node owns.
+// Manager is the task that keeps the budgets of the endpoints of which this node is the owner or the standby.
 type Manager struct {
 	log      *zap.Logger
 	peers    Peers
@@ -106,6 +106,7 @@
 	}
 }
 
+// expire drops budgets that are no longer used, and lets owners be asked again.
 func (m *Manager) expire(now time.Time) {
 	maps.DeleteFunc(m.budgets, func(_ Endpoint, b *limit.EndpointBudget) bool { return now.Sub(b.AskedAt()) > budgetExpiry })
 	maps.DeleteFunc(m.unreachableUntil, func(_ string, until time.Time) bool { return now.After(until) })
