Name the statement of a rate limit in log lines by its usual term

"endpoint limits its requests" reads as if the endpoint limited its own requests. The lines now say that it stated a rate limit, as the neighbouring lines say that it announced or asked for something.

In Go files only string literals and one comment change.

--- a/service/edge/endpoint_statement_message.go
+++ b/service/edge/endpoint_statement_message.go
@@ -44,12 +44,12 @@
 	switch {
 	case s.HasRateLimit:
 		if d.table.RecordRateLimit(now, m.sentAt, e, s.RateLimit) {
-			d.log.Info("endpoint limits its requests", append(fields, zap.Float64("rate", s.RateLimit))...)
+			d.log.Info("endpoint stated a rate limit", append(fields, zap.Float64("rate", s.RateLimit))...)
 			d.announceRateLimit(ratelimit.Limit{Endpoint: ratelimit.EndpointOf(e), Rate: s.RateLimit})
 		}
 	case s.InvalidRateLimit:
-		d.log.Warn("endpoint states a limit that is not usable; ignoring it", fields...)
+		d.log.Warn("endpoint stated an unusable rate limit; ignoring it", fields...)
 	case !m.sentAt.IsZero() && d.table.RecordNoRateLimit(m.sentAt, e):
-		d.log.Info("endpoint no longer limits its requests", fields...)
+		d.log.Info("endpoint no longer states a rate limit", fields...)
 	}
 }
--- a/service/edge/others_rate_limit_message.go
+++ b/service/edge/others_rate_limit_message.go
@@ -18,7 +18,7 @@
 	if !d.table.RecordOthersRateLimit(time.Now(), e.Catalog(), m.limit.Rate) {
 		return
 	}
-	d.log.Info("endpoint limits its requests, by another node", zap.String("endpoint", e.ID), zap.Int64("born", e.Born),
+	d.log.Info("another node announced the rate limit of an endpoint", zap.String("endpoint", e.ID), zap.Int64("born", e.Born),
 		zap.Float64("rate", m.limit.Rate))
 	if d.cluster.Load().topology.rank >= 0 {
 		d.announceRateLimit(m.limit)
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -79,10 +79,10 @@
 	return up, nil
 }
 
-// logOlderConfiguration logs that the request is sent by an older version of the configuration than the one in force.
+// logOlderConfiguration logs a request that is sent under an older version of the configuration than the one in force.
 func (s *session) logOlderConfiguration() {
 	if c := s.server.cluster.Load().Fleet.Configuration; c != nil && c.Version != s.cluster.Fleet.Configuration.Version {
-		s.log(zap.InfoLevel, "request sent by an older configuration", zap.Int64("config_in_force", c.Version))
+		s.log(zap.InfoLevel, "request sent under an older configuration", zap.Int64("config_in_force", c.Version))
 	}
 }
 
