Log that no other node has the changes which a node lacks

The logs could not tell a node that got no answer from one whose question nobody could answer: both were "fetching changes from another node failed".

The resyncer logs the latter by itself, with both revisions.

--- a/service/edge/resyncer.go
+++ b/service/edge/resyncer.go
@@ -102,7 +102,12 @@
 	before := r.cluster.Load()
 	reply, err := r.syncClient.fetch(ctx, address, before.Revision, 0, r.patience.current())
 	r.patience.record(err)
-	if err != nil || !reply.Available {
+	if err == nil && !reply.Available {
+		r.log.Info("another node does not have the changes after this revision", zap.String("address", address),
+			zap.Int64("revision", before.Revision), zap.Int64("its_revision", reply.Revision))
+		return
+	}
+	if err != nil {
 		r.log.Info("fetching changes from another node failed", zap.String("address", address),
 			zap.Int64("revision", before.Revision), logging.Cause(err))
 		return
