Give all entries to nodes that need changes which no node has

Callers of nodes that the store refused got answers by an old configuration, then 503 for every request with a key, until the store served their node again. Nothing told them that all other nodes had the present version.

A node that has read all entries at a revision does not know what was deleted before it, and gives no changes after an older revision, so that nobody keeps deleted endpoints. The node that asked then reads the store.

Nodes with a working source don't ask for that, and nodes of earlier versions neither ask for nor send it.

Before, TestNodeWithoutTheStoreGetsChangesFromRestartedNodes failed after 20 s with "the configuration was last confirmed 19.998s ago"; it passes.

--- a/decision/mirror/mirror.go
+++ b/decision/mirror/mirror.go
@@ -113,6 +113,19 @@
 	return events, true
 }
 
+// Entries returns all entries, in the order of their revisions. For another copy, a Replace with them at Revision has the effect of all
+// changes up to it, also of those that Since no longer knows.
+func (m *Mirror) Entries() []backing.Entry {
+	entries := make([]backing.Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		if !e.Deleted {
+			entries = append(entries, e.Entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b backing.Entry) int { return cmp.Compare(a.ModRevision, b.ModRevision) })
+	return entries
+}
+
 // put stores a change if it is newer than the stored change of its key, and reports whether it did.
 func (m *Mirror) put(e backing.WatchEvent) bool {
 	known, ok := m.entries[e.Entry.Key]
--- a/decision/mirror/mirror_test.go
+++ b/decision/mirror/mirror_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// Guards against a node that can never catch up, or keeps an entry that was deleted, because no other node keeps the changes it lacks.
+func TestEntriesReplaceChangesThatAreNoLongerKept(t *testing.T) {
+	stale, restarted := New(), New()
+	stale.Apply([]backing.WatchEvent{written("a", 1), written("b", 2), written("c", 3)}, 3, start)
+	// b was deleted at revision 4; c was changed, and d was written and deleted, after it.
+	restarted.Replace([]backing.Entry{{Key: "a", ModRevision: 1}, {Key: "c", ModRevision: 5}}, 6, start)
+	restarted.Apply([]backing.WatchEvent{written("d", 7), removed("d", 8)}, 8, start.Add(time.Second))
+	_, ok := restarted.Since(stale.Revision())
+	assert.Assert(t, !ok)
+	applied := stale.Replace(restarted.Entries(), restarted.Revision(), restarted.ConfirmedAt())
+	assert.DeepEqual(t, applied, []backing.WatchEvent{written("c", 5), removed("b", 8)})
+	assert.DeepEqual(t, stale.Entries(), restarted.Entries())
+	assert.Equal(t, stale.Revision(), restarted.Revision())
+	assert.Equal(t, stale.ConfirmedAt(), restarted.ConfirmedAt())
+}
+
 // Guards against nodes that all read the store again after it has compacted its history, although one of them has done so.
 func TestSinceAnswersRevisionsBeforeAGap(t *testing.T) {
 	m := New()
--- a/service/edge/follower.go
+++ b/service/edge/follower.go
@@ -116,7 +116,7 @@
 
 // pollRelay waits at a relay for changes. A relay that does not answer, or whose state is too old, is avoided for a while.
 func (f *follower) pollRelay(ctx context.Context, address string) {
-	reply, err := f.syncClient.fetch(ctx, address, f.revision, syncWait, f.patience.current())
+	reply, err := f.syncClient.fetch(ctx, address, syncRequest{Since: f.revision, WaitMillis: syncWait.Milliseconds()}, f.patience.current())
 	f.patience.record(err)
 	if err == nil && !reply.Available && reply.Revision > f.revision && f.pollStore(ctx) {
 		// The relay has read the store after this node and does not know all deletions in between. The store does.
--- a/service/edge/peer_changes_message.go
+++ b/service/edge/peer_changes_message.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"azuredyke.dev/azuredyke/backing"
+)
 
 // peerChangesMessage carries another node's reply to a sync request.
 type peerChangesMessage struct {
@@ -18,6 +22,18 @@
 		// The other node reaches the store, so later deletions are real ones and not lapsed leases.
 		v.storeAnswered()
 	}
-	v.applyEvents(m.origin, v.mirror.Apply(m.reply.Events, m.reply.Revision, asOf))
+	v.applyEvents(m.origin, m.update(v, asOf))
 	v.publish()
 }
+
+// update brings the copy up to the reply's revision and returns the changes that were new.
+func (m peerChangesMessage) update(v *view, asOf time.Time) []backing.WatchEvent {
+	if !m.reply.Complete {
+		return v.mirror.Apply(m.reply.Events, m.reply.Revision, asOf)
+	}
+	entries := make([]backing.Entry, len(m.reply.Events))
+	for i, e := range m.reply.Events {
+		entries[i] = e.Entry
+	}
+	return v.mirror.Replace(entries, m.reply.Revision, asOf)
+}
--- a/service/edge/resyncer.go
+++ b/service/edge/resyncer.go
@@ -100,7 +100,9 @@
 // resync fetches the changes after this node's revision from the node at an address.
 func (r *resyncer) resync(ctx context.Context, address string) {
 	before := r.cluster.Load()
-	reply, err := r.syncClient.fetch(ctx, address, before.Revision, 0, r.patience.current())
+	// A state that is too old shows that the store cannot be read. Otherwise the store delivers what other nodes no longer keep.
+	stale := bootclock.Now().Sub(before.ConfirmedAt) >= maxStateAge
+	reply, err := r.syncClient.fetch(ctx, address, syncRequest{Since: before.Revision, TakesEntries: stale}, r.patience.current())
 	r.patience.record(err)
 	if err == nil && !reply.Available {
 		r.log.Info("another node does not have the changes after this revision", zap.String("address", address),
--- a/service/edge/sync_client.go
+++ b/service/edge/sync_client.go
@@ -15,14 +15,14 @@
 	view mailbox.Mailbox[viewMessage]
 }
 
-// fetch requests the changes after a revision from the node at an address, which may wait for some. timeout is the time that the reply
-// may take beyond that. fetch returns the reply once the view's mailbox holds it.
-func (c syncClient) fetch(ctx context.Context, address string, since int64, wait, timeout time.Duration) (syncReply, error) {
+// fetch sends a request to the node at an address, which may wait for changes as long as the request says. timeout is the time that the
+// reply may take beyond that. fetch returns the reply once the view's mailbox holds it.
+func (c syncClient) fetch(ctx context.Context, address string, request syncRequest, timeout time.Duration) (syncReply, error) {
 	requestedAt := bootclock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMillis)*time.Millisecond+timeout)
 	defer cancel()
-	reply, err := peer.Call[syncRequest, syncReply](callCtx, c.hub, address, kindSync,
-		syncRequest{Since: since, WaitMillis: wait.Milliseconds(), Unpacks: true})
+	request.Unpacks = true
+	reply, err := peer.Call[syncRequest, syncReply](callCtx, c.hub, address, kindSync, request)
 	if err != nil || !reply.Available {
 		return reply, err
 	}
--- a/service/edge/sync_handler.go
+++ b/service/edge/sync_handler.go
@@ -21,7 +21,7 @@
 		waitForChange(ctx, cluster, request)
 		waited := bootclock.Now().Sub(start)
 		reply, err := mailbox.Call(ctx, view, func(reply chan<- syncReply) viewMessage {
-			return syncMessage{since: request.Since, packs: request.Unpacks, reply: reply}
+			return syncMessage{since: request.Since, packs: request.Unpacks, takesEntries: request.TakesEntries, reply: reply}
 		})
 		reply.WaitedMillis = waited.Milliseconds()
 		return reply, err
--- a/service/edge/sync_message.go
+++ b/service/edge/sync_message.go
@@ -5,11 +5,16 @@
 	since int64
 	// packs is set if large values are to be compressed.
 	packs bool
-	reply chan<- syncReply
+	// takesEntries is set if all entries may be sent in place of the changes.
+	takesEntries bool
+	reply        chan<- syncReply
 }
 
 func (m syncMessage) apply(v *view) {
 	r := v.changesSince(m.since)
+	if !r.Available && r.Revision > 0 && m.takesEntries {
+		r = v.allEntries()
+	}
 	if m.packs {
 		r.Packed = v.packer.pack(r.Events)
 	}
--- a/service/edge/sync_reply.go
+++ b/service/edge/sync_reply.go
@@ -14,4 +14,6 @@
 	WaitedMillis int64 `cbor:"5,keyasint,omitempty"`
 	// Packed holds the large values of Events.
 	Packed []packedValue `cbor:"6,keyasint,omitempty"`
+	// Complete is set if Events holds all entries at Revision, so that entries without an event are deleted.
+	Complete bool `cbor:"7,keyasint,omitempty"`
 }
--- a/service/edge/sync_request.go
+++ b/service/edge/sync_request.go
@@ -7,4 +7,6 @@
 	WaitMillis int64 `cbor:"2,keyasint,omitempty"`
 	// Unpacks is set if the node can decompress values. Nodes of earlier versions cannot.
 	Unpacks bool `cbor:"3,keyasint,omitempty"`
+	// TakesEntries is set if the reply may hold all entries in place of changes that the other node no longer keeps.
+	TakesEntries bool `cbor:"4,keyasint,omitempty"`
 }
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -181,8 +181,20 @@
 		return syncReply{}
 	}
 	events, ok := v.mirror.Since(revision)
-	return syncReply{
-		Available: ok, Revision: v.mirror.Revision(), Events: events,
-		AgeMillis: bootclock.Now().Sub(v.mirror.ConfirmedAt()).Milliseconds() + 1,
+	return syncReply{Available: ok, Revision: v.mirror.Revision(), Events: events, AgeMillis: v.ageMillis()}
+}
+
+// allEntries returns all entries as the reply to a node that needs changes which this node no longer keeps.
+func (v *view) allEntries() syncReply {
+	entries := v.mirror.Entries()
+	events := make([]backing.WatchEvent, len(entries))
+	for i, e := range entries {
+		events[i].Entry = e
 	}
+	return syncReply{Available: true, Complete: true, Revision: v.mirror.Revision(), Events: events, AgeMillis: v.ageMillis()}
+}
+
+// ageMillis returns the time since the copy was last confirmed to be current, rounded up.
+func (v *view) ageMillis() int64 {
+	return bootclock.Now().Sub(v.mirror.ConfirmedAt()).Milliseconds() + 1
 }
--- a/service/edge/view_test.go
+++ b/service/edge/view_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"azuredyke.dev/azuredyke/backing"
+	"azuredyke.dev/azuredyke/common/bootclock"
 	"azuredyke.dev/azuredyke/common/catalog"
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
@@ -77,3 +78,25 @@
 		assert.Equal(t, len(v.current.Load().Fleet.Endpoints["s"]), 1)
 	})
 }
+
+// Guards against a node of an earlier version that takes all entries for changes, and so keeps those that were deleted.
+func TestOnlyNodesThatAskForEntriesGetThem(t *testing.T) {
+	v := newView(zap.NewNop(), Member{ID: "self"}, translateEndpoint)
+	ask := func(takesEntries bool) syncReply {
+		reply := make(chan syncReply, 1)
+		syncMessage{since: 3, takesEntries: takesEntries, reply: reply}.apply(v)
+		return <-reply
+	}
+	assert.Assert(t, !ask(true).Available, "nothing has been read")
+	entry := endpointEvent("a", 2, false).Entry
+	storeReadMessage{result: backing.RangeResult{Entries: []backing.Entry{entry}, Revision: 9}}.apply(v)
+	assert.Assert(t, !ask(false).Available)
+	reply := ask(true)
+	assert.Assert(t, reply.Available && reply.Complete)
+	stale := newView(zap.NewNop(), Member{ID: "stale"}, translateEndpoint)
+	removed := endpointEvent("b", 3, false).Entry
+	storeReadMessage{result: backing.RangeResult{Entries: []backing.Entry{entry, removed}, Revision: 3}}.apply(stale)
+	peerChangesMessage{reply: reply, requestedAt: bootclock.Now()}.apply(stale)
+	assert.Equal(t, len(stale.current.Load().Fleet.Endpoints["s"]), 1)
+	assert.Equal(t, stale.current.Load().Revision, int64(9))
+}
--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -78,6 +78,21 @@
 	s.Eventually("the next change arrives through the other node", func() bool { return lookupStatus(t, s, cut, "r2") == http.StatusOK })
 }
 
+// Guards against a node that keeps its configuration while it cannot reach the store, because the other nodes have been restarted and do
+// not know which entries were deleted before.
+func TestNodeWithoutTheStoreGetsChangesFromRestartedNodes(t *testing.T) {
+	s := harness.NewEdgeSite(t, 2)
+	s.AddWorker("desk-1", false)
+	s.Start()
+	restarted, cut := s.Nodes[0], s.Nodes[1]
+	s.Eventually("the nodes know each other", func() bool { return strings.Contains(cut.Log(), `"others":1`) })
+	cut.StoreLink.Cut()
+	restarted.Kill()
+	s.SetAPIKeys("another-key")
+	s.Start()
+	s.Eventually("the change arrives through the restarted node", func() bool { return lookupStatus(t, s, cut, "r1") == http.StatusUnauthorized })
+}
+
 // Guards against invalid store entries of another writer that replace a valid configuration or remove an endpoint.
 func TestUnreadableEntriesAreIgnored(t *testing.T) {
 	s, n := startPlainSite(t)
