Remember deletions that another node has skipped

A node that reads all entries of the store does not know what was deleted before, and gives no changes after older revisions. A node to which it sends its changes did not know of that gap: it told a third node that it had all changes, and that node kept endpoints that had left, or a data centre that was no longer out.

Replies with changes say whether deletions after the requested revision may be missing, and the copy that applies them records the gap. Replies of earlier versions do not say it, and count as before.

TestNodeFedByARestartedNodeKnowsWhatItLacks failed before ("fed.changesSince(5).Available is true"); TestSkippedDeletionsAreKnownSecondHand shows it for a node that starts and for one that was behind.

--- a/decision/mirror/mirror.go
+++ b/decision/mirror/mirror.go
@@ -28,12 +28,12 @@
 	tombstones int
 	// compactedRevision is the highest revision of the deletions that were dropped from entries.
 	compactedRevision int64
-	// gaps are the ranges of revisions that a read of all entries has skipped, in order.
+	// gaps are the ranges of revisions that reads of all entries have skipped here or at the node that sent the changes, in order.
 	gaps []gap
 }
 
-// gap is a range of revisions whose deletions are unknown, because the copy was at the revision after, and was then replaced by
-// a read at the revision before. A key that was created and deleted within the gap has left no trace in the copy.
+// gap is a range of revisions whose deletions are unknown, because the copy was at the revision after, and then advanced to the
+// revision before by a read of all entries. A key that was created and deleted within the gap has left no trace in the copy.
 type gap struct {
 	after, before int64
 }
@@ -60,6 +60,12 @@
 	return applied
 }
 
+// ApplySkipping is Apply for changes that may lack those of keys which were created and deleted after the present position.
+func (m *Mirror) ApplySkipping(events []backing.WatchEvent, position int64, asOf time.Time) []backing.WatchEvent {
+	m.recordGap(position)
+	return m.Apply(events, position, asOf)
+}
+
 // Replace applies a read of all entries at a revision, and returns the changes that were new. A key that is missing from
 // the read counts as deleted, unless it was written after the read.
 func (m *Mirror) Replace(entries []backing.Entry, revision int64, asOf time.Time) []backing.WatchEvent {
@@ -113,6 +119,11 @@
 	return events, true
 }
 
+// SkipsAfter reports whether the changes that Since returns may lack those of keys which were created and deleted after the revision.
+func (m *Mirror) SkipsAfter(revision int64) bool {
+	return slices.ContainsFunc(m.gaps, func(g gap) bool { return g.before > revision })
+}
+
 // Entries returns all entries, in the order of their revisions. For another copy, a Replace with them at Revision has the effect of all
 // changes up to it, also of those that Since no longer knows.
 func (m *Mirror) Entries() []backing.Entry {
--- a/decision/mirror/mirror_test.go
+++ b/decision/mirror/mirror_test.go
@@ -82,6 +82,26 @@
 	assert.Equal(t, stale.ConfirmedAt(), restarted.ConfirmedAt())
 }
 
+// Guards against an endpoint that stays in use after it has left: a node that missed the deletion asks one that has heard the changes from a
+// third node, which has never known the endpoint.
+func TestSkippedDeletionsAreKnownSecondHand(t *testing.T) {
+	for _, known := range []int64{0, 2} {
+		stale, restarted, second := New(), New(), New()
+		stale.Apply([]backing.WatchEvent{written("a", 1), written("b", 3)}, 3, start)
+		// b was deleted at revision 4.
+		restarted.Apply([]backing.WatchEvent{written("a", 1)}, known, start)
+		restarted.Replace([]backing.Entry{{Key: "a", ModRevision: 1}}, 6, start)
+		second.Apply([]backing.WatchEvent{written("a", 1)}, known, start)
+		events, ok := restarted.Since(second.Revision())
+		assert.Assert(t, ok)
+		assert.Assert(t, restarted.SkipsAfter(second.Revision()))
+		second.ApplySkipping(events, restarted.Revision(), start)
+		_, ok = second.Since(stale.Revision())
+		assert.Assert(t, !ok, "known up to %d", known)
+		assert.Assert(t, !restarted.SkipsAfter(6))
+	}
+}
+
 // Guards against nodes that all read the store again after it has compacted its history, although one of them has done so.
 func TestSinceAnswersRevisionsBeforeAGap(t *testing.T) {
 	m := New()
--- a/service/edge/peer_changes_message.go
+++ b/service/edge/peer_changes_message.go
@@ -28,12 +28,16 @@
 
 // update brings the copy up to the reply's revision and returns the changes that were new.
 func (m peerChangesMessage) update(v *view, asOf time.Time) []backing.WatchEvent {
-	if !m.reply.Complete {
+	switch {
+	case m.reply.Complete:
+		entries := make([]backing.Entry, len(m.reply.Events))
+		for i, e := range m.reply.Events {
+			entries[i] = e.Entry
+		}
+		return v.mirror.Replace(entries, m.reply.Revision, asOf)
+	case m.reply.Skips:
+		return v.mirror.ApplySkipping(m.reply.Events, m.reply.Revision, asOf)
+	default:
 		return v.mirror.Apply(m.reply.Events, m.reply.Revision, asOf)
 	}
-	entries := make([]backing.Entry, len(m.reply.Events))
-	for i, e := range m.reply.Events {
-		entries[i] = e.Entry
-	}
-	return v.mirror.Replace(entries, m.reply.Revision, asOf)
 }
--- a/service/edge/sync_reply.go
+++ b/service/edge/sync_reply.go
@@ -16,4 +16,6 @@
 	Packed []packedValue `cbor:"6,keyasint,omitempty"`
 	// Complete is set if Events holds all entries at Revision, so that entries without an event are deleted.
 	Complete bool `cbor:"7,keyasint,omitempty"`
+	// Skips is set if Events may lack the changes of keys that were created and deleted after the requested revision.
+	Skips bool `cbor:"8,keyasint,omitempty"`
 }
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -181,7 +181,9 @@
 		return syncReply{}
 	}
 	events, ok := v.mirror.Since(revision)
-	return syncReply{Available: ok, Revision: v.mirror.Revision(), Events: events, AgeMillis: v.ageMillis()}
+	return syncReply{
+		Available: ok, Revision: v.mirror.Revision(), Events: events, Skips: v.mirror.SkipsAfter(revision), AgeMillis: v.ageMillis(),
+	}
 }
 
 // allEntries returns all entries as the reply to a node that needs changes which this node no longer keeps.
--- a/service/edge/view_test.go
+++ b/service/edge/view_test.go
@@ -100,3 +100,14 @@
 	assert.Equal(t, len(stale.current.Load().Fleet.Endpoints["s"]), 1)
 	assert.Equal(t, stale.current.Load().Revision, int64(9))
 }
+
+// Guards against an endpoint that stays in use after it has left, since a node that was started without the store tells others that it
+// knows all deletions.
+func TestNodeFedByARestartedNodeKnowsWhatItLacks(t *testing.T) {
+	restarted, fed := newView(zap.NewNop(), Member{ID: "restarted"}, translateEndpoint), newView(zap.NewNop(), Member{ID: "fed"}, translateEndpoint)
+	storeReadMessage{result: backing.RangeResult{Entries: []backing.Entry{endpointEvent("a", 2, false).Entry}, Revision: 9}}.apply(restarted)
+	peerChangesMessage{reply: restarted.changesSince(0)}.apply(fed)
+	assert.Equal(t, fed.current.Load().Revision, int64(9))
+	assert.Assert(t, !fed.changesSince(5).Available)
+	assert.Assert(t, fed.changesSince(9).Available)
+}
