Work out the receivers of notices in one place

The notices of rate limits and of quarantine marks each derived their receivers from the topology; they ask the topology now. Two tests of limited endpoints share their set-up.

--- a/service/edge/quarantine_peers.go
+++ b/service/edge/quarantine_peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/rendezvous"
@@ -63,14 +62,7 @@
 func (p quarantinePeers) Repeat(marks []decision.Mark) { p.notify(marks) }
 
 func (p quarantinePeers) notify(marks []decision.Mark) {
-	t := p.cluster.Load().topology
-	receivers := t.localRelays
-	if t.rank >= 0 {
-		receivers = slices.Concat(t.localNodes, t.remoteRelays)
-	}
-	for _, m := range receivers {
-		peer.Notify(p.hub, m.Address, kindQuarantineMarks, marks)
-	}
+	notifyAll(p.hub, p.cluster.Load().topology.noticeReceivers(), kindQuarantineMarks, marks)
 }
 
 // handleQuarantine installs the handlers for quarantine messages of other nodes. It must be called before the hub runs.
--- a/service/edge/rate_limit_peers.go
+++ b/service/edge/rate_limit_peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"azuredyke.dev/azuredyke/common/latest"
 	"azuredyke.dev/azuredyke/common/mailbox"
@@ -43,12 +42,7 @@
 
 // Announce sends a limit to the other nodes without blocking. The notice may be lost.
 func (p rateLimitPeers) Announce(l ratelimit.Limit) {
-	t := p.cluster.Load().topology
-	receivers := t.localRelays
-	if t.rank >= 0 {
-		receivers = slices.Concat(t.localNodes, t.remoteRelays)
-	}
-	notifyAll(p.hub, receivers, kindRateLimit, l)
+	notifyAll(p.hub, p.cluster.Load().topology.noticeReceivers(), kindRateLimit, l)
 }
 
 // handleRateLimits installs the handlers for messages about limits of other nodes. It must be called before the hub runs.
--- a/service/edge/send_rate_limit_test.go
+++ b/service/edge/send_rate_limit_test.go
@@ -29,6 +29,16 @@
 	return limit.Grant{}, ctx.Err()
 }
 
+// newRateLimitedSession returns a session that gets no grant from the owners of budgets, and the mailbox of its dispatcher. Its tasks end
+// with ctx.
+func newRateLimitedSession(ctx context.Context) (*session, mailbox.Mailbox[dispatcherMessage]) {
+	rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
+	go rates.Run(ctx)
+	messages := mailbox.New[dispatcherMessage](8)
+	server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
+	return &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}, messages
+}
+
 // Guards against an endpoint that gets no requests from a node for a while because one caller has left while the node asked for a grant.
 func TestCallerThatLeavesDoesNotCloseALimitedEndpoint(t *testing.T) {
 	for name, leaves := range map[string]bool{"caller leaves": true, "caller waits": false} {
@@ -36,11 +46,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				tasks, end := context.WithCancel(t.Context())
 				defer end()
-				rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
-				go rates.Run(tasks)
-				messages := mailbox.New[dispatcherMessage](8)
-				server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
-				s := &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
+				s, messages := newRateLimitedSession(tasks)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				done := make(chan error, 1)
@@ -73,11 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		rates := ratelimit.NewManager(zap.NewNop(), silentPeers{})
-		go rates.Run(ctx)
-		messages := mailbox.New[dispatcherMessage](8)
-		server := &Server{placer: placer{messages: messages}, rates: rates, metrics: newServerMetrics(tally.NoopScope)}
-		s := &session{server: server, request: &exchange.Request{Received: time.Now()}, route: &plainRoute}
+		s, messages := newRateLimitedSession(ctx)
 		go func() { _, _ = s.place(ctx, sendOptions{}) }()
 		for asks := 0; asks <= maxRateAsks; {
 			m, ok := (<-messages.Receive()).(placeMessage)
--- a/service/edge/topology.go
+++ b/service/edge/topology.go
@@ -47,6 +47,15 @@
 	return t
 }
 
+// noticeReceivers returns the nodes to which this node sends notices for the whole fleet: from a relay, the nodes of its data centre and
+// the relays of the other ones, and from any other node its relays.
+func (t topology) noticeReceivers() []Member {
+	if t.rank < 0 {
+		return t.localRelays
+	}
+	return slices.Concat(t.localNodes, t.remoteRelays)
+}
+
 // relaysOf returns the relays among the nodes of one data centre, by rank.
 func relaysOf(members []Member) []Member {
 	candidates := make([]gather.RelayCandidate, len(members))
