Keep nodes listed whose leases end in an outage of the store

Once the store has been out for longer than a minute, the leases of all nodes have ended. When it returned, each node read that all others were gone, and saw itself alone until they had registered again, after up to 16 s.

The cause: the end of a lease counted as the departure of the node, also when no lease could be renewed. Entries of endpoints had a grace period for this, entries of nodes had none. Nodes whose entries are deleted in an outage, or within 16 s after it, stay listed until then. A node that hears that its lease has ended registers at once instead of after another backoff of up to 8 s.

--- a/service/edge/registration.go
+++ b/service/edge/registration.go
@@ -47,7 +47,8 @@
 		if lease == 0 {
 			lease, err = r.register(ctx)
 		} else if err = r.renew(ctx, lease); backing.ErrLeaseNotFound.Has(err) {
-			lease = 0
+			// The other nodes keep the node listed for a while only.
+			lease, err = r.register(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
 			r.log.Warn("registration in the store failed; retrying", zap.Int64("lease", int64(lease)), logging.Cause(err))
--- a/service/edge/registration_test.go
+++ b/service/edge/registration_test.go
@@ -82,3 +82,37 @@
 		})
 	}
 }
+
+// outageStore does not answer before a point in time, and the lease has ended then.
+type outageStore struct {
+	Store
+	until time.Time
+	// endedAt is the time at which the node has heard that its lease has ended, registeredAt that at which it has asked for another one.
+	endedAt, registeredAt time.Time
+}
+
+func (s *outageStore) GrantLease(context.Context, time.Duration) (backing.LeaseID, error) {
+	s.registeredAt = time.Now()
+	return 0, backing.ErrUnavailable.New("refused")
+}
+
+func (s *outageStore) RenewLease(context.Context, backing.LeaseID) error {
+	if time.Now().Before(s.until) {
+		return backing.ErrUnavailable.New("down")
+	}
+	s.endedAt = time.Now()
+	return backing.ErrLeaseNotFound.New("7")
+}
+
+// Guards against a node that stays unlisted for seconds after an outage in which its lease has ended: the other nodes keep it listed for a
+// while only.
+func TestNodeRegistersAtOnceWhenItsLeaseHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &outageStore{until: time.Now().Add(2 * registrationTTL)}
+		ctx, cancel := context.WithDeadline(t.Context(), store.until.Add(maxRegistrationBackoff+time.Second))
+		defer cancel()
+		(&registration{log: zap.NewNop(), store: store, member: Member{ID: "n"}, cluster: latest.New(&clusterState{Revision: 1, OwnLease: 7})}).run(ctx)
+		assert.Assert(t, !store.endedAt.IsZero())
+		assert.Equal(t, store.registeredAt, store.endedAt)
+	})
+}
--- a/service/edge/store_lost_message.go
+++ b/service/edge/store_lost_message.go
@@ -3,4 +3,4 @@
 // storeLostMessage reports that the store does not answer.
 type storeLostMessage struct{}
 
-func (storeLostMessage) apply(v *view) { v.state.StoreLost() }
+func (storeLostMessage) apply(v *view) { v.storeLost() }
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -41,7 +39,7 @@
 	// hasRead is set once entries of the store have been applied.
 	hasRead  bool
 	state    *fleet.State
-	members  map[string]Member
+	members  *memberList
 	ownLease backing.LeaseID
 	snapshot *fleet.Snapshot
 	nodes    []Member
@@ -58,7 +56,7 @@
 	return &view{
 		log: log, self: self, translate: translate, messages: mailbox.New[viewMessage](viewCapacity),
 		current: latest.New(&clusterState{Fleet: state.Snapshot(), topology: alone}),
-		mirror:  mirror.New(), packer: newValuePacker(), state: state, members: map[string]Member{}, snapshot: state.Snapshot(), topology: alone,
+		mirror:  mirror.New(), packer: newValuePacker(), state: state, members: newMemberList(), snapshot: state.Snapshot(), topology: alone,
 	}
 }
 
@@ -73,16 +71,37 @@
 		case m := <-v.messages.Receive():
 			m.apply(v)
 		case <-expire.C:
-			if v.state.Expire(time.Now()) {
-				v.snapshot = v.state.Snapshot()
-				v.publish()
-			}
+			v.expire(time.Now())
 		}
 	}
 }
 
+// expire removes endpoints and nodes whose entries lapsed and were not written again in time.
+func (v *view) expire(now time.Time) {
+	endpoints, members := v.state.Expire(now), v.members.expire(now)
+	if endpoints {
+		v.snapshot = v.state.Snapshot()
+	}
+	if members {
+		v.updateTopology()
+	}
+	if endpoints || members {
+		v.publish()
+	}
+}
+
+// storeLost records that the store does not answer.
+func (v *view) storeLost() {
+	v.state.StoreLost()
+	v.members.storeLost()
+}
+
 // storeAnswered records that the store is reachable again.
-func (v *view) storeAnswered() { v.state.StoreRegained(time.Now()) }
+func (v *view) storeAnswered() {
+	now := time.Now()
+	v.state.StoreRegained(now)
+	v.members.storeRegained(now)
+}
 
 // applyEvents applies changes of the store to the state and logs each one that has an effect. The entries of the first
 // read are logged at debug level, because all nodes read them at the same moment when a fleet starts.
@@ -101,7 +120,7 @@
 	for _, e := range events {
 		v.packer.forget(e)
 		if strings.HasPrefix(e.Entry.Key, memberPrefix) {
-			membersChanged = v.applyMember(e) || membersChanged
+			membersChanged = v.applyMember(now, e) || membersChanged
 			continue
 		}
 		if e.Entry.Key == rollout.DeciderKey {
@@ -128,27 +147,21 @@
 }
 
 // applyMember applies a change of a node's entry and reports whether the other nodes have changed.
-func (v *view) applyMember(e backing.WatchEvent) bool {
+func (v *view) applyMember(now time.Time, e backing.WatchEvent) bool {
 	id := strings.TrimPrefix(e.Entry.Key, memberPrefix)
 	if id == v.self.ID {
 		v.applyOwnEntry(e)
 		return false
 	}
 	if e.Deleted {
-		_, known := v.members[id]
-		delete(v.members, id)
-		return known
+		return v.members.remove(now, id)
 	}
 	m, err := decodeMember(e.Entry.Value)
 	if err != nil {
 		v.log.Warn("invalid node entry ignored", zap.String("key", e.Entry.Key), logging.Cause(err))
 		return false
 	}
-	if v.members[id] == m {
-		return false
-	}
-	v.members[id] = m
-	return true
+	return v.members.put(id, m)
 }
 
 // applyOwnEntry applies a change of this node's own entry.
@@ -162,7 +175,7 @@
 // updateTopology computes the topology of the current nodes.
 func (v *view) updateTopology() {
 	before := len(v.nodes)
-	v.nodes = slices.SortedFunc(maps.Values(v.members), func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	v.nodes = v.members.sorted()
 	version := v.topology.version + 1
 	v.topology = newTopology(v.self, v.nodes)
 	v.topology.version = version
