--- a/test/soak/check_answers.go
+++ b/test/soak/check_answers.go
@@ -88,7 +88,7 @@
 		a := attempts[r.Request]
 		switch {
 		case a == nil:
-			found = append(found, fmt.Sprintf("%s ran %q, which no caller sent", r.Worker, r.Request))
+			found = append(found, fmt.Sprintf("%s ran %q (%s), which no caller sent", r.Worker, r.Request, r.Path))
 		case r.Path != a.path:
 			found = append(found, fmt.Sprintf("%s ran %s with the path %s", r.Worker, a.id, r.Path))
 		case r.Workspace == "" || r.Authorization != "":
