Start only the killed node again in the test of restarted nodes

Only the killed node is started. After a run of the test no process is left, and it passes with the race detector.

--- a/test/edge/store_test.go
+++ b/test/edge/store_test.go
@@ -89,7 +89,7 @@
 	cut.StoreLink.Cut()
 	restarted.Kill()
 	s.SetAPIKeys("another-key")
-	s.Start()
+	restarted.Start()
 	s.Eventually("the change arrives through the restarted node", func() bool { return lookupStatus(t, s, cut, "r1") == http.StatusUnauthorized })
 }
 
