Repeat the poll of a test until it reaches the relay

The test polls until the time changes, at most 20 times. The first request that reaches the relay must double the time, as before; with the follower's record of the outcome taken out, the test fails.

--- a/service/edge/follower_patience_test.go
+++ b/service/edge/follower_patience_test.go
@@ -18,6 +18,7 @@
 
 // Guards against a node that ends each large reply of its relays after the same time, so that none ever arrives.
 func TestFollowerGivesRelaysMoreTimeAfterATimeout(t *testing.T) {
+	const maxAttempts = 20
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -38,6 +39,12 @@
 		log: zap.NewNop(), cluster: latest.New(&clusterState{}), view: mailbox.New[viewMessage](viewCapacity), avoidUntil: map[string]time.Time{},
 		syncClient: syncClient{hub: hub, view: mailbox.New[viewMessage](viewCapacity)},
 	}
-	f.pollRelay(ctx, address)
+	// On a busy machine the first requests may not reach the relay in time; those say nothing about its replies.
+	for range maxAttempts {
+		if f.patience.current() != syncTimeout {
+			break
+		}
+		f.pollRelay(ctx, address)
+	}
 	assert.Equal(t, f.patience.current(), 2*syncTimeout)
 }
