Run the loops of five tasks by one function

The tasks of rate limits, quarantine, retry budgets, the router's server and the view of an edge node each had the same loop over messages and a ticker. mailbox.Serve is that loop. No change of behaviour; go test -race passes in the five packages.

--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -62,18 +62,7 @@
 
 // run handles messages until ctx ends.
 func (v *view) run(ctx context.Context) {
-	expire := time.NewTicker(expireInterval)
-	defer expire.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-v.messages.Receive():
-			m.apply(v)
-		case <-expire.C:
-			v.expire(time.Now())
-		}
-	}
+	mailbox.Serve(ctx, v.messages, expireInterval, func(m viewMessage) { m.apply(v) }, v.expire)
 }
 
 // expire removes endpoints and nodes whose entries lapsed and were not written again in time.
--- a/service/quarantine/manager.go
+++ b/service/quarantine/manager.go
@@ -193,18 +193,7 @@
 
 // Run handles messages until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	repeat := time.NewTicker(repeatInterval)
-	defer repeat.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case msg := <-m.messages.Receive():
-			msg.apply(time.Now(), m)
-		case now := <-repeat.C:
-			m.repeatMarks(now)
-		}
-	}
+	mailbox.Serve(ctx, m.messages, repeatInterval, func(msg taskMessage) { msg.apply(time.Now(), m) }, m.repeatMarks)
 }
 
 // repeatMarks sends the marks with the most evidence again, and publishes the table with the present remaining times.
--- a/service/ratelimit/manager.go
+++ b/service/ratelimit/manager.go
@@ -92,18 +92,7 @@
 
 // Run handles messages until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	expire := time.NewTicker(expireInterval)
-	defer expire.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case msg := <-m.messages.Receive():
-			msg.apply(time.Now(), m)
-		case now := <-expire.C:
-			m.expire(now)
-		}
-	}
+	mailbox.Serve(ctx, m.messages, expireInterval, func(msg taskMessage) { msg.apply(time.Now(), m) }, m.expire)
 }
 
 // expire drops budgets that are no longer used, and lets owners be asked again.
--- a/service/retries/manager.go
+++ b/service/retries/manager.go
@@ -41,18 +41,7 @@
 
 // Run serves messages until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case msg := <-m.messages.Receive():
-			msg.apply(m)
-		case now := <-ticker.C:
-			m.sweep(now)
-		}
-	}
+	mailbox.Serve(ctx, m.messages, sweepInterval, func(msg taskMessage) { msg.apply(m) }, m.sweep)
 }
 
 // budget returns the budget of a key and creates it if necessary.
--- a/service/router/server.go
+++ b/service/router/server.go
@@ -59,20 +59,14 @@
 
 // Run handles messages until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	sweep := time.NewTicker(sweepInterval)
-	defer sweep.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-s.messages.Receive():
-			m.apply(s)
-		case now := <-sweep.C:
-			for token, p := range s.placements {
-				if !p.expiresAt.IsZero() && now.After(p.expiresAt) {
-					delete(s.placements, token)
-				}
-			}
+	mailbox.Serve(ctx, s.messages, sweepInterval, func(m serverMessage) { m.apply(s) }, s.sweep)
+}
+
+// sweep forgets the placements that have expired.
+func (s *Server) sweep(now time.Time) {
+	for token, p := range s.placements {
+		if !p.expiresAt.IsZero() && now.After(p.expiresAt) {
+			delete(s.placements, token)
 		}
 	}
 }
