Reword four comments on closed endpoints, registration and old states

They took two readings, or gave a reason that does not hold: other nodes keep changes for longer than the store, but not the deletions before their start.

--- a/decision/dispatch/statement.go
+++ b/decision/dispatch/statement.go
@@ -13,7 +13,8 @@
 	rateLimit   rateLimit
 }
 
-// closedUntil returns the time until which the endpoint gets no requests from this node, and the obstacle that this is.
+// closedUntil returns the time until which the endpoint gets no requests from this node, and why. The obstacle is empty if it may get
+// some now.
 func (s *statement) closedUntil(now time.Time) (time.Time, Obstacle) {
 	switch {
 	case s.rateLimit.isRefused(now) && s.rateLimit.refusedUntil.After(s.pausedUntil):
--- a/decision/dispatch/table.go
+++ b/decision/dispatch/table.go
@@ -173,8 +173,8 @@
 	return t.statements.of(e)
 }
 
-// PauseLeft returns the time until the pause of the first endpoint that a request may use ends, or until the node may ask again for its
-// limit; 0 if one of them may be used or there is none.
+// PauseLeft returns the time until the first of the endpoints that a request may use is open again after a pause or a refusal because of
+// its limit; 0 if one of them is open or there is none.
 func (t *Table) PauseLeft(now time.Time, r *Request) time.Duration {
 	left, found := time.Duration(0), false
 	share := t.rollouts[r.Service]
--- a/service/edge/registration.go
+++ b/service/edge/registration.go
@@ -47,7 +47,7 @@
 		if lease == 0 {
 			lease, err = r.register(ctx)
 		} else if err = r.renew(ctx, lease); backing.ErrLeaseNotFound.Has(err) {
-			// The other nodes keep the node listed for a while only.
+			// The other nodes soon drop a node whose entry has lapsed.
 			lease, err = r.register(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
--- a/service/edge/resyncer.go
+++ b/service/edge/resyncer.go
@@ -100,7 +100,7 @@
 // resync fetches the changes after this node's revision from the node at an address.
 func (r *resyncer) resync(ctx context.Context, address string) {
 	before := r.cluster.Load()
-	// A state that is too old shows that the store cannot be read. Otherwise the store delivers what other nodes no longer keep.
+	// While the state is recent, the node can read the store, and a poll costs less than all entries.
 	stale := bootclock.Now().Sub(before.ConfirmedAt) >= maxStateAge
 	reply, err := r.syncClient.fetch(ctx, address, syncRequest{Since: before.Revision, TakesEntries: stale}, r.patience.current())
 	r.patience.record(err)
