Add case 10: a request that crashes workers is forgotten when all nodes are killed

The nodes of all cases get ports below those of outgoing connections: one of six runs of case 6 exited with 2 because a port had been taken meanwhile.

--- a/review/standin2/case_encoded_slash.go
+++ b/review/standin2/case_encoded_slash.go
@@ -54,6 +54,8 @@
 
 // serviceOf returns the service of a worker.
 func (s *site) serviceOf(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, w := range s.workers {
 		if w.id == id {
 			return w.service
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -43,7 +43,7 @@
 func newRequest(ctx context.Context, method, target, id string, deadline time.Duration) (*http.Request, error) {
 	var body io.Reader
 	if method == http.MethodPost {
-		body = strings.NewReader("the body of " + id)
+		body = strings.NewReader("the body for " + target)
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+host+target, body)
 	if err != nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -31,6 +31,7 @@
 	"departed":      runDeparted,
 	"lost-answer":   runLostAnswer,
 	"encoded-slash": runEncodedSlash,
+	"crashing":      runCrashingRequest,
 }
 
 func main() {
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"text/template"
 	"time"
 )
@@ -20,6 +24,8 @@
 	engines = "asistente"
 	desk    = "mostrador"
 	notes   = "notas"
+	// heartbeat is the interval at which workers write their entries.
+	heartbeat = 1200 * time.Millisecond
 	// readyTimeout bounds the time until the nodes are ready.
 	readyTimeout = 20 * time.Second
 )
@@ -32,6 +38,10 @@
 	fleet   *fleet
 	folder  string
 	nodes   []*node
+	// ports holds the ports of the nodes.
+	ports map[int]bool
+	// mu guards workers.
+	mu      sync.Mutex
 	workers []*worker
 
 	// storeLink is the way of the nodes to the store.
@@ -53,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{record: r, trouble: trouble, store: newStore(), fleet: newFleet(r), folder: folder, storeLink: toStore}
+	s := &site{record: r, trouble: trouble, store: newStore(), fleet: newFleet(r), folder: folder, storeLink: toStore, ports: map[int]bool{}}
 	s.storeServer = &http.Server{Handler: s.store.handler()}
 	go func() { _ = s.storeServer.Serve(listener) }()
 	return s, nil
@@ -66,6 +76,8 @@
 	}
 	s.storeLink.close()
 	_ = s.storeServer.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, w := range s.workers {
 		w.exit()
 	}
@@ -78,7 +90,9 @@
 	if err := w.start(); err != nil {
 		return err
 	}
+	s.mu.Lock()
 	s.workers = append(s.workers, w)
+	s.mu.Unlock()
 	s.store.put("servers/"+w.id, w.entry("ready"))
 	s.record.log("worker %s of %s serves %s", w.id, w.service, w.address)
 	return nil
@@ -153,16 +167,35 @@
   format: json
 `))
 
+// freePort returns a port that is free and below those that the kernel gives to outgoing connections, so that it stays free until the
+// node listens.
+func (s *site) freePort() (int, error) {
+	const first, count, tries = 12000, 18000, 200
+	for range tries {
+		port := first + rand.IntN(count)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil || s.ports[port] {
+			if err == nil {
+				_ = listener.Close()
+			}
+			continue
+		}
+		_ = listener.Close()
+		s.ports[port] = true
+		return port, nil
+	}
+	return 0, errors.New("no free port")
+}
+
 // addNode writes the settings of a node and starts it.
 func (s *site) addNode(id, zone string) error {
 	n := &node{id: id, record: s.record}
 	for _, address := range []*string{&n.callers, &n.readiness, &n.metrics, &n.peers} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := s.freePort()
 		if err != nil {
 			return err
 		}
-		defer func() { _ = listener.Close() }()
-		*address = listener.Addr().String()
+		*address = net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 	}
 	n.settings, n.logPath = filepath.Join(s.folder, id+".yaml"), filepath.Join(s.folder, id+".log")
 	var text strings.Builder
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -41,6 +41,10 @@
 	// it looks for the memory that they are to go on from.
 	fails func(request, from string) bool
 
+	// crashes reports whether a request crashes the worker when it begins to run it, and crash ends the worker; nil means that none does.
+	crashes func(path string) bool
+	crash   func()
+
 	server *http.Server
 	// link is held while the worker's link carries a move.
 	link sync.Mutex
@@ -160,6 +164,10 @@
 
 func (w *worker) servePlain(out http.ResponseWriter, in *http.Request, id string) {
 	w.fleet.record.log("worker %s runs %s %s", w.id, id, in.RequestURI)
+	if w.crashes != nil && w.crashes(in.RequestURI) {
+		w.crash()
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(w.work)
 	body := fmt.Sprintf("%s of %s", id, w.service)
 	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
