--- a/review/standin2/case_lost_answer.go
+++ b/review/standin2/case_lost_answer.go
@@ -18,28 +18,42 @@
 		engineCount = 7
 		// lossAfter is the number of the request from which one answer is lost, 0.04 of those until then.
 		lossAfter = 25
-		// greyAfter is the number of requests that the grey engine has run by then.
+		// greyAfter is the number of requests that the grey engine has got by then.
 		greyAfter = 3
 	)
-	var arrived, lost, atGrey, failed atomic.Int64
-	var grey *worker
-	var lostID atomic.Value
+	var mu sync.Mutex
+	var lostID, greyAddress string
+	arrived, failed, at := 0, 0, map[string]int{}
 	for i := range engineCount {
 		w := &worker{
 			id: fmt.Sprintf("i-7f3a91c%d", i+1), service: engines, zone: []string{"andino-a", "andino-b"}[i%2], engine: true, slots: 48, events: 60,
 			interval: 30 * time.Millisecond, dropsLost: true,
 		}
-		if grey == nil {
-			grey = w
+		w.onArrival = func() {
+			mu.Lock()
+			defer mu.Unlock()
+			arrived++
+			at[w.address]++
 		}
-		w.onArrival = func(_, _ string) { arrived.Add(1) }
 		if s.trouble {
-			// The engine drops the request whose answer is lost.
+			// The engine drops the request whose answer is lost. The engine with its backup is the grey one from then on.
 			w.losesAnswer = func(in runRequest) bool {
-				if w == grey || in.backup != grey.address || arrived.Load() < lossAfter || atGrey.Load() < greyAfter || !lost.CompareAndSwap(0, 1) {
+				mu.Lock()
+				defer mu.Unlock()
+				if lostID != "" || arrived < lossAfter || in.backup == "" || at[in.backup] < greyAfter {
 					return false
 				}
-				lostID.Store(in.id)
+				lostID, greyAddress = in.id, in.backup
+				return true
+			}
+			// The grey engine fails that request, 0.25 of its requests at most.
+			w.fails = func(request string) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if w.address != greyAddress || request != lostID {
+					return false
+				}
+				failed++
 				return true
 			}
 		}
@@ -47,17 +61,6 @@
 			return false, err
 		}
 	}
-	if s.trouble {
-		// The grey engine fails the request whose answer was lost, 0.25 of its requests at most.
-		grey.fails = func(request, _ string) bool {
-			atGrey.Add(1)
-			if request != lostID.Load() {
-				return false
-			}
-			failed.Add(1)
-			return true
-		}
-	}
 	s.configure(7, route("catalogo", "/lohu930/", "streaming", engines, map[string]any{"timeoutMs": 39000, "sloMs": 1800, "gapSloMs": 180, "sticky": true, "priority": 1}))
 	for _, zone := range []string{"andino-a", "andino-b"} {
 		if err := s.addNode("edge-"+zone+"-1", zone); err != nil {
@@ -82,10 +85,12 @@
 	if served.Load() == 0 {
 		return false, errors.New("no stream was served")
 	}
-	s.record.log("%d of %d streams were served, %d answers were lost, engine %s failed %d of %d requests", served.Load(), requests, lost.Load(), grey.id,
-		failed.Load(), atGrey.Load())
-	if s.trouble && lost.Load() == 0 {
-		return false, errors.New("no request had its backup at the grey engine")
+	mu.Lock()
+	defer mu.Unlock()
+	s.record.log("%d of %d streams were served; the answer to %q was lost; the engine at %s failed %d of %d requests", served.Load(), requests, lostID,
+		greyAddress, failed, at[greyAddress])
+	if s.trouble && lostID == "" {
+		return false, errors.New("no request had a backup")
 	}
 	return s.checkRunsOnce(), nil
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -31,15 +31,15 @@
 	// work is the time that a plain request takes.
 	work  time.Duration
 	fleet *fleet
-	// onArrival is called for each request, with its Kv-From; nil means nothing.
-	onArrival func(request, from string)
+	// onArrival is called for each request; nil means nothing.
+	onArrival func()
 	// losesAnswer reports whether the answer of a run is lost: its connection is reset before the answer begins. The worker is then one
 	// of those that don't drop a request when its connection closes, unless dropsLost is set. nil means that no answer is lost.
 	losesAnswer func(in runRequest) bool
 	dropsLost   bool
 	// fails reports whether a run fails at once with the worker's own 500; nil means that none does. A grey worker fails requests before
 	// it looks for the memory that they are to go on from.
-	fails func(request, from string) bool
+	fails func(request string) bool
 
 	// crashes reports whether a request crashes the worker when it begins to run it, and crash ends the worker; nil means that none does.
 	crashes func(path string) bool
@@ -127,14 +127,14 @@
 	id, status := in.Header.Get("X-Request-Id"), http.StatusOK
 	from := in.Header.Get("Kv-From")
 	if w.onArrival != nil {
-		w.onArrival(id, from)
+		w.onArrival()
 	}
 	switch expected := in.Header.Get("X-Expected-Instance"); {
 	case expected != "" && expected != w.id:
 		status = http.StatusMisdirectedRequest
 	case id == "":
 		status = http.StatusBadRequest
-	case w.fails != nil && w.fails(id, from):
+	case w.fails != nil && w.fails(id):
 		status = http.StatusInternalServerError
 	case from != "" && !w.fleet.takeCopy(w.address, from):
 		status = http.StatusServiceUnavailable
