Continue a run only from a copy that can exist

Cause: the backup named at placement was taken for a copy. Memory is sent there as it grows, and nothing confirms it. An engine without a copy was relied upon to refuse; one that fails part of its requests ran it.

A backup is now expected to hold a copy half a second after the first event of the run at its engine. Before that a lost answer is final, a broken stream is cut, and a run on a leaving engine stays until the backup can have a copy or its memory was copied by a call.

--- a/fake/workers/behaviour.go
+++ b/fake/workers/behaviour.go
@@ -8,7 +8,7 @@
 	Serve Behaviour = iota
 	// Refuse answers 503 with the header that says that the request was not run.
 	Refuse
-	// Fail runs every request and answers 500, signed by the worker.
+	// Fail runs every request and answers 500, signed by the worker. A request that names a copy runs whether there is one or not.
 	Fail
 	// Reset runs every request and closes the connection without an answer.
 	Reset
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -25,8 +25,8 @@
 	moveTimeout = 2 * time.Second
 	// releaseCopyTimeout bounds the call that releases a copy. If the call fails, the engine drops the copy later by itself.
 	releaseCopyTimeout = time.Second
-	// maxBackupRefusals is the number of refusals of the backup, such as for lack of a slot, after which the memory is copied
-	// elsewhere. Engines leave 1.5 to 2 s after the notice, and a copy takes up to half a second.
+	// maxBackupRefusals is the number of times that the run could not continue at the backup, for lack of a copy or of a slot, after
+	// which the memory is copied elsewhere. Engines leave 1.5 to 2 s after the notice, and a copy takes up to half a second.
 	maxBackupRefusals = 2
 	// maxMigrationAttempts bounds the migration attempts of a run at one endpoint. A leaving endpoint serves for about 2 s.
 	maxMigrationAttempts = 16
@@ -47,7 +47,7 @@
 	// copyDone receives the result of a copy. copying is set while a copy is in progress.
 	copyDone chan exchange.MoveResult
 	copying  bool
-	// backupRefusals is the number of attempts to continue at the backup that failed since the memory was last copied elsewhere.
+	// backupRefusals is the number of times that the run could not continue at the backup since the memory was last copied elsewhere.
 	backupRefusals int
 	// refusedEndpoints lists the endpoints to which the copy failed.
 	refusedEndpoints []string
@@ -98,7 +98,7 @@
 	case r.up.placement.Backup.ID == "", m.leaving && r.backupIsBusy():
 		r.startCopy()
 	case m.leaving:
-		if r.continueAtBackup() {
+		if r.mayContinueAtBackup() && r.continueAtBackup() {
 			return
 		}
 		m.backupRefusals++
@@ -109,6 +109,12 @@
 	}
 }
 
+// mayContinueAtBackup reports whether the run may continue at its backup. An engine without a copy is expected to refuse, but one that
+// fails its requests fails this one too, and a request that may run once has then run twice.
+func (r *streamRelay) mayContinueAtBackup() bool {
+	return r.up.placement.Backup.ID != "" && r.backupCopy.IsExpected(time.Now())
+}
+
 // backupIsBusy reports whether the backup has refused the run so often that its memory is copied elsewhere. The backup keeps its copy,
 // and is tried once more after each attempt to copy that failed.
 func (r *streamRelay) backupIsBusy() bool {
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -22,16 +22,8 @@
 // spreadDivisor divides a Retry-After time: callers are told to return up to a quarter later.
 const spreadDivisor = 4
 
-// send places the request and sends it to one endpoint. The returned upstream must be ended.
+// send places the request and sends it to one endpoint, where it starts over. The returned upstream must be ended.
 func (s *session) send(ctx context.Context, o sendOptions) (*upstream, error) {
-	if o.continues() {
-		s.admission = s.server.quarantine.Continue(s.fingerprints)
-		up, err := s.place(ctx, o)
-		if err != nil {
-			return nil, err
-		}
-		return s.sendTo(ctx, up, o)
-	}
 	if err := s.checkStop(); err != nil {
 		return nil, err
 	}
@@ -89,10 +81,8 @@
 // failAttempt ends an attempt that got no answer.
 func (s *session) failAttempt(ctx context.Context, up *upstream, o sendOptions, err error, took time.Duration) error {
 	v := verdict.Of(err)
-	s.copyEndpoint = fleet.Endpoint{}
 	if v.Verdict != verdict.NotRun {
 		s.runs++
-		s.copyEndpoint, s.copyGroup = up.placement.Backup, up.placement.Group()
 	}
 	s.endAttempt(ctx, up, outcomeOf(v))
 	if v.Verdict != verdict.NotRun {
@@ -100,8 +90,8 @@
 	}
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placement.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
 		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
-	if v.Verdict != verdict.NotRun && !s.mayContinueAfterFailure(ctx, up.placement.Endpoint, o) {
-		s.copyEndpoint = fleet.Endpoint{}
+	if v.Verdict != verdict.NotRun {
+		s.checkFailedEndpoint(ctx, up.placement.Endpoint, o)
 	}
 	if !o.continues() {
 		// The admission of a run that was to continue elsewhere still holds where it runs.
@@ -110,12 +100,13 @@
 	return err
 }
 
-// mayContinueAfterFailure reports whether a run may continue from a copy after an attempt that got no answer and may have run.
-func (s *session) mayContinueAfterFailure(ctx context.Context, endpoint fleet.Endpoint, o sendOptions) bool {
+// checkFailedEndpoint checks whether an endpoint that gave no answer and may have run the request has crashed under it.
+func (s *session) checkFailedEndpoint(ctx context.Context, endpoint fleet.Endpoint, o sendOptions) {
 	if o.lastEvent == "" && s.request.LastEvent == "" {
-		return !s.reportCrash(ctx, endpoint)
+		s.reportCrash(ctx, endpoint)
+		return
 	}
-	return s.mayContinueAfterBreak(ctx, endpoint)
+	s.mayContinueAfterBreak(ctx, endpoint)
 }
 
 // endAttempt ends an attempt and excludes its endpoint from the next attempts. If the request itself has ended, the
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -15,7 +15,6 @@
 	"azuredyke.dev/azuredyke/decision/dispatch"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	decision "azuredyke.dev/azuredyke/decision/quarantine"
-	"azuredyke.dev/azuredyke/decision/rollout"
 	"azuredyke.dev/azuredyke/service/quarantine"
 )
 
@@ -51,11 +50,6 @@
 	// counted is set once the request was added to the retry budget.
 	counted        bool
 	triedEndpoints []string
-	// copyEndpoint is the endpoint that holds a copy of the memory of a run that ended without an answer. Its ID is empty if
-	// there is none.
-	copyEndpoint fleet.Endpoint
-	// copyGroup is the group of the run whose copy that is.
-	copyGroup rollout.Group
 	// givenUp holds the endpoints that may still work on the request although its connection to them was closed.
 	givenUp []fleet.Endpoint
 	// fingerprints are those by which the quarantine knows the request.
@@ -80,10 +74,6 @@
 	defer s.releaseTrial()
 	for {
 		up, err := s.send(ctx, sendOptions{})
-		if err != nil && s.copyEndpoint.ID != "" && ctx.Err() == nil {
-			// The run may have begun, and then it may only continue from its copy.
-			up, err = s.send(ctx, sendOptions{endpoint: s.copyEndpoint.ID, copyAddress: s.copyEndpoint.Address, group: s.copyGroup})
-		}
 		if err == nil {
 			err = s.relay(ctx, up)
 		}
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -11,6 +11,7 @@
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
+	"azuredyke.dev/azuredyke/decision/stream"
 )
 
 // moveOverlap is how long a run may continue at its old endpoint after it was sent to the next one. The platform allows
@@ -39,6 +40,8 @@
 	longestPause    time.Duration
 	// headerSent is set once the header of the answer was forwarded.
 	headerSent bool
+	// backupCopy tells whether the backup of the run at the current endpoint holds a copy of its memory.
+	backupCopy stream.BackupCopy
 	migration  migration
 	timer      runTimer
 }
@@ -63,7 +66,7 @@
 		r.stopReading()
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	r.up, r.stopReading, r.migration = up, cancel, migration{}
+	r.up, r.stopReading, r.migration, r.backupCopy = up, cancel, migration{}, stream.BackupCopy{}
 	r.timer.start(up, r.lastEvent != "")
 	r.reader = readStream(ctx, r.server.newStream(up.answer.Body), r.output.readAhead())
 	r.scheduleCopy()
@@ -148,6 +151,7 @@
 		r.lastEvent = item.event.ID
 	}
 	r.eventCount++
+	r.backupCopy.RecordEvent(now)
 	r.up.reportFirstEvent()
 	return nil
 }
@@ -224,7 +228,7 @@
 	switch {
 	case r.migration.handle != "" && !r.dropDepartedTarget():
 		next, o = r.takeTarget()
-	case old.placement.Backup.ID != "":
+	case r.mayContinueAtBackup():
 		r.dropTarget()
 		next, o, err = r.placeAtBackup()
 	default:
