Stop a run at once when it is given up

Cause: a hand-over without an answer was handled as a refusal. Engines that were given up stood in a list that was worked off when the request was sent the next time, after a new copy, or never. The logs of the case show the lost answer, "copy not usable", and the first stop only with the next hand-over.

The task that stops a run now starts when the run is given up, at every place where an attempt ends without a known outcome. Its call names the request only, so an engine gets no run and no copy of the request until its task has ended. A copy that may have been used is discarded, and the run is copied elsewhere. "run given up" names each such engine, and "copy not usable" has the verdict. This works since the stop no longer depends on a further send.

--- a/service/edge/lost_answer_test.go
+++ b/service/edge/lost_answer_test.go
@@ -23,6 +23,8 @@
 	interval time.Duration
 	// onFirst is called with the endpoint of the first attempt.
 	onFirst func(endpoint string)
+	// onStop is called with each final move; nil means nothing.
+	onStop func(exchange.Move)
 	// attempts lists the attempts, with the time since the first one.
 	attempts []exchange.Attempt
 	times    []time.Time
@@ -43,7 +45,10 @@
 	return answer, nil
 }
 
-func (*losingFleet) Move(context.Context, exchange.Move) exchange.MoveResult {
+func (f *losingFleet) Move(_ context.Context, m exchange.Move) exchange.MoveResult {
+	if m.Final && f.onStop != nil {
+		f.onStop(m)
+	}
 	return exchange.MoveResult{Outcome: exchange.MoveNoRun}
 }
 
--- a/service/edge/migration.go
+++ b/service/edge/migration.go
@@ -112,7 +112,8 @@
 // mayContinueAtBackup reports whether the run may continue at its backup. An engine without a copy is expected to refuse, but one that
 // fails its requests fails this one too, and a request that may run once has then run twice.
 func (r *streamRelay) mayContinueAtBackup() bool {
-	return r.up.placement.Backup.ID != "" && r.backupCopy.IsExpected(time.Now())
+	backup := r.up.placement.Backup.ID
+	return backup != "" && r.backupCopy.IsExpected(time.Now()) && !r.isStopping(backup)
 }
 
 // backupIsBusy reports whether the backup has refused the run so often that its memory is copied elsewhere. The backup keeps its copy,
@@ -181,6 +182,9 @@
 	stopPending := overlap.Stop()
 	if err != nil {
 		r.logUnusable(id, err)
+		if verdict.Of(err).Verdict != verdict.NotRun {
+			r.discardCopyAt(id)
+		}
 		return false
 	}
 	r.completeMove(old, next)
@@ -190,9 +194,17 @@
 	return true
 }
 
+// discardCopyAt discards the copy at an endpoint that may have used it for a run that was given up. The run is copied elsewhere.
+func (r *streamRelay) discardCopyAt(endpoint string) {
+	if r.up.placement.Backup.ID == endpoint {
+		r.up.placement.Backup.ID = ""
+	}
+	r.migration.refusedEndpoints = append(r.migration.refusedEndpoints, endpoint)
+}
+
 func (r *streamRelay) logUnusable(endpoint string, err error) {
 	r.log(zap.InfoLevel, "copy not usable", zap.String("endpoint", r.up.placement.Endpoint.ID), zap.String("to", endpoint),
-		zap.Int("tries", r.migration.attempts), logging.Cause(err))
+		zap.Int("tries", r.migration.attempts), zap.Stringer("verdict", verdict.Of(err).Verdict), logging.Cause(err))
 }
 
 // sendContinuation sends the request to the placed endpoint, which continues from a copy of the run's memory.
--- a/service/edge/migration_speed_test.go
+++ b/service/edge/migration_speed_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -18,13 +19,14 @@
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
-// movingFleet is a sender and mover for three engines. The engine of the first attempt leaves 200 ms later, and its backup has no
-// free slot until slotFree.
+// movingFleet is a sender and mover for three engines. The engine of the first attempt leaves 200 ms later, or after leaveAfter, and its
+// backup has no free slot until slotFree.
 type movingFleet struct {
-	cluster  *latest.Value[*clusterState]
-	slotFree time.Time
-	copies   exchange.MoveOutcome
-	leavesAt time.Time
+	leaveAfter time.Duration
+	cluster    *latest.Value[*clusterState]
+	slotFree   time.Time
+	copies     exchange.MoveOutcome
+	leavesAt   time.Time
 	// movedTo is the endpoint at which the run continued, at movedAt; copyTargets lists the targets of the copies.
 	movedTo, backup string
 	movedAt         time.Time
@@ -34,8 +36,9 @@
 func (f *movingFleet) Send(_ context.Context, _ *exchange.Request, a exchange.Attempt) (*exchange.Answer, error) {
 	answer := &exchange.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), Length: -1}
 	if a.CopyAddress == "" {
-		f.leavesAt, f.backup = time.Now().Add(200*time.Millisecond), a.Backup
-		time.AfterFunc(200*time.Millisecond, func() {
+		leaveAfter := cmp.Or(f.leaveAfter, 200*time.Millisecond)
+		f.leavesAt, f.backup = time.Now().Add(leaveAfter), a.Backup
+		time.AfterFunc(leaveAfter, func() {
 			next := engineSnapshot([]string{"a", "b", "c"})
 			for i := range next.Endpoints["s"] {
 				e := &next.Endpoints["s"][i]
--- a/service/edge/relay.go
+++ b/service/edge/relay.go
@@ -55,7 +55,7 @@
 // failIncomplete ends an attempt whose answer broke off before any of it was forwarded.
 func (s *session) failIncomplete(ctx context.Context, up *upstream, err error) error {
 	s.endAttempt(ctx, up, dispatch.Broken)
-	s.giveUp(up.placement.Endpoint)
+	s.giveUp(ctx, up.placement.Endpoint)
 	s.log(zap.WarnLevel, "answer broke off", zap.String("endpoint", up.placement.Endpoint.ID), logging.Cause(err))
 	s.reportCrash(ctx, up.placement.Endpoint)
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonIncomplete, "answer of %s broke off: %w", up.placement.Endpoint.ID, err)
--- a/service/edge/run_stop.go
+++ b/service/edge/run_stop.go
@@ -23,8 +23,8 @@
 	maxRunStopCalls = 20
 )
 
-// runStop makes sure that an endpoint does not work on a run that continues at another one. It is a task that ends once the
-// endpoint has confirmed that, or after maxRunStopCalls.
+// runStop makes sure that an endpoint does not work on a run that was given up or continues at another one. It is a task that ends once
+// the endpoint has confirmed that, or after maxRunStopCalls.
 type runStop struct {
 	log      *zap.Logger
 	mover    exchange.Mover
@@ -32,18 +32,33 @@
 	metrics  *serverMetrics
 	endpoint fleet.Endpoint
 	call     exchange.Move
+	// ended is closed when the task has ended.
+	ended chan struct{}
 }
 
-// newRunStop returns the task for a run of the request at an endpoint. The target is the endpoint at which the run continues.
+// newRunStop returns the task for a run of the request at an endpoint. The target is another endpoint, which may get a copy of the run's
+// memory for a moment.
 func (s *session) newRunStop(endpoint, target fleet.Endpoint) *runStop {
 	return &runStop{
 		log: s.server.log, mover: s.server.mover, liveness: s.server.liveness, metrics: s.server.metrics, endpoint: endpoint,
-		call: exchange.Move{Request: s.request.ID, Source: endpoint.Address, Target: target.Address, Final: true},
+		call:  exchange.Move{Request: s.request.ID, Source: endpoint.Address, Target: target.Address, Final: true},
+		ended: make(chan struct{}),
+	}
+}
+
+// hasEnded reports whether the task has ended.
+func (r *runStop) hasEnded() bool {
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
 	}
 }
 
 // run stops the run. The connection of the run must be closed by then.
 func (r *runStop) run(ctx context.Context) {
+	defer close(r.ended)
 	if !pause.Sleep(ctx, closeNoticeTime) {
 		return
 	}
@@ -55,7 +70,7 @@
 			return
 		case exchange.MoveDone, exchange.MoveNoRoom:
 			r.metrics.runsStopped.Inc(1)
-			r.log.Info("endpoint stopped a run that continues elsewhere; it had not noticed the close of the connection",
+			r.log.Info("endpoint stopped a run that was given up; it had not noticed the close of the connection",
 				zap.String("request", r.call.Request), zap.String("endpoint", r.endpoint.ID))
 			r.releaseCopy(ctx, last.Handle)
 			return
@@ -64,7 +79,7 @@
 			return
 		}
 	}
-	r.log.Warn("endpoint did not confirm that it stopped a run that continues elsewhere", zap.String("request", r.call.Request),
+	r.log.Warn("endpoint did not confirm that it stopped a run that was given up", zap.String("request", r.call.Request),
 		zap.String("endpoint", r.endpoint.ID), logging.Cause(last.Err))
 }
 
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -49,7 +49,6 @@
 	}
 	s.sends++
 	s.logOlderConfiguration()
-	s.stopGivenUp(ctx, up.placement.Endpoint)
 	s.server.metrics.attempts.Inc(1)
 	start := time.Now()
 	up.sentAt = start
@@ -86,7 +85,7 @@
 	}
 	s.endAttempt(ctx, up, outcomeOf(v))
 	if v.Verdict != verdict.NotRun {
-		s.giveUp(up.placement.Endpoint)
+		s.giveUp(ctx, up.placement.Endpoint)
 	}
 	s.log(zap.WarnLevel, "attempt failed", zap.String("endpoint", up.placement.Endpoint.ID), zap.Stringer("verdict", v.Verdict),
 		zap.String("reason", string(v.Reason)), zap.Duration("took", took), logging.Cause(err))
--- a/service/edge/session.go
+++ b/service/edge/session.go
@@ -13,7 +13,6 @@
 	"azuredyke.dev/azuredyke/common/logging"
 	"azuredyke.dev/azuredyke/common/verdict"
 	"azuredyke.dev/azuredyke/decision/dispatch"
-	"azuredyke.dev/azuredyke/decision/fleet"
 	decision "azuredyke.dev/azuredyke/decision/quarantine"
 	"azuredyke.dev/azuredyke/service/quarantine"
 )
@@ -50,8 +49,8 @@
 	// counted is set once the request was added to the retry budget.
 	counted        bool
 	triedEndpoints []string
-	// givenUp holds the endpoints that may still work on the request although its connection to them was closed.
-	givenUp []fleet.Endpoint
+	// stops holds the tasks that stop runs of the request which were given up.
+	stops []*runStop
 	// fingerprints are those by which the quarantine knows the request.
 	fingerprints []decision.Fingerprint
 	// admission is the quarantine's admission of the current attempt. It is empty once the outcome was reported.
--- a/service/edge/session_give_up.go
+++ b/service/edge/session_give_up.go
@@ -2,23 +2,49 @@
 
 import (
 	"context"
+	"math/rand/v2"
+
+	"go.uber.org/zap"
 
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
-// giveUp records that an endpoint may still work on the request although its connection to it was closed.
-func (s *session) giveUp(endpoint fleet.Endpoint) {
-	if s.canMove() {
-		s.givenUp = append(s.givenUp, endpoint)
+// giveUp makes an endpoint stop its work on the request, which it may still run although its connection to it was closed. From now on the
+// request may be at work at another endpoint.
+func (s *session) giveUp(ctx context.Context, endpoint fleet.Endpoint) {
+	if !s.canMove() {
+		return
+	}
+	target, ok := s.otherEndpoint(endpoint)
+	if !ok {
+		return
+	}
+	s.log(zap.InfoLevel, "run given up", zap.String("endpoint", endpoint.ID))
+	stop := s.newRunStop(endpoint, target)
+	s.stops = append(s.stops, stop)
+	go stop.run(context.WithoutCancel(ctx))
+}
+
+// isStopping reports whether an endpoint has not confirmed yet that it stopped a run of the request. The call that stops it names the
+// request only, so it would stop a later run there, too.
+func (s *session) isStopping(endpoint string) bool {
+	for _, stop := range s.stops {
+		if stop.endpoint.ID == endpoint && !stop.hasEnded() {
+			return true
+		}
 	}
+	return false
 }
 
-// stopGivenUp stops the runs that were given up, since the request is sent to the next endpoint.
-func (s *session) stopGivenUp(ctx context.Context, next fleet.Endpoint) {
-	for _, endpoint := range s.givenUp {
-		go s.newRunStop(endpoint, next).run(context.WithoutCancel(ctx))
+// otherEndpoint returns another endpoint of the service. The call that stops a run has to name one.
+func (s *session) otherEndpoint(endpoint fleet.Endpoint) (fleet.Endpoint, bool) {
+	listed := s.server.cluster.Load().Fleet.Endpoints[s.service]
+	for _, i := range rand.Perm(len(listed)) {
+		if e := listed[i]; e.Address != endpoint.Address && !e.Leaving {
+			return e, true
+		}
 	}
-	s.givenUp = nil
+	return fleet.Endpoint{}, false
 }
 
 // canMove reports whether the endpoints of the service can copy the memory of runs, and so stop a run on request.
--- a/service/edge/standby.go
+++ b/service/edge/standby.go
@@ -19,6 +19,11 @@
 	if backup := r.up.placement.Backup.ID; backup != "" {
 		exclude = append(exclude, backup)
 	}
+	for _, stop := range r.stops {
+		if !stop.hasEnded() {
+			exclude = append(exclude, stop.endpoint.ID)
+		}
+	}
 	if m.backupRefusals > 0 {
 		m.backupRefusals = maxBackupRefusals - 1
 	}
--- a/service/edge/stream_relay.go
+++ b/service/edge/stream_relay.go
@@ -182,7 +182,7 @@
 func (r *streamRelay) resume(cause error) error {
 	old := r.up
 	old.end(dispatch.Broken)
-	r.giveUp(old.placement.Endpoint)
+	r.giveUp(r.ctx, old.placement.Endpoint)
 	r.triedEndpoints = append(r.triedEndpoints, old.placement.Endpoint.ID)
 	r.log(zap.WarnLevel, "stream broke", zap.String("endpoint", old.placement.Endpoint.ID), zap.Int("events", r.eventCount),
 		zap.String("last_event", r.lastEvent), logging.Cause(cause))
