Store the marks of requests that crash endpoints

Cause: marks were in the memory of the nodes only, and a node that starts learns them from the others.

Marks from the second crash on are stored under a lease. A task compares the marks of its node with the entries and writes the differences; the home node of a fingerprint does so at once, others after 5 s. Entries are at most 64. A node applies what it reads before it publishes the state with which it serves its first request. This works since the store is the one part that outlives all nodes, and since the comparison needs no memory of writes that were refused or lost.

TestQuarantineOutlivesAllNodes fails without the restoring of marks ("502 != 503"). TestQuarantineReachesNodesThatRestartOrLoseTheStore counted marks that the restarted node got from the other node; it now gets them from the store first, so the test counts both.

--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -152,9 +151,7 @@
 	for f, e := range t.entries {
 		marks = append(marks, e.mark(now, f))
 	}
-	slices.SortFunc(marks, func(a, b Mark) int {
-		return cmp.Or(cmp.Compare(b.Evidence, a.Evidence), cmp.Compare(b.Remaining, a.Remaining), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
+	slices.SortFunc(marks, compareMarks)
 	return marks[:min(limit, len(marks))]
 }
 
--- a/service/edge/node.go
+++ b/service/edge/node.go
@@ -54,6 +54,7 @@
 	dispatcher *dispatcher
 	peers      *peers
 	quarantine *quarantine.Manager
+	recorder   *quarantine.Recorder
 	rates      *ratelimit.Manager
 	// rollouts and decider are nil unless the feature is on.
 	rollouts *rollout.Manager
@@ -88,6 +89,8 @@
 	handleSync(n.hub, n.view.current, n.view.messages)
 	n.quarantine = quarantine.NewManager(logging.For(log, logging.Gateway), quarantinePeers{hub: n.hub, self: n.self, cluster: n.view.current})
 	handleQuarantine(n.hub, n.quarantine)
+	n.view.quarantine = n.quarantine
+	n.recorder = quarantine.NewRecorder(logging.For(log, logging.Gateway), d.Store, n.quarantine, n.view.storedMarks)
 	ratePeers := rateLimitPeers{hub: n.hub, self: n.self, cluster: n.view.current}
 	n.rates = ratelimit.NewManager(logging.For(log, logging.Dispatcher), ratePeers)
 	n.dispatcher.announceRateLimit = ratePeers.Announce
@@ -149,7 +152,7 @@
 	probe := &prober{log: n.log, reporter: n.deps.Reporter, cluster: n.view.current, dispatcher: n.dispatcher.messages}
 	resync := &resyncer{log: n.view.log, syncClient: client, seeds: n.settings.Peers.Seeds, cluster: n.view.current, hints: n.peers.hints}
 	register := &registration{log: n.log, store: n.deps.Store, member: n.self, cluster: n.view.current}
-	tasks := []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.rates.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
+	tasks := []func(context.Context){n.view.run, n.dispatcher.run, n.quarantine.Run, n.recorder.Run, n.rates.Run, n.hub.Run, n.peers.run, follow.run, resync.run, probe.run, register.run}
 	if n.server.buffers != nil {
 		tasks = append(tasks, n.server.buffers.run)
 	}
--- a/service/edge/session_quarantine.go
+++ b/service/edge/session_quarantine.go
@@ -21,8 +21,8 @@
 	trialPollInterval = 50 * time.Millisecond
 	// trialRetryAfter is the Retry-After time of a suspect that was refused: a trial usually has its outcome by then.
 	trialRetryAfter = time.Second
-	// maxQuarantineRetryAfter bounds the Retry-After time of a quarantined request. Marks are lost when all nodes restart, so the
-	// quarantine can end long before its time.
+	// maxQuarantineRetryAfter bounds the Retry-After time of a quarantined request. The quarantine can end long before its time: a run that
+	// was in progress clears the request when it completes, and the stored marks end if no node runs for ten minutes.
 	maxQuarantineRetryAfter = time.Minute
 	// crashCheckTimeout bounds the check whether an endpoint has ended.
 	crashCheckTimeout = 300 * time.Millisecond
--- a/service/edge/view.go
+++ b/service/edge/view.go
@@ -16,6 +16,7 @@
 	"azuredyke.dev/azuredyke/common/mailbox"
 	"azuredyke.dev/azuredyke/decision/fleet"
 	"azuredyke.dev/azuredyke/decision/mirror"
+	"azuredyke.dev/azuredyke/service/quarantine"
 	"azuredyke.dev/azuredyke/service/rollout"
 )
 
@@ -45,6 +46,10 @@
 	nodes    []Member
 	topology topology
 
+	// quarantine gets the marks that are read in the store; nil if there is none. storedMarks holds the present entries.
+	quarantine  restorer
+	storedMarks *latest.Value[quarantine.Stored]
+
 	// rollouts is set if operators may order roll-outs. ordersIgnored counts the orders that cannot be used.
 	rollouts      bool
 	ordersIgnored tally.Counter
@@ -55,8 +60,9 @@
 	state, alone := fleet.NewState(), newTopology(self, nil)
 	return &view{
 		log: log, self: self, translate: translate, messages: mailbox.New[viewMessage](viewCapacity),
-		current: latest.New(&clusterState{Fleet: state.Snapshot(), topology: alone}),
-		mirror:  mirror.New(), packer: newValuePacker(), state: state, members: newMemberList(), snapshot: state.Snapshot(), topology: alone,
+		current:     latest.New(&clusterState{Fleet: state.Snapshot(), topology: alone}),
+		storedMarks: latest.New(quarantine.Stored{}),
+		mirror:      mirror.New(), packer: newValuePacker(), state: state, members: newMemberList(), snapshot: state.Snapshot(), topology: alone,
 	}
 }
 
@@ -106,12 +112,17 @@
 		level = zap.DebugLevel
 	}
 	changed, membersChanged := false, false
+	var marks []backing.WatchEvent
 	for _, e := range events {
 		v.packer.forget(e)
 		if strings.HasPrefix(e.Entry.Key, memberPrefix) {
 			membersChanged = v.applyMember(now, e) || membersChanged
 			continue
 		}
+		if strings.HasPrefix(e.Entry.Key, quarantine.MarkPrefix) {
+			marks = append(marks, e)
+			continue
+		}
 		if e.Entry.Key == rollout.DeciderKey {
 			v.applyDecider(e)
 			continue
@@ -127,6 +138,7 @@
 				zap.Stringer("change", change))...)
 		}
 	}
+	v.applyMarks(marks)
 	if changed {
 		v.snapshot = v.state.Snapshot()
 	}
--- a/service/quarantine/manager.go
+++ b/service/quarantine/manager.go
@@ -191,6 +191,28 @@
 // Offer adds marks from another node like Merge, but drops them if the mailbox is full. They are repeated.
 func (m *Manager) Offer(marks []quarantine.Mark) { m.messages.TrySend(mergeMessage{marks: marks}) }
 
+// Restore adds marks from the key-value service to the table, and returns once they hold or ctx has ended.
+func (m *Manager) Restore(ctx context.Context, marks []quarantine.Mark) error {
+	_, err := mailbox.Call(ctx, m.messages, func(reply chan<- struct{}) taskMessage { return restoreMessage{marks: marks, reply: reply} })
+	return err
+}
+
+// merge adds marks to the table, and logs, publishes and forwards those that have changed it.
+func (m *Manager) merge(now time.Time, marks []quarantine.Mark, event string) {
+	var changed []quarantine.Mark
+	for _, mark := range marks {
+		if m.table.Merge(now, mark) {
+			changed = append(changed, mark)
+			m.logMark(zap.InfoLevel, event, mark)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	m.publish(now)
+	m.peers.Forward(changed)
+}
+
 // Run handles messages until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	mailbox.Serve(ctx, m.messages, repeatInterval, func(msg taskMessage) { msg.apply(time.Now(), m) }, m.repeatMarks)
--- a/service/quarantine/merge_message.go
+++ b/service/quarantine/merge_message.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"azuredyke.dev/azuredyke/decision/quarantine"
 )
 
@@ -14,16 +12,5 @@
 }
 
 func (g mergeMessage) apply(now time.Time, m *Manager) {
-	var changed []quarantine.Mark
-	for _, mark := range g.marks {
-		if m.table.Merge(now, mark) {
-			changed = append(changed, mark)
-			m.logMark(zap.InfoLevel, "mark of another node applied", mark)
-		}
-	}
-	if len(changed) == 0 {
-		return
-	}
-	m.publish(now)
-	m.peers.Forward(changed)
+	m.merge(now, g.marks, "mark of another node applied")
 }
