Stop given-up runs beside engines that all leave

Where all other engines of a service were leaving, the run of a lost hand-over was not stopped, and two engines worked on one request.

Cause: the call that stops a run has to name another engine, and engines that leave were not considered. Engines that leave are now named if there are no others.

--- a/fake/workers/behaviour.go
+++ b/fake/workers/behaviour.go
@@ -10,7 +10,7 @@
 	Refuse
 	// Fail runs every request and answers 500, signed by the worker. A request that names a copy runs whether there is one or not.
 	Fail
-	// Reset runs every request and closes the connection without an answer.
+	// Reset runs every request and closes the connection without an answer. An engine that ignores the close works on.
 	Reset
 	// Truncate runs every request and closes the connection in the middle of the answer.
 	Truncate
--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -196,6 +196,9 @@
 		// The blank line makes the text an event for a reader that takes it as part of a stream.
 		_, _ = fmt.Fprint(out, "failed\n\n")
 	case Reset:
+		if w.Engine && w.ignoresClose(in) {
+			w.workOn(out, in, run)
+		}
 		panic(http.ErrAbortHandler)
 	case Truncate:
 		out.Header().Set("Content-Length", "1000")
@@ -223,14 +226,11 @@
 func (w *Worker) writeEvents(out http.ResponseWriter, in *http.Request, run *Run) {
 	out.Header().Set("Content-Type", "text/event-stream")
 	backup, request := in.Header.Get("X-Kv-Backup"), in.Header.Get("X-Request-Id")
-	ctx, ignoresClose := in.Context(), w.IgnoresClose != nil && w.IgnoresClose(in.URL.Path)
+	ctx, ignoresClose := in.Context(), w.ignoresClose(in)
 	if ignoresClose {
 		ctx = context.WithoutCancel(ctx)
 	}
-	events := w.Events
-	if w.EventsOf != nil {
-		events = w.EventsOf(in.URL.Path)
-	}
+	events := w.eventCount(in)
 	untilCrash := 0
 	if w.EventsUntilCrash != nil {
 		untilCrash = w.EventsUntilCrash(in)
@@ -265,6 +265,32 @@
 	}
 }
 
+// ignoresClose reports whether the engine works on a run of the request although its connection was closed.
+func (w *Worker) ignoresClose(in *http.Request) bool {
+	return w.IgnoresClose != nil && w.IgnoresClose(in.URL.Path)
+}
+
+// eventCount returns the number of events of the stream for a request.
+func (w *Worker) eventCount(in *http.Request) int {
+	if w.EventsOf != nil {
+		return w.EventsOf(in.URL.Path)
+	}
+	return w.Events
+}
+
+// workOn resets the connection and works on the run, until its last event or a final move.
+func (w *Worker) workOn(out http.ResponseWriter, in *http.Request, run *Run) {
+	conn, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+	select {
+	case <-time.After(time.Duration(w.eventCount(in)-run.From) * w.Interval):
+	case <-run.stop:
+	}
+}
+
 // serveMove serves /kv-move, which copies the memory of a run. A final move stops the run first.
 func (w *Worker) serveMove(out http.ResponseWriter, in *http.Request) {
 	var body struct {
--- a/service/edge/send.go
+++ b/service/edge/send.go
@@ -99,7 +99,8 @@
 	return err
 }
 
-// checkFailedEndpoint checks whether an endpoint that gave no answer and may have run the request has crashed under it.
+// checkFailedEndpoint checks whether an endpoint that gave no answer and may have run the request has crashed under it. The quarantine
+// knows the result before the request is sent again.
 func (s *session) checkFailedEndpoint(ctx context.Context, endpoint fleet.Endpoint, o sendOptions) {
 	if o.lastEvent == "" && s.request.LastEvent == "" {
 		s.reportCrash(ctx, endpoint)
--- a/service/edge/session_give_up.go
+++ b/service/edge/session_give_up.go
@@ -9,8 +9,8 @@
 	"azuredyke.dev/azuredyke/decision/fleet"
 )
 
-// giveUp makes an endpoint stop its work on the request, which it may still run although its connection to it was closed. From now on the
-// request may be at work at another endpoint.
+// giveUp tells an endpoint to stop its work on the request, which it may go on with although the connection was closed. The request may be
+// sent to another endpoint meanwhile.
 func (s *session) giveUp(ctx context.Context, endpoint fleet.Endpoint) {
 	if !s.canMove() {
 		return
@@ -36,15 +36,20 @@
 	return false
 }
 
-// otherEndpoint returns another endpoint of the service. The call that stops a run has to name one.
-func (s *session) otherEndpoint(endpoint fleet.Endpoint) (fleet.Endpoint, bool) {
+// otherEndpoint returns another endpoint of the service, if possible one that is not leaving. The call that stops a run has to name one.
+func (s *session) otherEndpoint(endpoint fleet.Endpoint) (other fleet.Endpoint, found bool) {
 	listed := s.server.cluster.Load().Fleet.Endpoints[s.service]
 	for _, i := range rand.Perm(len(listed)) {
-		if e := listed[i]; e.Address != endpoint.Address && !e.Leaving {
+		e := listed[i]
+		switch {
+		case e.Address == endpoint.Address:
+		case !e.Leaving:
 			return e, true
+		default:
+			other, found = e, true
 		}
 	}
-	return fleet.Endpoint{}, false
+	return other, found
 }
 
 // canMove reports whether the endpoints of the service can copy the memory of runs, and so stop a run on request.
--- a/test/edge/stream_test.go
+++ b/test/edge/stream_test.go
@@ -86,6 +86,35 @@
 	}
 }
 
+// Guards against two engines that work on one request, because the answer to a hand-over was lost and the engine that was to take the run
+// over works on although its connection was reset; and against handing the run over to that engine again.
+func TestEngineOfALostHandOverStops(t *testing.T) {
+	s, byID := startEngineSite(t)
+	for _, w := range byID {
+		w.Events, w.IgnoresClose = 300, func(string) bool { return true }
+	}
+	ids, err := readEvents(t, s.Request(s.Nodes[0], http.MethodPost, "/note/1", "r1"), func(count int) {
+		switch count {
+		case youngestCopiedRun:
+			first := currentWorker(t, s, "r1")
+			for id := range byID {
+				if id != first {
+					s.Fleet.SetBehaviour(t.Context(), id, workers.Reset)
+				}
+			}
+			s.PutWorkerEntry(byID[first], "draining")
+		case 250:
+			runs := s.Fleet.Runs(t.Context(), "r1")
+			assert.Equal(t, len(runs), 2)
+			assert.Assert(t, !runs[0].Ended, "the run does not go on at its engine")
+			assert.Assert(t, runs[1].Ended, "the engine of the lost hand-over still works on the run")
+		}
+	})
+	assert.NilError(t, err)
+	assertComplete(t, ids, 300)
+	assert.Equal(t, len(s.Fleet.Runs(t.Context(), "r1")), 2)
+}
+
 // Guards against a stream that is lost when its engine crashes without notice.
 func TestStreamContinuesWhenItsEngineCrashes(t *testing.T) {
 	s, _ := startEngineSite(t)
