--- a/service/edge/session_give_up_test.go
+++ b/service/edge/session_give_up_test.go
@@ -86,6 +86,7 @@
 		var stopped []string
 		f := &losingFleet{events: -1, onStop: func(m exchange.Move) { stopped = append(stopped, m.Source) }}
 		f.serve(t)
+		synctest.Wait()
 		assert.DeepEqual(t, stopped, []string{f.attempts[0].Address})
 	})
 }
--- a/service/quarantine/recorder_test.go
+++ b/service/quarantine/recorder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,26 +21,29 @@
 	stored   *latest.Value[Stored]
 	revision int64
 	failures int
-	calls    int
-	leases   []time.Duration
+	calls    atomic.Int64
+	// leases holds the times to live of all leases.
+	leases *latest.Value[[]time.Duration]
 	// losesAnswers is set if writes take effect although their calls fail.
 	losesAnswers bool
 }
 
-func newRecordedStore() *recordedStore { return &recordedStore{stored: latest.New(Stored{})} }
+func newRecordedStore() *recordedStore {
+	return &recordedStore{stored: latest.New(Stored{}), leases: latest.New([]time.Duration(nil))}
+}
 
 func (s *recordedStore) GrantLease(_ context.Context, ttl time.Duration) (backing.LeaseID, error) {
-	s.calls++
+	s.calls.Add(1)
 	if s.failures > 0 && !s.losesAnswers {
 		s.failures--
 		return 0, backing.ErrUnavailable.New("refused")
 	}
-	s.leases = append(s.leases, ttl)
+	s.leases.Publish(append(slices.Clone(s.leases.Load()), ttl))
 	return 1, nil
 }
 
 func (s *recordedStore) Commit(_ context.Context, txn backing.Txn) (backing.CommitResult, error) {
-	s.calls++
+	s.calls.Add(1)
 	next := Stored{}
 	for f, e := range s.stored.Load() {
 		next[f] = e
@@ -96,14 +101,17 @@
 				request := []quarantine.Fingerprint{6}
 				m.ReportCrash(ctx, m.Admit(ctx, request))
 				time.Sleep(20 * time.Second)
+				synctest.Wait()
 				assert.Equal(t, len(store.stored.Load()), 0, "one crash says little")
 				m.ReportCrash(ctx, m.Admit(ctx, request))
 				time.Sleep(20 * time.Second)
+				synctest.Wait()
 				assert.Equal(t, len(store.stored.Load()), 1)
-				assert.Equal(t, store.leases[0], quarantine.MaxStorage)
-				calls := store.calls
+				assert.Equal(t, store.leases.Load()[0], quarantine.MaxStorage)
+				calls := store.calls.Load()
 				time.Sleep(time.Minute)
-				assert.Equal(t, store.calls, calls, "the entry is written once")
+				synctest.Wait()
+				assert.Equal(t, store.calls.Load(), calls, "the entry is written once")
 
 				restarted := NewManager(zap.NewNop(), NoPeers{})
 				go restarted.Run(ctx)
@@ -124,9 +132,11 @@
 			m.ReportLateCrash(ctx, m.Continue(request))
 		}
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, len(store.stored.Load()), 1)
 		m.ReportAnswer(ctx, m.Continue(request))
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, len(store.stored.Load()), 0)
 	})
 }
@@ -140,8 +150,10 @@
 			m.ReportLateCrash(ctx, m.Continue([]quarantine.Fingerprint{6}))
 		}
 		time.Sleep(recordTakeover - time.Second)
-		assert.Equal(t, store.calls, 0)
+		synctest.Wait()
+		assert.Equal(t, store.calls.Load(), int64(0))
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, len(store.stored.Load()), 1)
 	})
 }
@@ -155,6 +167,7 @@
 			m.ReportCrash(ctx, m.Admit(ctx, []quarantine.Fingerprint{6}))
 		}
 		time.Sleep(quarantine.MaxStorage)
-		assert.Assert(t, len(store.leases) >= 2, "%d leases", len(store.leases))
+		synctest.Wait()
+		assert.Assert(t, len(store.leases.Load()) >= 2, "%d leases", len(store.leases.Load()))
 	})
 }
