--- a/fake/workers/worker.go
+++ b/fake/workers/worker.go
@@ -14,8 +14,9 @@
 // signatureHeader is the header by which callers recognize an answer that was produced by a worker.
 const signatureHeader = "X-Server-Signature"
 
-// backupInterval is the interval at which the memory of a run is sent to its backup. The platform promises several times a second.
-const backupInterval = 300 * time.Millisecond
+// firstBackupDelay is the time for which the backup of a new run has no copy of its memory. The platform promises copies several times a
+// second.
+const firstBackupDelay = 300 * time.Millisecond
 
 // Worker is the HTTP handler of one worker.
 type Worker struct {
@@ -222,7 +223,7 @@
 }
 
 // writeEvents writes the events of a run until the last one or until the request is cancelled. If the request names a
-// backup address, it updates the copy there every backupInterval.
+// backup address, it updates the copy there after each event from firstBackupDelay on.
 func (w *Worker) writeEvents(out http.ResponseWriter, in *http.Request, run *Run) {
 	out.Header().Set("Content-Type", "text/event-stream")
 	backup, request := in.Header.Get("X-Kv-Backup"), in.Header.Get("X-Request-Id")
@@ -235,7 +236,7 @@
 	if w.EventsUntilCrash != nil {
 		untilCrash = w.EventsUntilCrash(in)
 	}
-	copiedAt := time.Now()
+	begunAt := time.Now()
 	padding, controller := strings.Repeat("x", w.Padding), http.NewResponseController(out)
 	for n := run.From; n <= events; n++ {
 		if w.UnreadTimeout > 0 {
@@ -247,8 +248,7 @@
 		if controller.Flush() != nil && w.UnreadTimeout > 0 {
 			return
 		}
-		if backup != "" && time.Since(copiedAt) >= backupInterval {
-			copiedAt = time.Now()
+		if backup != "" && time.Since(begunAt) >= firstBackupDelay {
 			ask(ctx, w.Fleet, func(s *state) bool { s.copies[backup+"/"+request] = run.Generation; return true })
 		}
 		if untilCrash > 0 && n-run.From+1 == untilCrash {
