Refuse answers whose status is not one of HTTP

Callers of an endpoint that answered with status 000 saw a connection that broke, while the node logged the request as answered: WriteHeader panics for a status below 100. The statuses 101, 600 and 999 reached callers as answers.

Cause: net/http takes any three characters that form a number, and the clients did not check the range.

Change: httpclient.Checker refuses final answers with a status outside of 200 to 599. Such a request may have run, so callers get 502.

Statuses of two or four digits and -20 were refused before.

--- a/common/httpclient/transport.go
+++ b/common/httpclient/transport.go
@@ -10,7 +10,7 @@
 // Transport is an http.RoundTripper that sends each request on a new connection: a late or duplicate answer cannot be mistaken for
 // the answer to another request, no request is lost on an idle connection that the endpoint closes, and net/http never resends one.
 type Transport struct {
-	base *http.Transport
+	checker *Checker
 }
 
 // New returns a transport that uses base, which belongs to it from then on and must have a DialContext.
@@ -20,7 +20,7 @@
 	if base.DialTLSContext != nil {
 		base.DialTLSContext = dialWrapped(base.DialTLSContext)
 	}
-	return &Transport{base: base}
+	return &Transport{checker: NewChecker(base)}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -30,7 +30,7 @@
 		GotConn:      func(info httptrace.GotConnInfo) { used = info.Conn.(*conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { used.finishRequest(info.Err) },
 	})
-	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	response, err := t.checker.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
--- a/test/edge/broken_answer_test.go
+++ b/test/edge/broken_answer_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strings"
 	"testing"
 
@@ -55,3 +57,35 @@
 		})
 	}
 }
+
+// serveRaw answers a request to PREFIX/NAME with the answer of that name.
+func serveRaw(answers map[string]string) func(net.Conn) {
+	return func(conn net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.WriteString(conn, answers[path.Base(req.URL.Path)])
+		}
+	}
+}
+
+// assertRefused checks that the caller of each answer gets an error that promises nothing, and that the node has kept no request.
+func assertRefused(t *testing.T, answers map[string]string) {
+	t.Helper()
+	s, n := startBrokenSite(t, 64<<10, serveRaw(answers))
+	for name := range answers {
+		resp, body, err := send(t, s.Request(n, http.MethodPost, "/booking/"+name, brokenID))
+		if assert.Check(t, err, name) {
+			assert.Check(t, resp.StatusCode == http.StatusBadGateway, "%s: status %d, header %v, body %q", name, resp.StatusCode, resp.Header, body)
+		}
+	}
+	assert.Check(t, !strings.Contains(n.Log(), "panic"))
+}
+
+// Guards against callers that get an answer, or a connection that breaks, for an answer whose status is none of HTTP.
+func TestAnswersWithInvalidStatusesReachNoCaller(t *testing.T) {
+	answers := map[string]string{}
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		answers[status] = strings.Replace(brokenHead, "200 OK", status+" X", 1) + "Content-Length: 2\r\n\r\nok"
+	}
+	assertRefused(t, answers)
+}
--- /dev/null
+++ b/transport/engine/broken_head_test.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"azuredyke.dev/azuredyke/fake/tcpserver"
+)
+
+// callRaw calls a plain service that answers with the given bytes and closes the connection.
+func callRaw(t *testing.T, raw string) (Answer, error) {
+	t.Helper()
+	address := tcpserver.Start(t, func(conn net.Conn) {
+		if n, _ := conn.Read(make([]byte, 4096)); n > 0 {
+			_, _ = io.WriteString(conn, raw)
+		}
+	})
+	client := NewClient(time.Second, nil)
+	defer client.Close()
+	return client.Call(t.Context(), Request{Address: address, Method: http.MethodGet, Path: "/", SendDeadline: time.Now().Add(time.Minute)})
+}
+
+// assertMayHaveRun checks that an answer was refused and that the request may have run.
+func assertMayHaveRun(t *testing.T, err error, raw string) {
+	t.Helper()
+	var failure *Failure
+	if assert.Check(t, errors.As(err, &failure), "%q", raw) {
+		assert.Check(t, !failure.NotRun(), "%q", raw)
+	}
+}
+
+// Guards against a status outside of those of HTTP that reaches a caller of a plain service.
+func TestStatusesThatAreNoneAreRefused(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
+		raw := "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok"
+		_, err := callRaw(t, raw)
+		assertMayHaveRun(t, err, raw)
+	}
+}
