Refuse answers with invalid field names

Callers got answers of endpoints whose heads had a blank in the name of a field: with the line joined to the signature, with a body that was cut or not at "Content-Length : 2" as the connection ended, or with the raw chunks after "Transfer-Encoding : chunked".

Cause: net/http keeps a name with a blank under a key that nothing looks up, and joins a line that begins with a blank to the value before it. The header that it returns shows neither joined lines nor the heads with a status of 1xx.

Change: common/httpclient checks the names in the bytes of the connection, in all heads of an answer and in its trailers, before net/http reads them.

--- a/common/httpclient/conn.go
+++ b/common/httpclient/conn.go
@@ -16,6 +16,8 @@
 // if the endpoint also took the whole request, so the end is held back until the request was written.
 type conn struct {
 	net.Conn
+	// scanner belongs to the task of the transport that reads, and after the head to the reader of the body.
+	scanner answerScanner
 	// answerEndsWithConn is set if the answer has neither a length nor chunks.
 	answerEndsWithConn atomic.Bool
 	// requestDone is closed when the request was written or its write has failed; requestErr is valid from then on.
@@ -50,6 +52,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err := c.scanner.scan(p[:n]); err != nil {
+		return 0, err
+	}
 	if err == io.EOF && c.answerEndsWithConn.Load() {
 		if err := c.awaitRequest(); err != nil {
 			return n, fmt.Errorf("%w: the connection ended before the request was written: %w", io.ErrUnexpectedEOF, err)
--- a/test/edge/broken_answer_test.go
+++ b/test/edge/broken_answer_test.go
@@ -89,3 +89,20 @@
 	}
 	assertRefused(t, answers)
 }
+
+// Guards against callers that get an answer with a line whose field name is none, or with a body that is not the endpoint's, since such a
+// line held its length or its framing.
+func TestAnswersWithInvalidFieldNamesReachNoCaller(t *testing.T) {
+	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
+	assertRefused(t, map[string]string{
+		"blank-before-colon": brokenHead + "X-Extra : 1\r\nContent-Length: 2\r\n\r\nok",
+		"blank-in-name":      brokenHead + "X Extra: 1\r\nContent-Length: 2\r\n\r\nok",
+		"control-byte":       brokenHead + "X\x01Extra: 1\r\nContent-Length: 2\r\n\r\nok",
+		"joined":             brokenHead + " X-Extra: 1\r\nContent-Length: 2\r\n\r\nok",
+		"length":             brokenHead + "Content-Length : 2\r\n\r\nok and more",
+		"chunks":             brokenHead + "Transfer-Encoding : chunked\r\n" + chunks,
+		"joined-chunks":      brokenHead + " Transfer-Encoding: chunked\r\n" + chunks,
+		"interim-head":       "HTTP/1.1 103 Early Hints\r\nX-Extra : 1\r\n\r\n" + brokenHead + "Content-Length: 2\r\n\r\nok",
+		"trailer":            brokenHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Extra : 1\r\n\r\n",
+	})
+}
--- a/transport/engine/broken_head_test.go
+++ b/transport/engine/broken_head_test.go
@@ -43,3 +43,12 @@
 		assertMayHaveRun(t, err, raw)
 	}
 }
+
+// Guards against field names with a blank that reach a caller of a plain service, or that hide the framing of the body.
+func TestFieldNamesThatAreNoneAreRefused(t *testing.T) {
+	for _, line := range []string{"X-Extra : 1", "X Extra: 1", " X-Extra: 1", "Content-Length : 2", "Transfer-Encoding : chunked"} {
+		raw := "HTTP/1.1 200 OK\r\nX-Sum: a\r\n" + line + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+		_, err := callRaw(t, raw)
+		assertMayHaveRun(t, err, raw)
+	}
+}
