--- a/common/httpclient/conn.go
+++ b/common/httpclient/conn.go
@@ -63,15 +63,15 @@
 	return n, err
 }
 
-// awaitRequest waits until the request was written. It returns an error if that fails.
+// awaitRequest waits until the request was written. It returns an error if that fails, or if the transport closes the connection, which it
+// does at the latest when the context of the request ends.
 func (c *conn) awaitRequest() error {
 	select {
 	case <-c.requestDone:
 		return c.requestErr
 	case <-c.closed:
+		return net.ErrClosed
 	}
-	// The transport closes the connection when the write has failed.
-	return net.ErrClosed
 }
 
 // Close implements net.Conn.
--- a/common/httpclient/transport.go
+++ b/common/httpclient/transport.go
@@ -13,7 +13,7 @@
 	checker *Checker
 }
 
-// New returns a transport that uses base, which belongs to it from then on and must have a DialContext.
+// New returns a transport that uses base, which belongs to it from then on. base must have a DialContext, and for TLS a DialTLSContext.
 func New(base *http.Transport) *Transport {
 	base.DisableKeepAlives = true
 	base.DialContext = dialWrapped(base.DialContext)
