--- a/test/edge/broken_answer_test.go
+++ b/test/edge/broken_answer_test.go
@@ -81,7 +81,7 @@
 	assert.Check(t, !strings.Contains(n.Log(), "panic"))
 }
 
-// Guards against callers that get an answer, or a connection that breaks, for an answer whose status is none of HTTP.
+// Guards against callers that get an answer with an invalid status, or a connection that breaks instead of an error.
 func TestAnswersWithInvalidStatusesReachNoCaller(t *testing.T) {
 	answers := map[string]string{}
 	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
@@ -90,7 +90,7 @@
 	assertRefused(t, answers)
 }
 
-// Guards against callers that get an answer with a line whose field name is none, or with a body that is not the endpoint's, since such a
+// Guards against callers that get an answer with a line whose field name is invalid, or with a body that is not the endpoint's, since such a
 // line held its length or its framing.
 func TestAnswersWithInvalidFieldNamesReachNoCaller(t *testing.T) {
 	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
--- a/test/edge/broken_request_test.go
+++ b/test/edge/broken_request_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against requests that reach an endpoint although a field name of theirs is none, or their body ends before its length or its last
+// Guards against requests that reach an endpoint although they have an invalid field name, or their body ends before its length or its last
 // chunk.
 func TestBrokenRequestsReachNoEndpoint(t *testing.T) {
 	s, n := startPlainSite(t)
--- a/transport/engine/broken_head_test.go
+++ b/transport/engine/broken_head_test.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// Guards against a status outside of those of HTTP that reaches a caller of a plain service.
-func TestStatusesThatAreNoneAreRefused(t *testing.T) {
+// Guards against an answer of a plain service with an invalid status that reaches a caller.
+func TestInvalidStatusesAreRefused(t *testing.T) {
 	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
 		raw := "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok"
 		_, err := callRaw(t, raw)
@@ -44,8 +44,8 @@
 	}
 }
 
-// Guards against field names with a blank that reach a caller of a plain service, or that hide the framing of the body.
-func TestFieldNamesThatAreNoneAreRefused(t *testing.T) {
+// Guards against an answer of a plain service with an invalid field name that reaches a caller, or that hides the framing of the body.
+func TestInvalidFieldNamesAreRefused(t *testing.T) {
 	for _, line := range []string{"X-Extra : 1", "X Extra: 1", " X-Extra: 1", "Content-Length : 2", "Transfer-Encoding : chunked"} {
 		raw := "HTTP/1.1 200 OK\r\nX-Sum: a\r\n" + line + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 		_, err := callRaw(t, raw)
