Play broken answers in the soak

Change: -soak.broken adds endpoints that answer an upload early and reset the connection, answer with the status 600, or have a blank in the name of the field that frames the body. Callers send some uploads of 8 MB.

--- a/fake/workers/behaviour.go
+++ b/fake/workers/behaviour.go
@@ -16,4 +16,11 @@
 	Truncate
 	// WrongRequestID runs every request and answers with the id of another request.
 	WrongRequestID
+	// ResetEarly runs every request, answers without a length before it has read the body, and resets the connection after a part of the
+	// answer.
+	ResetEarly
+	// InvalidStatus runs every request and answers with the status 600.
+	InvalidStatus
+	// InvalidFieldName runs every request and answers in chunks, with a blank in the name of the field that says so.
+	InvalidFieldName
 )
--- a/test/harness/edge_site.go
+++ b/test/harness/edge_site.go
@@ -173,6 +173,9 @@
 	h := newLocalServer(s.t, w, nil)
 	link := newLink(s.t, "worker "+id, h.address)
 	w.Address = link.Address()
+	if w.Direct {
+		w.Address = h.address
+	}
 	s.Links[id], s.workerServers[id] = link, h
 	s.PutWorkerEntry(w, "ready")
 	return w
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -32,6 +32,9 @@
 	maxAbandonDelay = 300 * time.Millisecond
 	// revokedKeyShare is the share of requests that use a revoked key, if there is one.
 	revokedKeyShare = 0.1
+	// uploadBytes is the size of an upload, which every uploadInterval-th request to a route without streams is if the plan has uploads.
+	uploadBytes    = 8 << 20
+	uploadInterval = 2
 	// maxBodyBytes limits the size of a non-streamed answer.
 	maxBodyBytes = 1 << 20
 )
@@ -48,6 +51,8 @@
 	state  *atomic.Pointer[operatorState]
 
 	transports []*http.Transport
+	// uploads is set if the caller sends uploads.
+	uploads bool
 	// probe is set for callers that never abandon a request and always use the permanent key.
 	probe        bool
 	node         int
@@ -143,6 +148,9 @@
 	}
 	req := c.site.Request(c.site.Nodes[c.node], method, a.path, a.id)
 	req.URL.Host = c.site.Nodes[c.node].CallersLink.Address()
+	if c.uploads && method == http.MethodPost && !a.isStream() && c.requestCount%uploadInterval == 0 {
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes))), uploadBytes
+	}
 	harness.SetEdgeAPIKey(req, a.key)
 	harness.SetEdgeDeadline(req, deadline)
 	if long {
--- a/test/soak/check_answers.go
+++ b/test/soak/check_answers.go
@@ -5,11 +5,15 @@
 	"strings"
 )
 
-// findWrongAnswers finds success responses that are not a worker's complete answer to the same request.
+// findWrongAnswers finds responses whose status is not one of HTTP, and success responses that are not a worker's complete answer to the
+// same request.
 func findWrongAnswers(h *history) []string {
 	var found []string
 	for i := range h.attempts {
 		a := &h.attempts[i]
+		if a.status != 0 && (a.status < 200 || a.status > 599) {
+			found = append(found, fmt.Sprintf("%s has the status %d", a.id, a.status))
+		}
 		if a.status < 200 || a.status > 299 {
 			continue
 		}
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -72,6 +72,14 @@
 	assert.DeepEqual(t, findBreaches(goodHistory(), true), []string(nil))
 }
 
+// Guards against a check that looks at answers with a success status only.
+func TestInvalidStatusIsAWrongAnswer(t *testing.T) {
+	h := goodHistory()
+	assert.Equal(t, len(findWrongAnswers(h)), 0)
+	h.attempts[1].status = 600
+	assert.Equal(t, len(findWrongAnswers(h)), 1)
+}
+
 // Guards against checks that miss a breach, or that report breaches of another promise.
 func TestChecksFindPlantedFaults(t *testing.T) {
 	for name, corrupt := range map[string]func(h *history){
--- a/test/soak/fault_kind.go
+++ b/test/soak/fault_kind.go
@@ -35,6 +35,8 @@
 	workerLinkDelay  faultKind = "worker link delay"
 	// workerBehave makes a worker refuse, fail, reset or truncate its answers, or answer with another request's id.
 	workerBehave faultKind = "worker behave"
+	// workerBreak makes a worker answer uploads early and reset the connection, or send heads that are not HTTP.
+	workerBreak faultKind = "worker break"
 	// workerCrash kills a worker without notice; a replacement is started.
 	workerCrash faultKind = "worker crash"
 	// workerLeave announces that a worker leaves; after the notice period it is killed and replaced by a cold worker.
@@ -67,7 +69,7 @@
 		return scopeAllNodes
 	case storeRefuse, storeLoseAnswers, storeSlow, storeCompact:
 		return scopeStore
-	case workerLinkStall, workerLinkOneWay, workerLinkReset, workerLinkDelay, workerBehave, workerCrash, workerLeave:
+	case workerLinkStall, workerLinkOneWay, workerLinkReset, workerLinkDelay, workerBehave, workerBreak, workerCrash, workerLeave:
 		return scopeWorker
 	case revokeKey, routeAdd, routeDrop, evacuateDataCentre:
 		return scopeConfiguration
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -31,9 +31,11 @@
 	began       time.Time
 	workers     []*workers.Worker
 	startCounts []int
-	actions     []action
-	injected    []injectedFault
-	departures  []departure
+	// changeWorker holds functions that change a worker before it starts.
+	changeWorker []func(*workers.Worker)
+	actions      []action
+	injected     []injectedFault
+	departures   []departure
 	// coldUntil holds the end of the cold period of each worker that was started cold.
 	coldUntil map[string]time.Time
 	// rollout is nil without a roll-out, and targets holds the workers of its target.
@@ -200,7 +202,7 @@
 	case evacuateDataCentre:
 		return i.evacuate(f)
 	}
-	i.site.PutConfiguration(harness.EdgeConfiguration{APIKeys: next.keys, AddedRoutes: next.added, ColdRate: coldRate})
+	i.site.PutConfiguration(harness.EdgeConfiguration{APIKeys: next.keys, AddedRoutes: next.added, ColdRate: coldRate, MaxBodyBytes: uploadBytes})
 	acknowledgedAt := time.Now()
 	switch f.kind {
 	case revokeKey:
--- a/test/soak/injector_workers.go
+++ b/test/soak/injector_workers.go
@@ -38,9 +38,13 @@
 	case workerLinkReset:
 		link.Heal()
 	case workerBehave:
-		ways := []workers.Behaviour{workers.Refuse, workers.Fail, workers.Reset, workers.Truncate, workers.WrongRequestID}
-		i.site.Fleet.SetBehaviour(ctx, w.ID, ways[f.variant%len(ways)])
-		return func(ctx context.Context) { i.site.Fleet.SetBehaviour(ctx, w.ID, workers.Serve) }
+		return i.setBehaviour(ctx, f, workers.Refuse, workers.Fail, workers.Reset, workers.Truncate, workers.WrongRequestID)
+	case workerBreak:
+		broken := []workers.Behaviour{workers.InvalidStatus, workers.InvalidFieldName}
+		if w.Direct {
+			broken = append(broken, workers.ResetEarly)
+		}
+		return i.setBehaviour(ctx, f, broken...)
 	case workerCrash:
 		i.endWorker(f.target, f.length)
 	case workerLeave:
@@ -49,6 +53,13 @@
 	return nil
 }
 
+// setBehaviour gives the worker of a fault one of the behaviours, and returns a function that ends it.
+func (i *injector) setBehaviour(ctx context.Context, f fault, choices ...workers.Behaviour) func(context.Context) {
+	id := i.workers[f.target].ID
+	i.site.Fleet.SetBehaviour(ctx, id, choices[f.variant%len(choices)])
+	return func(ctx context.Context) { i.site.Fleet.SetBehaviour(ctx, id, workers.Serve) }
+}
+
 // announceLeaving announces that a worker leaves, by marking its entry as draining, by removing the entry or only in its answers,
 // and schedules the worker's end.
 func (i *injector) announceLeaving(ctx context.Context, f fault) {
@@ -87,7 +98,7 @@
 		return
 	}
 	i.startCounts[slot]++
-	w := addWorker(i.site, slot, i.startCounts[slot], i.versionOf(slot), cold)
+	w := addWorker(i.site, slot, i.startCounts[slot], i.versionOf(slot), cold, i.changeWorker...)
 	i.workers[slot] = w
 	if w.ColdFor > 0 {
 		i.coldUntil[w.ID] = time.Now().Add(w.ColdFor)
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -70,6 +70,10 @@
 	{evacuateDataCentre, 1},
 }
 
+// brokenWeights holds the relative frequency of each kind in a plan with broken answers. These are not among kindWeights, so that the
+// plans of earlier seeds stay the same.
+var brokenWeights = append(slices.Clone(kindWeights), weighted[faultKind]{workerBreak, 40})
+
 // plan is the schedule of faults of one run.
 type plan struct {
 	seed   uint64
@@ -77,6 +81,15 @@
 	faults []fault
 	// rollout is nil if the run has no roll-out.
 	rollout *rolloutPlan
+	// uploads is set if callers send some requests with long bodies.
+	uploads bool
+}
+
+// newBrokenPlan draws the plan of a seed with broken answers among its faults.
+func newBrokenPlan(seed uint64, length time.Duration) plan {
+	p := newPlan(seed, length, brokenWeights)
+	p.uploads = true
+	return p
 }
 
 // newPlan draws the plan of a seed, with faults of the given kinds. Faults on one link do not overlap, because the end of one would end the other too. Signals
--- a/test/soak/run_plan.go
+++ b/test/soak/run_plan.go
@@ -27,11 +27,14 @@
 		keys:    []string{harness.EdgeAPIKey},
 		revoked: map[string]time.Time{}, addedAt: map[string]time.Time{}, droppedAt: map[string]time.Time{},
 	})
-	s.PutConfiguration(harness.EdgeConfiguration{APIKeys: state.Load().keys, ColdRate: coldRate})
+	s.PutConfiguration(harness.EdgeConfiguration{APIKeys: state.Load().keys, ColdRate: coldRate, MaxBodyBytes: uploadBytes})
 	faults := &injector{
 		site: s, state: state, workers: make([]*workers.Worker, workerCount), startCounts: make([]int, workerCount),
 		coldUntil: map[string]time.Time{},
 	}
+	if p.uploads {
+		faults.changeWorker = append(faults.changeWorker, makeDeskDirect)
+	}
 	for slot := range workerCount {
 		faults.startWorker(slot, false)
 	}
@@ -57,6 +60,7 @@
 	attempts := make([][]attempt, callerCount)
 	for n := range callerCount {
 		c := newCaller(fmt.Sprintf("s%d-c%d", p.seed, n), p.seed+uint64(n), s, ready, state)
+		c.uploads = p.uploads
 		callerTasks.Go(func() { attempts[n] = c.run(callerCtx) })
 	}
 	faults.run(t.Context(), p)
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -77,7 +77,7 @@
 }
 
 // addWorker starts a worker of a version in a slot. Its name consists of the slot and the number of the worker in that slot.
-func addWorker(s *harness.EdgeSite, slot, number int, version string, cold bool) *workers.Worker {
+func addWorker(s *harness.EdgeSite, slot, number int, version string, cold bool, change ...func(*workers.Worker)) *workers.Worker {
 	engine, name := slot < engineCount, "desk"
 	if engine {
 		name = "engine"
@@ -92,9 +92,15 @@
 		if cold && engine {
 			w.ColdFor = coldTime
 		}
+		for _, c := range change {
+			c(w)
+		}
 	})
 }
 
+// makeDeskDirect lets nodes reach a desk without a link. Faults of its link have no effect.
+func makeDeskDirect(w *workers.Worker) { w.Direct = !w.Engine }
+
 // ignoresClose reports whether an engine does not notice that the connection of a run was closed. Callers never leave the runs of
 // which that holds, since the work of callers who have left must stop as a rule.
 func ignoresClose(path string) bool { return isLong(path) }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,7 @@
 	length    = flag.Duration("soak.length", 10*time.Second, "period in which faults begin")
 	rollouts  = flag.Bool("soak.rollouts", false, "one roll-out, good or bad, among the faults, with -soak.seeds or -soak.seed")
 	planned   = flag.Bool("soak.planned", false, "only planned operations, and workers that leave, with -soak.seeds or -soak.seed")
+	broken    = flag.Bool("soak.broken", false, "broken answers among the faults, with -soak.seeds or -soak.seed")
 	timed     = flag.Bool("soak.timed", false, "also check the promises with a time bound; only for idle machines")
 	keepDir   = flag.String("soak.keep", "", "folder for the logs and the plan of a failed seed")
 )
@@ -37,6 +38,9 @@
 // plannedSeeds holds the seeds of planned operations that CI runs.
 var plannedSeeds = []uint64{1}
 
+// brokenSeeds holds the seeds with broken answers that CI runs.
+var brokenSeeds = []uint64{1, 2}
+
 // failedSeeds holds the seeds that have failed before, with the cause of the failure.
 var failedSeeds = []struct {
 	seed  uint64
@@ -90,6 +94,10 @@
 	for n := range uint64(max(1, *seeds)) {
 		t.Run(fmt.Sprint(start+n), func(t *testing.T) {
 			t.Parallel()
+			if *broken {
+				runSeed(t, newBrokenPlan(start+n, *length))
+				return
+			}
 			if *rollouts {
 				runSeed(t, newRolloutPlan(start+n, *length, kinds))
 				return
@@ -109,6 +117,16 @@
 	}
 }
 
+// Guards against callers that get a broken answer as a whole one while other faults happen.
+func TestBrokenAnswers(t *testing.T) {
+	for _, seed := range brokenSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, newBrokenPlan(seed, ciLength))
+		})
+	}
+}
+
 // Guards against roll-outs that break a promise, or a bound of a version that fails, under other faults.
 func TestRollouts(t *testing.T) {
 	for _, seed := range rolloutSeeds {
