--- a/common/httpclient/conn.go
+++ b/common/httpclient/conn.go
@@ -12,8 +12,8 @@
 //
 // An answer without a length ends with its connection, and the end of the connection alone does not show that the answer is whole:
 // the kernel reports a reset to one call only, and if that is a write of the request, the next read returns io.EOF. An endpoint that
-// crashes while it receives the request also closes its connection like one that has finished. Such an answer is therefore whole only
-// if the endpoint also took the whole request, so the end is held back until the request was written.
+// crashes while it receives the request may also close its connection like one that has finished. Such an answer therefore counts as
+// whole only if the whole request was written, and its end is held back until then.
 type conn struct {
 	net.Conn
 	// scanner belongs to the task of the transport that reads, and after the head to the reader of the body.
