--- a/test/edge/broken_answer_test.go
+++ b/test/edge/broken_answer_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// assertRefused checks that the caller of each answer gets an error that promises nothing, and that the node has kept no request.
+// assertRefused checks that the caller of each answer gets an error that promises nothing, and that the node has not panicked.
 func assertRefused(t *testing.T, answers map[string]string) {
 	t.Helper()
 	s, n := startBrokenSite(t, 64<<10, serveRaw(answers))
