--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,6 +25,13 @@
 	at      time.Time
 }
 
+// answer is what a client has got. It is complete if err is nil.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
 // client sends requests without retries.
 type client struct {
 	record *record
@@ -32,12 +40,14 @@
 
 	mu   sync.Mutex
 	sent map[string]sent
+	// received holds the answers by the id of the request.
+	received map[string]answer
 	// running counts the requests without an answer.
 	running sync.WaitGroup
 }
 
 func newClient(r *record) *client {
-	return &client{record: r, sent: map[string]sent{}, http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	return &client{record: r, sent: map[string]sent{}, received: map[string]answer{}, http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 }
 
 // nextID returns the id of a new request.
@@ -69,19 +79,22 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
-	answer, err := c.http.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil {
 		c.record.writef("client gets no answer to %s: %v", id, err)
 		return
 	}
-	defer func() { _ = answer.Body.Close() }()
-	received, err := io.ReadAll(answer.Body)
+	defer func() { _ = response.Body.Close() }()
+	received, err := io.ReadAll(response.Body)
+	c.mu.Lock()
+	c.received[id] = answer{status: response.StatusCode, body: string(received), err: err}
+	c.mu.Unlock()
 	if err != nil {
 		c.record.writef("client gets an answer to %s that breaks off after %d bytes: %v", id, len(received), err)
 		return
 	}
-	c.record.writef("client gets %d for %s, signature %q, limit %q", answer.StatusCode, id, answer.Header.Get("X-Server-Signature"),
-		answer.Header.Get("Server-Limit"))
+	c.record.writef("client gets %d for %s, signature %q, limit %q", response.StatusCode, id, response.Header.Get("X-Server-Signature"),
+		response.Header.Get("Server-Limit"))
 }
 
 // request returns a request that was sent.
@@ -91,6 +104,13 @@
 	return c.sent[id]
 }
 
+// answers returns the answers that were received, by the id of the request.
+func (c *client) answers() map[string]answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.received)
+}
+
 // sendFor sends requests with each key to each node at an interval for some time.
 func (c *client) sendFor(d, interval time.Duration, nodes []*node, keys ...string) {
 	tick := time.NewTicker(interval)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,12 +22,16 @@
 	"restored-store":    playRestoredStore,
 	"late-registration": playLateRegistration,
 	"deadly-part":       playDeadlyPart,
+	"killed-engine":     playKilledEngine,
 	"cold-restart":      playColdRestart,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == engineMode {
+		return runEngine(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
 		return exitInvalid
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -23,6 +23,8 @@
 	nodes     []*node
 	stop      chan struct{}
 	servers   []*http.Server
+	// kills end the other processes that the case has started.
+	kills []func()
 }
 
 // newSite starts the store. trouble is set unless the case is to be played without its disruption.
@@ -97,6 +99,9 @@
 		for _, n := range s.nodes {
 			n.kill()
 		}
+		for _, kill := range s.kills {
+			kill()
+		}
 		_ = os.RemoveAll(s.dir)
 		os.Exit(exitInvalid)
 	}()
