--- a/review/standin3/configuration.go
+++ b/review/standin3/configuration.go
@@ -45,14 +45,19 @@
 			"name": "catalogo", "hostname": hostName, "pathPrefix": "/catalogo/", "type": "streaming", "timeoutMs": 39000, "sloMs": 1800,
 			"priority": 1, "service": engineService, "maxAttempts": 1, "public": false, "sticky": true, "resumable": false, "gapSloMs": 180,
 		}},
-		"services": []any{map[string]any{
-			"name": engineService, "healthPath": "/healthz", "maxConnections": 372, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 37.0,
-			"inferenceEngine": map[string]any{
-				"slots": 48, "kvCapacity": 34489, "kvBytes": 327680, "linkMbps": 47000.0, "moves": true, "backups": true, "stride": 4, "most": 12,
-				"pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}},
-			},
-		}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": tenantName, "apiKeys": []string{engineKey}, "priority": 1}},
+		"services": []any{engineServiceConfiguration()},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []any{map[string]any{"name": tenantName, "apiKeys": []string{engineKey}, "priority": 1}},
 	})
 }
+
+// engineServiceConfiguration returns the service of the model engines.
+func engineServiceConfiguration() map[string]any {
+	return map[string]any{
+		"name": engineService, "healthPath": "/healthz", "maxConnections": 372, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 37.0,
+		"inferenceEngine": map[string]any{
+			"slots": 48, "kvCapacity": 34489, "kvBytes": 327680, "linkMbps": 47000.0, "moves": true, "backups": true, "stride": 4, "most": 12,
+			"pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}},
+		},
+	}
+}
--- a/review/standin3/deadly_part.go
+++ b/review/standin3/deadly_part.go
@@ -13,16 +13,17 @@
 )
 
 const (
-	// sharedParts is the number of parts of each prompt before its last one. deadlyPosition is the default position of the part that
-	// crashes engines among them, from 1.
-	sharedParts    = 18
-	deadlyPosition = 18
-	deadlyPart     = "dead0bad"
+	// manyParts and fewParts are numbers of parts of a prompt before its last one. The last of these is the one that crashes engines.
+	manyParts  = 18
+	fewParts   = 2
+	deadlyPart = "dead0bad"
+	// engines is the number of engines.
+	engines = 9
 	// backAfter is the time after which an engine is back after a crash.
 	backAfter = 2 * time.Second
 	// soundInterval and deadlyInterval are the times between two requests.
 	soundInterval  = 50 * time.Millisecond
-	deadlyInterval = 500 * time.Millisecond
+	deadlyInterval = time.Second
 	// playTime is the time for which requests with the deadly part come.
 	playTime = 40 * time.Second
 	// crashesToLearn is the number of crashes after which the rules hold, and maxDeadly the number of requests that the first one
@@ -32,13 +33,16 @@
 	engineDeadline = 39 * time.Second
 )
 
-// deadlyCase plays requests whose prompts have many parts, one of which crashes engines.
+// deadlyCase plays requests of which some have a part that crashes engines.
 type deadlyCase struct {
 	*site
-	position int
-	clients  *client
-	engines  []*engine
-	servers  sync.Map
+	// parts is the number of parts of a prompt before its last one, position that of the deadly part among them, from 1.
+	parts, position int
+	// eventsBefore is the number of events that an engine writes before it crashes.
+	eventsBefore int
+	clients      *client
+	engines      []*engine
+	servers      sync.Map
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -46,19 +50,40 @@
 	sound, deadly map[string]time.Time
 }
 
-// playDeadlyPart sends requests with a part that crashes engines among sound ones that share all other parts. The rule is broken if more
-// than maxDeadly of them reach engines later than contact after the fifth crash.
+// playDeadlyPart plays a deadly part of a prompt with many parts. The engine crashes before its first event. POSITION sets the position of
+// the deadly part.
 func playDeadlyPart(s *site) (bool, error) {
-	c := &deadlyCase{site: s, position: deadlyPosition, clients: newClient(s.record), sound: map[string]time.Time{}, deadly: map[string]time.Time{}}
+	c := &deadlyCase{site: s, parts: manyParts, position: manyParts}
 	if text := os.Getenv("POSITION"); text != "" {
 		var err error
-		if c.position, err = strconv.Atoi(text); err != nil || c.position < 1 || c.position > sharedParts {
+		if c.position, err = strconv.Atoi(text); err != nil || c.position < 1 || c.position > c.parts {
 			return false, errors.New("POSITION is no position of a shared part")
 		}
 	}
-	s.record.writef("the deadly part is number %d of %d", c.position, sharedParts+1)
+	return c.run()
+}
+
+// playLateDeadlyPart plays a deadly part of a prompt with few parts. The engine crashes after its first event. EVENTS sets the number of
+// events before the crash.
+func playLateDeadlyPart(s *site) (bool, error) {
+	c := &deadlyCase{site: s, parts: fewParts, position: fewParts, eventsBefore: 1}
+	if text := os.Getenv("EVENTS"); text != "" {
+		var err error
+		if c.eventsBefore, err = strconv.Atoi(text); err != nil || c.eventsBefore < 0 || c.eventsBefore >= eventCount {
+			return false, errors.New("EVENTS is no number of events before the last one")
+		}
+	}
+	return c.run()
+}
+
+// run sends requests with the deadly part among sound ones that share all other parts, and reports whether the rules held: no more than
+// maxDeadly of them reach engines later than contact after the fifth crash, and sound requests go on to be served.
+func (c *deadlyCase) run() (bool, error) {
+	s := c.site
+	c.clients, c.sound, c.deadly = newClient(s.record), map[string]time.Time{}, map[string]time.Time{}
+	s.record.writef("the deadly part is number %d of %d; the engine crashes after %d events", c.position, c.parts+1, c.eventsBefore)
 	s.store.put("op/config", engineConfiguration())
-	for i := range 4 {
+	for i := range engines {
 		if err := c.addEngine(fmt.Sprintf("i-7f3a91c%d", i), fmt.Sprintf("andino-%c", 'a'+i%2)); err != nil {
 			return false, err
 		}
@@ -80,7 +105,7 @@
 
 // addEngine starts an engine, which comes back after each crash, and writes its entry.
 func (c *deadlyCase) addEngine(id, zone string) error {
-	e := &engine{record: c.record, id: id, zone: zone, address: "127.0.0.1:0", deadlyPart: deadlyPart, born: time.Now().UnixMilli()}
+	e := &engine{record: c.record, id: id, zone: zone, address: "127.0.0.1:0", deadlyPart: deadlyPart, eventsBefore: c.eventsBefore, born: time.Now().UnixMilli()}
 	e.crash = func() {
 		c.mu.Lock()
 		c.crashes = append(c.crashes, time.Now())
@@ -131,7 +156,7 @@
 func (c *deadlyCase) send(n *node, deadly bool) {
 	id := c.clients.nextID()
 	var parts []string
-	for i := range sharedParts {
+	for i := range c.parts {
 		part := fmt.Sprintf("5c1e07%02x:20", i)
 		if deadly && i+1 == c.position {
 			part = deadlyPart + ":20"
@@ -150,7 +175,7 @@
 	c.record.writef("client sends request %s to %s, with the deadly part: %t", id, n.name, deadly)
 	c.clients.running.Go(func() {
 		c.clients.ask(n, http.MethodPost, "/catalogo/2f", id, engineKey, engineDeadline, "body of "+id, map[string]string{
-			"X-Model": "m", "X-Token-Usage": fmt.Sprintf("%d,%d", sharedParts*20+40, eventCount*4), "X-Prompt-Prefix": strings.Join(parts, ","),
+			"X-Model": "m", "X-Token-Usage": fmt.Sprintf("%d,%d", c.parts*20+40, eventCount*4), "X-Prompt-Prefix": strings.Join(parts, ","),
 		})
 	})
 }
@@ -183,6 +208,13 @@
 		min(crashesToLearn, len(c.crashes)), late, maxDeadly)
 	c.record.writef("sound requests that begun at the first attempt: %d of %d before the first crash, %d of %d from %v after that crash on",
 		beforeBegun, before, afterBegun, after, 2*contact)
+	cut := 0
+	for id, a := range c.clients.answers() {
+		if _, ok := c.sound[id]; ok && a.err != nil {
+			cut++
+		}
+	}
+	c.record.writef("sound answers that broke off: %d of %d", cut, len(c.sound))
 	lost := before >= 20 && after >= 20 && 2*afterBegun*before < beforeBegun*after
 	c.record.writef("BUDGET broken: %t; LOST broken: %t", late > maxDeadly, lost)
 	return late <= maxDeadly && !lost
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -13,7 +13,7 @@
 	prefillTime   = 40 * time.Millisecond
 	eventInterval = 20 * time.Millisecond
 	// eventCount is the number of events of an answer.
-	eventCount = 4
+	eventCount = 60
 )
 
 // engineRun is a request that an engine has run.
@@ -33,6 +33,8 @@
 	born    int64
 	// deadlyPart is the id of the part of a prompt that crashes the engine once it begins to write an answer.
 	deadlyPart string
+	// eventsBefore is the number of events that the engine writes before it crashes.
+	eventsBefore int
 	// crash ends the engine's process.
 	crash func()
 
@@ -74,7 +76,11 @@
 	time.Sleep(prefillTime)
 	if run.deadly {
 		w.WriteHeader(http.StatusOK)
+		for n := range e.eventsBefore {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", n+1, n+1, id)
+		}
 		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventInterval)
 		e.record.writef("engine %s crashes under request %s", e.id, id)
 		e.crash()
 		panic(http.ErrAbortHandler)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,7 +22,11 @@
 	"restored-store":    playRestoredStore,
 	"late-registration": playLateRegistration,
 	"deadly-part":       playDeadlyPart,
+	"late-deadly-part":  playLateDeadlyPart,
 	"killed-engine":     playKilledEngine,
+	"long-answer":       playLongAnswer,
+	"moved-key":         playMovedKey,
+	"full-backup":       playFullBackup,
 	"cold-restart":      playColdRestart,
 }
 
