--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -128,16 +129,28 @@
 	}
 }
 
+const (
+	// firstPort and portCount bound the ports of nodes. They lie below those that the kernel gives outgoing connections, one of which could
+	// take a port before its node listens.
+	firstPort = 20_000
+	portCount = 10_000
+	// portTries is the number of ports that are tried for each one.
+	portTries = 100
+)
+
 // freePorts returns free ports of the loopback interface.
 func freePorts(count int) ([]int, error) {
 	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for tries := 0; len(ports) < count; tries++ {
+		port := firstPort + rand.IntN(portCount)
+		listener, err := net.Listen("tcp", loopback(port))
+		switch {
+		case err == nil:
+			defer func() { _ = listener.Close() }()
+			ports = append(ports, port)
+		case tries >= portTries*count:
 			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
 	return ports, nil
 }
