--- a/review/standin3/copying_engine.go
+++ b/review/standin3/copying_engine.go
@@ -27,6 +27,8 @@
 	at      time.Time
 	// isNew is set unless the run continued from a copy. failed is set if the engine answered it with its own 500.
 	isNew, failed bool
+	// backup is the address of the engine that is to hold a copy; empty if there is none.
+	backup string
 	// tokens is the memory of the run; it is 0 once the run has ended.
 	tokens int
 	// stop is closed by a final move.
@@ -83,6 +85,32 @@
 	f.record.writef("engine %s fails %.2f of its requests from now on", e.id, share)
 }
 
+// withoutCopy returns the engine that is the backup of the most runs without having a copy of them, and the engines of these runs, those with
+// the most of them first.
+func (f *engineFleet) withoutCopy() (backup *copyingEngine, sources []*copyingEngine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := map[*copyingEngine]map[*copyingEngine]int{}
+	most := -1
+	for _, b := range f.engines {
+		counts[b] = map[*copyingEngine]int{}
+		total := 0
+		for _, r := range f.runs {
+			if r.tokens > 0 && r.backup == b.address && f.copies[b.address+"/"+r.request] == 0 {
+				counts[b][r.engine]++
+				total++
+			}
+		}
+		if total > most {
+			most, backup = total, b
+		}
+	}
+	sources = slices.DeleteFunc(slices.Clone(f.engines), func(e *copyingEngine) bool { return e == backup })
+	slices.SortFunc(sources, func(a, b *copyingEngine) int { return counts[backup][b] - counts[backup][a] })
+	f.record.writef("engine %s is the backup of %d runs without a copy", backup.id, most)
+	return backup, sources
+}
+
 // drain makes an engine say that it is leaving. It goes on serving.
 func (f *engineFleet) drain(e *copyingEngine) {
 	f.mu.Lock()
@@ -138,7 +166,7 @@
 	defer f.mu.Unlock()
 	from := in.Header.Get("Kv-From")
 	_, hasCopy := f.copies[from]
-	run := &memoryRun{request: id, engine: e, at: time.Now(), isNew: !hasCopy, failed: rand.Float64() < e.failures, stop: make(chan struct{})}
+	run := &memoryRun{request: id, engine: e, at: time.Now(), isNew: !hasCopy, backup: in.Header.Get("X-Kv-Backup"), failed: rand.Float64() < e.failures, stop: make(chan struct{})}
 	if from != "" && !hasCopy && !run.failed {
 		f.record.writef("engine %s refuses %s: it has no copy", e.id, id)
 		return nil
--- a/review/standin3/full_backup.go
+++ b/review/standin3/full_backup.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// engineCount is the number of engines, of which the last one fails a share of its requests.
+	// engineCount is the number of engines, of which one fails a share of its requests.
 	engineCount  = 7
 	failingShare = 0.45
 	// failFrom is the time at which it begins to, failFor how long it does.
 	failFrom = 11500 * time.Millisecond
 	failFor  = 6500 * time.Millisecond
 	// drainAt and drainNextAt are the times at which engines begin to leave, drained and drainedNext the numbers of these.
-	drainAt     = 12 * time.Second
+	drainAt     = failFrom + 100*time.Millisecond
 	drained     = 2
-	drainNextAt = 14 * time.Second
+	drainNextAt = failFrom + 200*time.Millisecond
 	drainedNext = 1
 	// engineCapacity is the memory of an engine in tokens.
 	engineCapacity = 34_489
@@ -57,6 +57,8 @@
 	clients := newClient(s.record)
 	begin := time.Now()
 	phase := 0
+	var failing *copyingEngine
+	var sources []*copyingEngine
 	for i := 0; time.Since(begin) < streamsTime; i++ {
 		id := clients.nextID()
 		n := s.nodes[i%len(s.nodes)]
@@ -75,18 +77,19 @@
 		switch now := time.Since(begin); {
 		case phase == 0 && now >= failFrom:
 			phase++
+			failing, sources = f.withoutCopy()
 			if s.trouble {
-				f.setFailures(f.engines[engineCount-1], failingShare)
+				f.setFailures(failing, failingShare)
 			}
 		case phase == 1 && now >= drainAt:
 			phase++
-			s.drain(f, 0, drained)
+			s.drain(f, sources[:drained])
 		case phase == 2 && now >= drainNextAt:
 			phase++
-			s.drain(f, drained, drained+drainedNext)
+			s.drain(f, sources[drained:drained+drainedNext])
 		case phase == 3 && now >= failFrom+failFor:
 			phase++
-			f.setFailures(f.engines[engineCount-1], 0)
+			f.setFailures(failing, 0)
 		}
 	}
 	clients.running.Wait()
@@ -110,8 +113,8 @@
 }
 
 // drain makes some engines leave.
-func (s *site) drain(f *engineFleet, from, to int) {
-	for _, e := range f.engines[from:to] {
+func (s *site) drain(f *engineFleet, engines []*copyingEngine) {
+	for _, e := range engines {
 		f.drain(e)
 		s.store.put("servers/"+e.id, e.entry())
 	}
