Show that copies are used at an engine that asked for a pause

New play paused-standby of review/standin3: an engine leaves, so that runs of others get copies elsewhere; an engine that holds some of these answers new requests with 503 and Retry-After; then an engine of these runs leaves. A node may send two requests to an engine in its pause (BUDGET).

The copies of the stand-in now take memory at the engine that holds them, not at the one that moved them, are released by DELETE /kv-handle and end 5 s after their last part.

--- a/review/standin3/copying_engine.go
+++ b/review/standin3/copying_engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,6 +17,8 @@
 const (
 	// copyInterval is the interval at which the memory of a run is sent to its backup.
 	copyInterval = 200 * time.Millisecond
+	// handleTTL is the time after its last part for which a copy is kept.
+	handleTTL = 5 * time.Second
 	// tokensPerEvent is the number of tokens in one event.
 	tokensPerEvent = 4
 )
@@ -45,12 +48,21 @@
 	mu      sync.Mutex
 	engines []*copyingEngine
 	runs    []*memoryRun
-	// copies maps the address of an engine and the id of a request to the size of the copy that the engine holds.
-	copies map[string]int
+	// copies holds the copies by the name that a request gives in Kv-From: the address of the engine that holds the copy, or of the one
+	// that has moved it, and the id of the copy.
+	copies map[string]memoryCopy
 	// refusedCopies counts the times at which a backup had no room.
 	refusedCopies int
 }
 
+// memoryCopy is a copy of the memory of a run.
+type memoryCopy struct {
+	// holder is the address of the engine that holds the copy, tokens its size, updated the time of its last part.
+	holder  string
+	tokens  int
+	updated time.Time
+}
+
 // copyingEngine is a model engine that sends the memory of its runs to their backups as far as these have room.
 type copyingEngine struct {
 	fleet             *engineFleet
@@ -59,6 +71,18 @@
 	state             string
 	// failures is the share of requests that the engine answers with its own 500.
 	failures float64
+	// retryAfter is the Retry-After time in seconds of the 503 that the engine gives to new requests; it gives none if this is empty.
+	retryAfter string
+	// visits are the requests that have reached the engine.
+	visits []visit
+}
+
+// visit is a request that has reached an engine.
+type visit struct {
+	request string
+	at      time.Time
+	// turnedAway is set if the engine answered with 503 and Retry-After.
+	turnedAway bool
 }
 
 // used returns the memory of an engine that is taken by runs and copies. The caller holds the lock.
@@ -69,9 +93,10 @@
 			total += r.tokens
 		}
 	}
-	for name, size := range f.copies {
-		if strings.HasPrefix(name, e.address+"/") {
-			total += size
+	maps.DeleteFunc(f.copies, func(_ string, c memoryCopy) bool { return time.Since(c.updated) > handleTTL })
+	for _, c := range f.copies {
+		if c.holder == e.address {
+			total += c.tokens
 		}
 	}
 	return total
@@ -96,7 +121,7 @@
 		counts[b] = map[*copyingEngine]int{}
 		total := 0
 		for _, r := range f.runs {
-			if r.tokens > 0 && r.backup == b.address && f.copies[b.address+"/"+r.request] == 0 {
+			if r.tokens > 0 && r.backup == b.address && f.copies[b.address+"/"+r.request].tokens == 0 {
 				counts[b][r.engine]++
 				total++
 			}
@@ -134,6 +159,11 @@
 	case in.URL.Path == "/kv-move":
 		e.serveMove(w, in)
 		return
+	case strings.HasPrefix(in.URL.Path, "/kv-handle/"):
+		e.fleet.mu.Lock()
+		delete(e.fleet.copies, e.address+strings.TrimPrefix(in.URL.Path, "/kv-handle"))
+		e.fleet.mu.Unlock()
+		return
 	case strings.HasPrefix(in.URL.Path, "/kv-"):
 		return
 	}
@@ -143,13 +173,19 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.turnsAway(id, in) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Retry-After", e.retryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	run := e.begin(id, in)
 	if run == nil {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer e.end(run, in.Header.Get("X-Kv-Backup"))
+	defer e.end(run)
 	w.Header().Set("X-Server-Signature", "signed-by-"+e.id)
 	if run.failed {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -159,13 +195,27 @@
 	e.generate(w, in, run)
 }
 
+// turnsAway records a request that has reached the engine, and reports whether the engine turns it away for some time.
+func (e *copyingEngine) turnsAway(id string, in *http.Request) bool {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from := in.Header.Get("Kv-From")
+	v := visit{request: id, at: time.Now(), turnedAway: e.retryAfter != "" && from == ""}
+	e.visits = append(e.visits, v)
+	if v.turnedAway {
+		f.record.writef("engine %s turns %s away, Retry-After %s", e.id, id, e.retryAfter)
+	}
+	return v.turnedAway
+}
+
 // begin begins a run, from a copy if the request names one. It returns nil if the engine does not run the request.
 func (e *copyingEngine) begin(id string, in *http.Request) *memoryRun {
 	f := e.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	from := in.Header.Get("Kv-From")
-	_, hasCopy := f.copies[from]
+	hasCopy := f.copies[from].holder == e.address && time.Since(f.copies[from].updated) <= handleTTL
 	run := &memoryRun{request: id, engine: e, at: time.Now(), isNew: !hasCopy, backup: in.Header.Get("X-Kv-Backup"), failed: rand.Float64() < e.failures, stop: make(chan struct{})}
 	if from != "" && !hasCopy && !run.failed {
 		f.record.writef("engine %s refuses %s: it has no copy", e.id, id)
@@ -177,7 +227,9 @@
 		f.record.writef("engine %s refuses %s: it is full", e.id, id)
 		return nil
 	}
-	delete(f.copies, from)
+	if hasCopy {
+		delete(f.copies, from)
+	}
 	last, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
 	run.tokens += last * tokensPerEvent
 	f.runs = append(f.runs, run)
@@ -186,16 +238,11 @@
 	return run
 }
 
-// end ends a run. Its copy ends with it if the run was whole.
-func (e *copyingEngine) end(run *memoryRun, backup string) {
+// end ends a run.
+func (e *copyingEngine) end(run *memoryRun) {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	run.tokens = 0
-	time.AfterFunc(5*time.Second, func() {
-		e.fleet.mu.Lock()
-		defer e.fleet.mu.Unlock()
-		delete(e.fleet.copies, backup+"/"+run.request)
-	})
 }
 
 // generate writes the events of a run.
@@ -269,13 +316,13 @@
 		return
 	}
 	name := backup + "/" + run.request
-	if f.used(f.engines[i])+run.tokens-f.copies[name] > f.capacity {
-		if f.copies[name] == 0 {
+	if f.used(f.engines[i])+run.tokens-f.copies[name].tokens > f.capacity {
+		if f.copies[name].tokens == 0 {
 			f.refusedCopies++
 		}
 		return
 	}
-	f.copies[name] = run.tokens
+	f.copies[name] = memoryCopy{holder: backup, tokens: run.tokens, updated: time.Now()}
 }
 
 // serveMove copies the memory of a run to another engine. A final move stops the run first.
@@ -303,13 +350,14 @@
 		run.tokens = 0
 		close(run.stop)
 	}
+	handle := "moved-" + body.ID
+	name := e.address + "/" + handle
 	target := slices.IndexFunc(f.engines, func(t *copyingEngine) bool { return t.address == body.Target })
-	if target < 0 || f.used(f.engines[target])+size > f.capacity {
+	if target < 0 || f.used(f.engines[target])+size-f.copies[name].tokens > f.capacity {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	handle := "moved-" + body.ID
-	f.copies[e.address+"/"+handle] = size
+	f.copies[name] = memoryCopy{holder: body.Target, tokens: size, updated: time.Now()}
 	writeJSON(w, http.StatusOK, map[string]any{"cacheHandle": handle, "created": size / tokensPerEvent})
 }
 
--- a/review/standin3/full_backup.go
+++ b/review/standin3/full_backup.go
@@ -32,17 +32,9 @@
 // if a request begins to run a second time, not from a copy.
 func playFullBackup(s *site) (bool, error) {
 	s.store.put("op/config", engineConfiguration())
-	f := &engineFleet{record: s.record, capacity: engineCapacity, interval: 10 * time.Millisecond, copies: map[string]int{}}
-	for i := range engineCount {
-		e := &copyingEngine{fleet: f, id: fmt.Sprintf("i-7f3a91c%d", i), zone: fmt.Sprintf("andino-%c", 'a'+i%2), state: "ready", born: time.Now().UnixMilli()}
-		server, address, err := s.serve("127.0.0.1:0", e)
-		if err != nil {
-			return false, err
-		}
-		s.servers = append(s.servers, server)
-		e.address = address
-		f.engines = append(f.engines, e)
-		s.store.put("servers/"+e.id, e.entry())
+	f := &engineFleet{record: s.record, capacity: engineCapacity, interval: 10 * time.Millisecond, copies: map[string]memoryCopy{}}
+	if err := s.addCopyingEngines(f, engineCount); err != nil {
+		return false, err
 	}
 	for _, zone := range []string{"andino-a", "andino-b"} {
 		if _, err := s.addNode("edge-"+zone+"-1", zone); err != nil {
@@ -112,6 +104,22 @@
 	return held, nil
 }
 
+// addCopyingEngines starts engines and writes their entries.
+func (s *site) addCopyingEngines(f *engineFleet, count int) error {
+	for i := range count {
+		e := &copyingEngine{fleet: f, id: fmt.Sprintf("i-7f3a91c%d", i), zone: fmt.Sprintf("andino-%c", 'a'+i%2), state: "ready", born: time.Now().UnixMilli()}
+		server, address, err := s.serve("127.0.0.1:0", e)
+		if err != nil {
+			return err
+		}
+		s.servers = append(s.servers, server)
+		e.address = address
+		f.engines = append(f.engines, e)
+		s.store.put("servers/"+e.id, e.entry())
+	}
+	return nil
+}
+
 // drain makes some engines leave.
 func (s *site) drain(f *engineFleet, engines []*copyingEngine) {
 	for _, e := range engines {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,6 +28,7 @@
 	"moved-key":         playMovedKey,
 	"full-backup":       playFullBackup,
 	"cold-restart":      playColdRestart,
+	"paused-standby":    playPausedStandby,
 }
 
 func main() { os.Exit(run()) }
