--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -138,15 +138,15 @@
 	portTries = 100
 )
 
-// freePorts returns free ports of the loopback interface.
+// freePorts returns free ports of the loopback interface, and reserves each until this process ends: another script that runs beside it
+// chooses others, also before the node listens.
 func freePorts(count int) ([]int, error) {
 	var ports []int
 	for tries := 0; len(ports) < count; tries++ {
 		port := firstPort + rand.IntN(portCount)
-		listener, err := net.Listen("tcp", loopback(port))
+		err := reservePort(port)
 		switch {
 		case err == nil:
-			defer func() { _ = listener.Close() }()
 			ports = append(ports, port)
 		case tries >= portTries*count:
 			return nil, err
@@ -155,4 +155,23 @@
 	return ports, nil
 }
 
+// reservedPorts holds the listeners that reserve ports, so that they stay open.
+var reservedPorts []net.Listener
+
+// reservePort reserves a free port with a listener on a name of the port, which only the stand-ins know. It fails if the port is in use or
+// reserved.
+func reservePort(port int) error {
+	reservation, err := net.Listen("unix", fmt.Sprintf("@azuredyke-review-port-%d", port))
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", loopback(port))
+	if err != nil {
+		_ = reservation.Close()
+		return err
+	}
+	reservedPorts = append(reservedPorts, reservation)
+	return listener.Close()
+}
+
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
